--- /dev/null
+++ b/crates/admin/src/lib.rs
@@ -0,0 +1,1 @@
+//! The administration API and the status page.
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The request path from callers to backend servers.
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,27 @@
+//! The shared vocabulary of the scheduler and the request path.
+//!
+//! Every other crate depends on this one, and this one depends on none of them. It holds the
+//! identifiers, the records that travel between parts, and the traits at the borders to the outside
+//! systems: the key-value service, the workers and the instance list. An adapter for another
+//! platform implements those traits and touches no decision.
+
+pub mod admin;
+pub mod clock;
+pub mod config;
+pub mod hash;
+pub mod identity;
+pub mod instance;
+pub mod invariant;
+pub mod job;
+pub mod keys;
+pub mod mark;
+pub mod message;
+pub mod shape;
+pub mod store;
+pub mod timer;
+pub mod worker;
+
+pub use identity::{
+    BackendId, ConfigVersion, CustomerName, DomainName, Epoch, InstanceId, JobId, RackName,
+    RegionName, ServiceName, WorkerId,
+};
--- /dev/null
+++ b/crates/model/src/message.rs
@@ -0,0 +1,111 @@
+//! Messages between the system's own processes.
+//!
+//! They travel as bincode frames over h2 streams. Enum variants are only ever added at the end,
+//! because their index is part of the encoding and versions run side by side during an upgrade.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::instance::InstanceRole;
+use crate::{ConfigVersion, DomainName, Epoch, InstanceId};
+
+/// Tells peers that a process is alive and what it knows; sent every second.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Heartbeat {
+    /// Sender.
+    pub from: InstanceId,
+    /// Address on which the sender takes messages, as `ip:port`.
+    pub address: String,
+    /// Failure domain of the sender.
+    pub domain: DomainName,
+    /// Role of the sender; none only in a default value.
+    pub role: Option<InstanceRole>,
+    /// Version of the sender's settings tree; 0 before the first.
+    pub config_version: ConfigVersion,
+    /// Digest of the sender's settings tree.
+    pub config_hash: u64,
+    /// Milliseconds since the sender's last successful call to the key-value service, at most
+    /// `u64::MAX` for never.
+    pub store_contact_age_ms: u64,
+    /// Epochs of the failure domains that the sender schedules.
+    pub epochs: BTreeMap<DomainName, Epoch>,
+    /// Free accelerators by failure domain that the sender schedules.
+    pub free_accelerators: BTreeMap<DomainName, u32>,
+    /// Whether the sender is shutting down.
+    pub leaving: bool,
+}
+
+/// Carries one settings tree.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ConfigPayload {
+    /// Version.
+    pub version: ConfigVersion,
+    /// Stored value of `config/tree`, JSON text.
+    pub text: String,
+}
+
+/// Asks a peer for something.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum PeerRequest {
+    /// Exchanges liveness and digests.
+    Heartbeat(Heartbeat),
+    /// Hands over a newer settings tree.
+    ConfigPush(ConfigPayload),
+    /// Asks for the settings tree if it is newer than a version.
+    ConfigPull {
+        /// Version that the sender has.
+        have: ConfigVersion,
+    },
+    /// Stops starts in a failure domain at once.
+    DomainVeto {
+        /// Failure domain.
+        domain: DomainName,
+        /// Settings version that took the domain out.
+        version: ConfigVersion,
+    },
+    /// Forwards an administration request to the active scheduler of a failure domain.
+    AdminForward {
+        /// Failure domain.
+        domain: DomainName,
+        /// Request as JSON text.
+        request: String,
+    },
+}
+
+/// Answers a [`PeerRequest`].
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum PeerResponse {
+    /// The request was taken.
+    Done,
+    /// Answers a heartbeat with the receiver's own.
+    Heartbeat(Heartbeat),
+    /// Answers a pull; nothing when the receiver has no newer tree.
+    Config(Option<ConfigPayload>),
+    /// Confirms that no start will follow in the failure domain.
+    VetoConfirmed {
+        /// Whether the receiver is the active scheduler of the domain.
+        active: bool,
+    },
+    /// Answers a forwarded administration request.
+    Admin {
+        /// HTTP status.
+        status: u16,
+        /// Answer as JSON text.
+        body: String,
+    },
+    /// The request was refused.
+    Refused {
+        /// Fault and mend.
+        reason: String,
+    },
+}
+
+/// Wraps a request with the context of its trace.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PeerFrame {
+    /// Trace context in the W3C `traceparent` form; empty for none.
+    pub traceparent: String,
+    /// Request.
+    pub request: PeerRequest,
+}
--- /dev/null
+++ b/crates/model/src/shape.rs
@@ -0,0 +1,63 @@
+//! Shapes of gangs and of guarantees.
+//!
+//! A shape says how many members a gang has, how many accelerators each member holds on one worker,
+//! and how close the members must be. A guarantee is a number of shapes, not a count of
+//! accelerators, because a count can be free in pieces that no gang can use.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// The most members that one gang may have.
+pub const MAX_GANG_MEMBERS: u32 = 64;
+
+/// States how close the members of a gang must be.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum AdjacencyLevel {
+    /// All members on one worker.
+    Worker,
+    /// All members in one rack.
+    Rack,
+    /// All members in one failure domain.
+    Domain,
+}
+
+impl fmt::Display for AdjacencyLevel {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Worker => "worker",
+            Self::Rack => "rack",
+            Self::Domain => "domain",
+        })
+    }
+}
+
+/// Describes the accelerators that one gang needs.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct GangShape {
+    /// Number of members, 1 to 64.
+    pub members: u32,
+    /// Accelerators of each member on one worker; 0 for work on processors only.
+    pub accelerators: u32,
+    /// Closeness of the members.
+    pub adjacency: AdjacencyLevel,
+}
+
+impl GangShape {
+    /// Returns the accelerators of all members together.
+    pub fn total(&self) -> u32 {
+        self.members * self.accelerators
+    }
+}
+
+impl fmt::Display for GangShape {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{} x {} accelerators in one {}",
+            self.members, self.accelerators, self.adjacency
+        )
+    }
+}
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement decisions: cells, packing, guarantees, queue order and preemption victims.
--- /dev/null
+++ b/crates/scheduler/src/lib.rs
@@ -0,0 +1,1 @@
+//! Controllers for jobs, gangs, failure domains and configuration.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings tree of the operators: parsing, inheritance and checks.
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the outside systems.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of the key-value service.
--- /dev/null
+++ b/crates/telemetry/src/spans.rs
@@ -0,0 +1,128 @@
+//! Spans for each hop and their propagation.
+
+use std::collections::HashMap;
+use std::time::{Duration, UNIX_EPOCH};
+
+use opentelemetry::global;
+use opentelemetry::propagation::{Extractor, Injector};
+use opentelemetry::trace::TracerProvider;
+use opentelemetry_otlp::{SpanExporter, WithExportConfig};
+use opentelemetry_sdk::error::OTelSdkResult;
+use opentelemetry_sdk::propagation::TraceContextPropagator;
+use opentelemetry_sdk::trace::{
+    BatchConfigBuilder, BatchSpanProcessor, SdkTracerProvider, SpanData,
+};
+use tracing::Span;
+use tracing_opentelemetry::OpenTelemetrySpanExt;
+use tracing_subscriber::layer::SubscriberExt;
+
+/// Spans waiting for export at the most; further ones are dropped.
+const MAX_QUEUE_SPANS: usize = 2048;
+/// Time between exports.
+const EXPORT_PERIOD: Duration = Duration::from_secs(1);
+
+/// Header and frame field that carries the trace context.
+pub const TRACEPARENT: &str = "traceparent";
+
+/// Keeps span export running; dropping it flushes what is queued.
+#[derive(Debug)]
+pub struct SpanPipeline {
+    provider: SdkTracerProvider,
+}
+
+impl SpanPipeline {
+    /// Installs span export for the whole process, to an OTLP endpoint or else into the log.
+    pub fn install(component: &'static str, endpoint: Option<&str>) -> Result<Self, String> {
+        global::set_text_map_propagator(TraceContextPropagator::new());
+        let batch = BatchConfigBuilder::default()
+            .with_max_queue_size(MAX_QUEUE_SPANS)
+            .with_scheduled_delay(EXPORT_PERIOD)
+            .build();
+        let builder = SdkTracerProvider::builder();
+        let provider = match endpoint {
+            Some(endpoint) => {
+                let exporter = SpanExporter::builder()
+                    .with_http()
+                    .with_endpoint(endpoint)
+                    .build()
+                    .map_err(|error| format!("the collector address is invalid: {error}"))?;
+                let processor =
+                    BatchSpanProcessor::builder(exporter).with_batch_config(batch).build();
+                builder.with_span_processor(processor).build()
+            }
+            None => {
+                let processor =
+                    BatchSpanProcessor::builder(LogExporter).with_batch_config(batch).build();
+                builder.with_span_processor(processor).build()
+            }
+        };
+        let layer = tracing_opentelemetry::layer().with_tracer(provider.tracer(component));
+        let subscriber = tracing_subscriber::registry().with(layer);
+        tracing::subscriber::set_global_default(subscriber)
+            .map_err(|error| format!("spans are already installed: {error}"))?;
+        Ok(Self { provider })
+    }
+}
+
+impl Drop for SpanPipeline {
+    fn drop(&mut self) {
+        let _ = self.provider.shutdown_with_timeout(Duration::from_millis(500));
+    }
+}
+
+/// Makes a span the child of the context in a `traceparent` value; an invalid value is ignored.
+pub fn adopt(span: &Span, traceparent: &str) {
+    let carrier = HeaderCarrier(HashMap::from([(TRACEPARENT.to_owned(), traceparent.to_owned())]));
+    let context = global::get_text_map_propagator(|propagator| propagator.extract(&carrier));
+    let _ = span.set_parent(context);
+}
+
+/// Returns the `traceparent` value of a span; empty when spans are off.
+pub fn traceparent(span: &Span) -> String {
+    let mut carrier = HeaderCarrier(HashMap::new());
+    global::get_text_map_propagator(|propagator| {
+        propagator.inject_context(&span.context(), &mut carrier);
+    });
+    carrier.0.remove(TRACEPARENT).unwrap_or_default()
+}
+
+struct HeaderCarrier(HashMap<String, String>);
+
+impl Extractor for HeaderCarrier {
+    fn get(&self, key: &str) -> Option<&str> {
+        self.0.get(key).map(String::as_str)
+    }
+
+    fn keys(&self) -> Vec<&str> {
+        self.0.keys().map(String::as_str).collect()
+    }
+}
+
+impl Injector for HeaderCarrier {
+    fn set(&mut self, key: &str, value: String) {
+        self.0.insert(key.to_owned(), value);
+    }
+}
+
+/// Writes finished spans into the log at debug level.
+#[derive(Debug)]
+struct LogExporter;
+
+impl opentelemetry_sdk::trace::SpanExporter for LogExporter {
+    async fn export(&self, batch: Vec<SpanData>) -> OTelSdkResult {
+        for span in batch {
+            let start = span.start_time.duration_since(UNIX_EPOCH).unwrap_or_default();
+            let elapsed = span.end_time.duration_since(span.start_time).unwrap_or_default();
+            log::debug!(
+                "span {} trace={} id={} parent={} start_us={} elapsed_us={}",
+                span.name,
+                span.span_context.trace_id(),
+                span.span_context.span_id(),
+                span.parent_span_id,
+                start.as_micros(),
+                elapsed.as_micros(),
+            );
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/wire/src/client.rs
@@ -0,0 +1,95 @@
+//! The calling side of calls between processes.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use h2::client::SendRequest;
+use lacewingrail_model::message::{PeerFrame, PeerRequest, PeerResponse};
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+
+use crate::codec;
+use crate::error::WireError;
+use crate::server::read_body;
+
+/// Calls peers over one connection each.
+#[derive(Clone, Default)]
+pub struct PeerClient {
+    connections: Arc<Mutex<HashMap<String, PeerConnection>>>,
+}
+
+#[derive(Clone)]
+struct PeerConnection {
+    sender: SendRequest<Bytes>,
+    driver: Arc<ConnectionDriver>,
+}
+
+/// Ends the task that drives a connection when the last user is gone.
+struct ConnectionDriver(tokio::task::JoinHandle<()>);
+
+impl Drop for ConnectionDriver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl PeerClient {
+    /// Creates a client without connections.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Calls the peer at `ip:port` and waits at most `limit` for the whole answer.
+    ///
+    /// The request may have taken effect when the call ends in `Broken` or `Timeout`.
+    pub async fn call(
+        &self,
+        address: &str,
+        traceparent: String,
+        request: PeerRequest,
+        limit: Duration,
+    ) -> Result<PeerResponse, WireError> {
+        let bytes = codec::encode(&PeerFrame { traceparent, request })?;
+        let result = tokio::time::timeout(limit, self.exchange(address, bytes)).await;
+        let result = result.unwrap_or(Err(WireError::Timeout));
+        if result.is_err() {
+            self.connections.lock().await.remove(address);
+        }
+        codec::decode(&result?)
+    }
+
+    async fn exchange(&self, address: &str, bytes: Vec<u8>) -> Result<Vec<u8>, WireError> {
+        let connection = self.connect(address).await?;
+        let broken = |error: h2::Error| WireError::Broken(error.to_string());
+        let mut sender = connection.sender.clone().ready().await.map_err(broken)?;
+        let request = http::Request::post(format!("http://{address}/peer"))
+            .body(())
+            .map_err(|error| WireError::Connect(error.to_string()))?;
+        let (response, mut stream) = sender.send_request(request, false).map_err(broken)?;
+        stream.send_data(bytes.into(), true).map_err(broken)?;
+        let body = response.await.map_err(broken)?.into_body();
+        let bytes = read_body(body).await;
+        drop(connection.driver);
+        bytes
+    }
+
+    async fn connect(&self, address: &str) -> Result<PeerConnection, WireError> {
+        if let Some(connection) = self.connections.lock().await.get(address) {
+            return Ok(connection.clone());
+        }
+        let connect = |cause: String| WireError::Connect(format!("{address}: {cause}"));
+        let stream =
+            TcpStream::connect(address).await.map_err(|error| connect(error.to_string()))?;
+        let _ = stream.set_nodelay(true);
+        let (sender, driver) =
+            h2::client::handshake(stream).await.map_err(|error| connect(error.to_string()))?;
+        let driver = tokio::spawn(async move {
+            let _ = driver.await;
+        });
+        let connection = PeerConnection { sender, driver: Arc::new(ConnectionDriver(driver)) };
+        self.connections.lock().await.insert(address.to_owned(), connection.clone());
+        Ok(connection)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,45 @@
+//! The frame encoding.
+//!
+//! This is the only module that knows bincode, so that another codec can replace it. Release 2 is
+//! used because release 3.0.0 on the registry is not a usable one.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::WireError;
+
+/// Largest frame in bytes: the largest stored value and room for the rest of the frame.
+pub const MAX_FRAME_BYTES: usize = 1_000_000 + 64 * 1024;
+
+/// Encodes a frame.
+pub fn encode<T>(frame: &T) -> Result<Vec<u8>, WireError>
+where
+    T: Serialize,
+{
+    let bytes = bincode::serde::encode_to_vec(frame, settings())
+        .map_err(|error| WireError::Malformed(error.to_string()))?;
+    if bytes.len() > MAX_FRAME_BYTES {
+        return Err(WireError::TooLarge { bytes: bytes.len() });
+    }
+    Ok(bytes)
+}
+
+/// Decodes a frame; bytes left over are an error.
+pub fn decode<T>(bytes: &[u8]) -> Result<T, WireError>
+where
+    T: DeserializeOwned,
+{
+    if bytes.len() > MAX_FRAME_BYTES {
+        return Err(WireError::TooLarge { bytes: bytes.len() });
+    }
+    let (frame, used) = bincode::serde::decode_from_slice(bytes, settings())
+        .map_err(|error| WireError::Malformed(error.to_string()))?;
+    if used != bytes.len() {
+        return Err(WireError::Malformed(format!("{} bytes left over", bytes.len() - used)));
+    }
+    Ok(frame)
+}
+
+fn settings() -> impl bincode::config::Config {
+    bincode::config::standard().with_limit::<MAX_FRAME_BYTES>()
+}
