--- a/crates/model/src/instance.rs
+++ b/crates/model/src/instance.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::DomainName;
+use crate::worker::WorkerSpec;
 
 /// States what an instance serves.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -66,4 +67,7 @@
 pub trait InstanceList: Send + Sync {
     /// Returns all listed instances.
     async fn read(&self) -> Result<Vec<InstanceEntry>, InstanceError>;
+
+    /// Returns all listed workers with their racks and resources.
+    async fn workers(&self) -> Result<Vec<WorkerSpec>, InstanceError>;
 }
--- a/crates/store/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Clients of the key-value service.
