--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -96,19 +96,30 @@
     Fifo,
 }
 
+/// Describes one value of a policy, for the reference page.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PolicyField {
+    /// Name of the value.
+    pub name: &'static str,
+    /// Rust type of the value.
+    pub kind: &'static str,
+    /// What the value does, in one sentence.
+    pub doc: &'static str,
+}
+
 macro_rules! define_policy {
-    ($($(#[$doc:meta])* $field:ident: $type:ty = $default:expr,)*) => {
+    ($(#[doc = $doc:literal] $field:ident: $type:ty = $default:expr,)*) => {
         /// Holds every value that can be set at any level, merged.
         #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
         pub struct Policy {
-            $($(#[$doc])* pub $field: $type,)*
+            $(#[doc = $doc] pub $field: $type,)*
         }
 
         /// Holds the values that one level overrides.
         #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
         #[serde(default, deny_unknown_fields)]
         pub struct PolicyOverlay {
-            $($(#[$doc])* #[serde(skip_serializing_if = "Option::is_none")]
+            $(#[doc = $doc] #[serde(skip_serializing_if = "Option::is_none")]
             pub $field: Option<$type>,)*
         }
 
@@ -122,6 +133,13 @@
             /// Names of all values in order of declaration.
             pub const FIELDS: &'static [&'static str] = &[$(stringify!($field),)*];
 
+            /// Describes all values in order of declaration.
+            pub const DESCRIPTIONS: &'static [PolicyField] = &[$(PolicyField {
+                name: stringify!($field),
+                kind: stringify!($type),
+                doc: $doc,
+            },)*];
+
             /// Overrides the values that an overlay names.
             pub fn apply(&mut self, overlay: &PolicyOverlay) {
                 $(if let Some(value) = &overlay.$field {
@@ -253,8 +271,9 @@
     pub customers: BTreeMap<CustomerName, CustomerConfig>,
     /// Services.
     pub services: BTreeMap<ServiceName, ServiceConfig>,
-    /// Roles by digest of the bearer token, see [`crate::hash::digest`].
-    pub tokens: BTreeMap<u64, AccessRole>,
+    /// Roles by SHA-256 digest of the bearer token in lower-case hexadecimal digits. A digest that can
+    /// be inverted, such as [`crate::hash::digest`], would let every reader of the tree forge a token.
+    pub tokens: BTreeMap<String, AccessRole>,
 }
 
 impl ConfigView {
--- /dev/null
+++ b/crates/settings/src/keys.rs
@@ -0,0 +1,153 @@
+//! Names and descriptions of all keys.
+//!
+//! The reader refuses keys that are not listed here, and the reference page is rendered from the
+//! same tables, so that the page cannot name a key that the reader does not know.
+
+/// Describes one key.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct KeySpec {
+    /// Name.
+    pub name: &'static str,
+    /// Form of the value.
+    pub kind: &'static str,
+    /// Value that holds when the key is absent, or `required`.
+    pub default: &'static str,
+    /// What the key does, in one sentence.
+    pub doc: &'static str,
+}
+
+const fn key(
+    name: &'static str,
+    kind: &'static str,
+    default: &'static str,
+    doc: &'static str,
+) -> KeySpec {
+    KeySpec { name, kind, default, doc }
+}
+
+/// Keys at the top of the tree.
+pub const TREE_KEYS: &[KeySpec] = &[
+    key("policy", "a policy", "none", "Policy values for everything."),
+    key("regions", "regions by name", "none", "Regions with their failure domains."),
+    key("customers", "customers by name", "none", "Customers with quotas and guarantees."),
+    key("services", "services by name", "none", "Services that callers send requests to."),
+    key("access", "an access section", "none", "Tokens of operators and of readers."),
+];
+
+/// Keys of a region.
+pub const REGION_KEYS: &[KeySpec] = &[
+    key("policy", "a policy", "none", "Policy values for the region."),
+    key(
+        "domains",
+        "failure domains by name",
+        "none",
+        "Failure domains; names are unique in the tree.",
+    ),
+];
+
+/// Keys of a failure domain.
+pub const DOMAIN_KEYS: &[KeySpec] = &[
+    key("policy", "a policy", "none", "Policy values for the failure domain."),
+    key("out", "true or false", "false", "Whether the domain is out: no task starts in it."),
+    key(
+        "racks",
+        "racks by name",
+        "none",
+        "Racks of the healthy domain; each has one group of equal workers or a list of groups.",
+    ),
+];
+
+/// Keys of a group of equal workers in a rack.
+pub const RACK_KEYS: &[KeySpec] = &[
+    key("workers", "a whole number from 1 to 1024", "required", "Number of workers."),
+    key(
+        "accelerators",
+        "a whole number from 0 to 64",
+        "required",
+        "Accelerators of each worker; 0 for workers with processors only.",
+    ),
+];
+
+/// Keys of a customer.
+pub const CUSTOMER_KEYS: &[KeySpec] = &[
+    key("policy", "a policy", "none", "Policy values for the customer."),
+    key("weight", "a number above 0", "1", "Weight in the fair order of queues."),
+    key(
+        "precedence",
+        "a whole number from 0",
+        "100",
+        "Order in which guarantees are honoured when they no longer fit; lower goes first.",
+    ),
+    key(
+        "quota",
+        "a whole number from 0",
+        "required",
+        "Most accelerators in use over all failure domains.",
+    ),
+    key("guarantees", "a list of guarantees", "none", "Shapes that are always available."),
+    key(
+        "tokens",
+        "a list of SHA-256 digests",
+        "none",
+        "Digests of tokens that may act for the customer; never the tokens.",
+    ),
+];
+
+/// Keys of a guarantee.
+pub const GUARANTEE_KEYS: &[KeySpec] = &[
+    key("domain", "the name of a failure domain", "required", "Failure domain of the guarantee."),
+    key("shape", "a shape", "required", "Shape that is available."),
+    key("count", "a whole number from 1", "1", "Number of such shapes at once."),
+];
+
+/// Keys of a shape.
+pub const SHAPE_KEYS: &[KeySpec] = &[
+    key("members", "a whole number from 1 to 64", "required", "Members of the gang."),
+    key(
+        "accelerators",
+        "a whole number from 1 to 8",
+        "required",
+        "Accelerators of each member, all on one worker.",
+    ),
+    key("adjacency", "worker, rack or domain", "required", "How close the members must be."),
+];
+
+/// Keys of a service.
+pub const SERVICE_KEYS: &[KeySpec] =
+    &[key("policy", "a policy", "none", "Policy values for the service.")];
+
+/// Keys of the access section.
+pub const ACCESS_KEYS: &[KeySpec] = &[
+    key("operators", "a list of SHA-256 digests", "none", "Tokens that may do everything."),
+    key("readers", "a list of SHA-256 digests", "none", "Tokens that may read everything."),
+];
+
+/// Keys of the settings file of a process.
+pub const PROCESS_KEYS: &[KeySpec] = &[
+    key("name", "a name", "required", "Name of the process; a random suffix makes it unique."),
+    key("region", "the name of a region", "required", "Region of the process."),
+    key("domain", "the name of a failure domain", "required", "Failure domain of the process."),
+    key("listen", "a listen section", "required", "Addresses on which the process listens."),
+    key("peers", "a list of ip:port", "none", "Addresses of other processes at start."),
+    key("store", "an address such as http://10.0.0.1:7100", "required", "Key-value service."),
+    key("instances", "an address such as http://10.0.0.1:7101", "required", "Instance list."),
+    key("otlp", "an address such as http://10.0.0.1:4318", "none", "Collector of trace spans."),
+    key(
+        "log_level",
+        "off, error, warn, info, debug or trace",
+        "info",
+        "Least severe log lines that are written.",
+    ),
+];
+
+/// Keys of the listen section of a process.
+pub const LISTEN_KEYS: &[KeySpec] = &[
+    key("callers", "ip:port", "none", "Requests of callers; required for an entry process."),
+    key(
+        "admin",
+        "ip:port",
+        "none",
+        "Administration API, metrics and readiness; required for a scheduler process.",
+    ),
+    key("peers", "ip:port", "required", "Messages of other processes."),
+];
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,27 @@
 //! Settings tree of the operators: parsing, inheritance and checks.
+//!
+//! The tree is written in YAML and kept as one value of the key-value service. [`parse`] reads it and
+//! reports every fault at once, each with its place and its remedy; a tree with a fault is not
+//! accepted in part. [`StoredTree`] is the stored form with its version, and
+//! [`StoredTree::view`] builds the [`ConfigView`](lacewingrail_model::config::ConfigView) that
+//! decisions read. [`ProcessSettings`] holds what one process must know before it can reach the tree.
+
+mod check;
+pub mod edit;
+pub mod effective;
+pub mod error;
+pub mod keys;
+pub mod process;
+mod reader;
+pub mod reference;
+pub mod stored;
+pub mod token;
+pub mod tree;
+
+pub use edit::set_domain_out;
+pub use effective::{EffectivePath, EffectiveValue, effective};
+pub use error::{SettingsError, SettingsErrors};
+pub use process::{ListenSettings, LogLevel, ProcessSettings};
+pub use stored::{MAX_TREE_BYTES, StoredTree};
+pub use token::token_digest;
+pub use tree::{SettingsTree, parse};
--- /dev/null
+++ b/crates/settings/src/reader.rs
@@ -0,0 +1,227 @@
+//! Reads YAML values key by key and collects every fault.
+//!
+//! Deserializing a whole record at once would stop at the first fault. The reader instead takes each
+//! key on its own and goes on.
+
+use serde::de::DeserializeOwned;
+use serde_norway::{Mapping, Value};
+
+use crate::error::{SettingsError, SettingsErrors};
+use crate::keys::KeySpec;
+
+/// Collects the faults of one text.
+pub(crate) struct FaultList {
+    file: String,
+    faults: Vec<SettingsError>,
+}
+
+impl FaultList {
+    pub(crate) fn new(file: &str) -> Self {
+        Self { file: file.to_owned(), faults: Vec::new() }
+    }
+
+    pub(crate) fn add(&mut self, path: &str, reason: impl Into<String>, mend: impl Into<String>) {
+        self.faults.push(SettingsError {
+            file: self.file.clone(),
+            path: path.to_owned(),
+            reason: reason.into(),
+            mend: mend.into(),
+        });
+    }
+
+    pub(crate) fn file(&self) -> &str {
+        &self.file
+    }
+
+    pub(crate) fn into_errors(self) -> SettingsErrors {
+        SettingsErrors(self.faults)
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.faults.is_empty()
+    }
+
+    pub(crate) fn finish<T>(self, value: T) -> Result<T, SettingsErrors> {
+        if self.faults.is_empty() { Ok(value) } else { Err(SettingsErrors(self.faults)) }
+    }
+}
+
+/// Reads the keys of one mapping.
+pub(crate) struct SectionReader {
+    pub(crate) path: String,
+    entries: Mapping,
+    keys: &'static [KeySpec],
+}
+
+impl SectionReader {
+    /// Takes a value as a mapping with known keys; unknown keys are faults.
+    pub(crate) fn new(
+        path: &str,
+        value: Value,
+        keys: &'static [KeySpec],
+        faults: &mut FaultList,
+    ) -> Self {
+        let entries = read_mapping(path, value, faults);
+        for key in entries.keys() {
+            let name = key_name(key);
+            if !keys.iter().any(|spec| spec.name == name) {
+                let known = keys.iter().map(|spec| spec.name).collect::<Vec<_>>().join(", ");
+                let place = join(path, &name);
+                faults.add(&place, "the key is unknown", format!("use one of: {known}"));
+            }
+        }
+        Self { path: path.to_owned(), entries, keys }
+    }
+
+    /// Returns the path of a key of the section.
+    pub(crate) fn path_of(&self, name: &str) -> String {
+        join(&self.path, name)
+    }
+
+    /// Takes the raw value of a key.
+    pub(crate) fn take(&mut self, name: &str) -> Option<Value> {
+        debug_assert!(self.keys.iter().any(|spec| spec.name == name), "{name} is not described");
+        self.entries.remove(name)
+    }
+
+    /// Reads an optional key.
+    pub(crate) fn optional<T>(&mut self, name: &str, faults: &mut FaultList) -> Option<T>
+    where
+        T: DeserializeOwned,
+    {
+        let value = self.take(name)?;
+        let kind = self.keys.iter().find(|spec| spec.name == name).map_or("", |spec| spec.kind);
+        read_leaf(&self.path_of(name), value, kind, faults)
+    }
+
+    /// Reads a required key; a missing key is a fault.
+    pub(crate) fn required<T>(&mut self, name: &str, faults: &mut FaultList) -> Option<T>
+    where
+        T: DeserializeOwned,
+    {
+        if !self.entries.contains_key(name) {
+            let kind = self.keys.iter().find(|spec| spec.name == name).map_or("", |spec| spec.kind);
+            faults.add(&self.path_of(name), "the key is missing", format!("add it: {kind}"));
+            return None;
+        }
+        self.optional(name, faults)
+    }
+}
+
+/// Reads one value that has no keys of its own.
+pub(crate) fn read_leaf<T>(
+    path: &str,
+    value: Value,
+    kind: &str,
+    faults: &mut FaultList,
+) -> Option<T>
+where
+    T: DeserializeOwned,
+{
+    if value.is_null() {
+        faults.add(path, "the key has no value", format!("write {kind}, or remove the key"));
+        return None;
+    }
+    match serde_norway::from_value(value) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            let text = error.to_string();
+            match text.split_once("; ") {
+                Some((reason, mend)) => faults.add(path, reason, mend),
+                None => faults.add(path, text, format!("write {kind}")),
+            }
+            None
+        }
+    }
+}
+
+/// Reads a mapping from names to values; each name is checked.
+pub(crate) fn read_names(
+    path: &str,
+    value: Option<Value>,
+    faults: &mut FaultList,
+) -> Vec<(String, Value)> {
+    let Some(value) = value else { return Vec::new() };
+    let mut names = Vec::new();
+    for (key, value) in read_mapping(path, value, faults) {
+        let name = key_name(&key);
+        check_name(&join(path, &name), &name, faults);
+        names.push((name, value));
+    }
+    names
+}
+
+/// Reads a sequence.
+pub(crate) fn read_sequence(
+    path: &str,
+    value: Option<Value>,
+    faults: &mut FaultList,
+) -> Vec<Value> {
+    match value {
+        None => Vec::new(),
+        Some(Value::Sequence(values)) => values,
+        Some(_) => {
+            faults.add(
+                path,
+                "a list is expected",
+                "write each entry on a line of its own with \"- \"",
+            );
+            Vec::new()
+        }
+    }
+}
+
+/// Reads a whole text as one YAML value.
+pub(crate) fn read_text(text: &str, file: &str) -> Result<Value, SettingsErrors> {
+    serde_norway::from_str::<Value>(text).map_err(|error| {
+        SettingsErrors::whole(
+            file,
+            format!("the text is not valid YAML ({error})"),
+            "correct the line that is named; indent with spaces and write each key once",
+        )
+    })
+}
+
+/// Returns the path of a key below another path.
+pub(crate) fn join(path: &str, name: &str) -> String {
+    if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") }
+}
+
+fn read_mapping(path: &str, value: Value, faults: &mut FaultList) -> Mapping {
+    match value {
+        Value::Mapping(entries) => entries,
+        Value::Null => Mapping::new(),
+        _ => {
+            faults.add(
+                path,
+                "a section with keys is expected",
+                "write \"key: value\" lines below it",
+            );
+            Mapping::new()
+        }
+    }
+}
+
+fn key_name(key: &Value) -> String {
+    match key {
+        Value::String(name) => name.clone(),
+        Value::Bool(value) => value.to_string(),
+        Value::Number(number) => number.to_string(),
+        _ => "?".to_owned(),
+    }
+}
+
+/// Names become parts of store keys and of URLs, which limits their characters.
+pub(crate) fn check_name(path: &str, name: &str, faults: &mut FaultList) {
+    const MAX_NAME_BYTES: usize = 63;
+    let starts = name.bytes().next().is_some_and(|byte| byte.is_ascii_alphanumeric());
+    let allowed =
+        name.bytes().all(|byte| matches!(byte, b'a'..=b'z' | b'0'..=b'9' | b'-' | b'_' | b'.'));
+    if !starts || !allowed || name.len() > MAX_NAME_BYTES {
+        faults.add(
+            path,
+            format!("\"{name}\" is not a valid name"),
+            "use up to 63 of a-z, 0-9, \"-\", \"_\" and \".\", beginning with a letter or a digit",
+        );
+    }
+}
--- /dev/null
+++ b/crates/settings/src/stored.rs
@@ -0,0 +1,232 @@
+//! The stored form of the tree and the view that decisions read.
+//!
+//! The value keeps the operators' text as they wrote it. What the text cannot say, namely since which
+//! version a guarantee or the state of a failure domain holds, is kept beside it.
+
+use std::collections::BTreeMap;
+
+use lacewingrail_model::clock::{UnixMillis, unix_millis};
+use lacewingrail_model::config::{
+    AccessRole, ConfigView, CustomerConfig, DomainConfig, GuaranteeConfig, ServiceConfig,
+};
+use lacewingrail_model::hash;
+use lacewingrail_model::mark::WriteMark;
+use lacewingrail_model::{ConfigVersion, keys};
+use serde::{Deserialize, Serialize};
+
+use crate::error::SettingsErrors;
+use crate::tree::{GuaranteeSettings, SettingsTree, parse};
+
+/// The largest stored tree in bytes, below the limit of 1 MB of the key-value service.
+pub const MAX_TREE_BYTES: usize = 900_000;
+
+/// Holds one accepted tree as it is stored under `config/tree`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoredTree {
+    /// Version, one above that of the tree before it.
+    pub version: ConfigVersion,
+    /// Mark of the write.
+    pub mark: WriteMark,
+    /// Who changed the tree.
+    pub author: String,
+    /// Time of the change.
+    pub written_at: UnixMillis,
+    /// Text in YAML.
+    pub text: String,
+    /// Version since which each guarantee and each domain's `out` holds, by [`guarantee_key`] and
+    /// [`out_key`].
+    pub since: BTreeMap<String, ConfigVersion>,
+}
+
+impl StoredTree {
+    /// Creates version 1.
+    ///
+    /// # Errors
+    /// Reports every fault of the text.
+    pub fn first(text: &str, author: &str, mark: WriteMark) -> Result<Self, SettingsErrors> {
+        Self::build(1, None, text, author, mark)
+    }
+
+    /// Creates the next version with another text.
+    ///
+    /// # Errors
+    /// Reports every fault of the text.
+    pub fn next(&self, text: &str, author: &str, mark: WriteMark) -> Result<Self, SettingsErrors> {
+        Self::build(self.version + 1, Some(self), text, author, mark)
+    }
+
+    /// Builds the view that decisions read.
+    ///
+    /// # Errors
+    /// Reports every fault of the text, which can arise where another release accepted it.
+    pub fn view(&self) -> Result<ConfigView, SettingsErrors> {
+        let tree = parse(&self.text, keys::CONFIG_TREE)?;
+        Ok(build_view(&tree, self))
+    }
+
+    /// Encodes the stored value.
+    ///
+    /// # Errors
+    /// Refuses a value over [`MAX_TREE_BYTES`].
+    pub fn encode(&self) -> Result<String, SettingsErrors> {
+        let value = serde_json::to_string(self).map_err(|error| {
+            SettingsErrors::whole(
+                keys::CONFIG_TREE,
+                format!("the tree cannot be encoded ({error})"),
+                "report this fault",
+            )
+        })?;
+        if value.len() > MAX_TREE_BYTES {
+            return Err(SettingsErrors::whole(
+                keys::CONFIG_TREE,
+                format!("the stored tree has {} bytes, over {MAX_TREE_BYTES}", value.len()),
+                "shorten the comments or remove customers that are gone",
+            ));
+        }
+        Ok(value)
+    }
+
+    /// Decodes a stored value.
+    ///
+    /// # Errors
+    /// Refuses a value that is not a stored tree.
+    pub fn decode(value: &str) -> Result<Self, SettingsErrors> {
+        serde_json::from_str(value).map_err(|error| {
+            SettingsErrors::whole(
+                keys::CONFIG_TREE,
+                format!("the stored value is not a settings tree ({error})"),
+                "restore it with `lacewingrail config put`",
+            )
+        })
+    }
+
+    fn build(
+        version: ConfigVersion,
+        before: Option<&Self>,
+        text: &str,
+        author: &str,
+        mark: WriteMark,
+    ) -> Result<Self, SettingsErrors> {
+        let tree = parse(text, keys::CONFIG_TREE)?;
+        // The tree before may fail to parse when another release wrote it; its states then count as new.
+        let outs = before.and_then(|stored| parse(&stored.text, keys::CONFIG_TREE).ok());
+        let kept = |key: &str| before.and_then(|stored| stored.since.get(key)).copied();
+        let mut since = BTreeMap::new();
+        for (name, customer) in &tree.customers {
+            for guarantee in &customer.guarantees {
+                let key = guarantee_key(name, guarantee);
+                let first = kept(&key).unwrap_or(version);
+                since.insert(key, first);
+            }
+        }
+        for (name, domain) in tree.regions.values().flat_map(|region| &region.domains) {
+            let unchanged = outs.as_ref().is_some_and(|tree| {
+                let domains = tree.regions.values().find_map(|region| region.domains.get(name));
+                domains.is_some_and(|settings| settings.out == domain.out)
+            });
+            let key = out_key(name);
+            let first = kept(&key).filter(|_| unchanged).unwrap_or(version);
+            since.insert(key, first);
+        }
+        let stored = Self {
+            version,
+            mark,
+            author: author.to_owned(),
+            written_at: unix_millis(),
+            text: text.to_owned(),
+            since,
+        };
+        stored.encode()?;
+        Ok(stored)
+    }
+}
+
+/// Returns the key of a guarantee in [`StoredTree::since`]; its count is not part of it.
+pub fn guarantee_key(customer: &str, guarantee: &GuaranteeSettings) -> String {
+    let shape = guarantee.shape;
+    format!(
+        "guarantee/{customer}/{}/{}x{}/{}",
+        guarantee.domain, shape.members, shape.accelerators, shape.adjacency
+    )
+}
+
+/// Returns the key of a failure domain's state in [`StoredTree::since`].
+pub fn out_key(domain: &str) -> String {
+    format!("out/{domain}")
+}
+
+fn build_view(tree: &SettingsTree, stored: &StoredTree) -> ConfigView {
+    let since = |key: String| stored.since.get(&key).copied().unwrap_or(stored.version);
+    let domains = tree
+        .regions
+        .iter()
+        .flat_map(|(region, settings)| {
+            settings.domains.iter().map(move |(name, domain)| (region, name, domain))
+        })
+        .map(|(region, name, domain)| {
+            let config = DomainConfig {
+                region: region.clone(),
+                out: domain.out,
+                out_since: since(out_key(name)),
+                overlay: domain.policy.clone(),
+                nominal_racks: domain.racks.clone(),
+            };
+            (name.clone(), config)
+        })
+        .collect();
+    let customers = tree
+        .customers
+        .iter()
+        .map(|(name, customer)| {
+            let guarantees = customer
+                .guarantees
+                .iter()
+                .map(|guarantee| GuaranteeConfig {
+                    domain: guarantee.domain.clone(),
+                    shape: guarantee.shape,
+                    count: guarantee.count,
+                    since: since(guarantee_key(name, guarantee)),
+                })
+                .collect();
+            let config = CustomerConfig {
+                precedence: customer.precedence,
+                weight: customer.weight,
+                quota: customer.quota,
+                guarantees,
+                overlay: customer.policy.clone(),
+            };
+            (name.clone(), config)
+        })
+        .collect();
+    let services = tree
+        .services
+        .iter()
+        .map(|(name, policy)| (name.clone(), ServiceConfig { overlay: policy.clone() }))
+        .collect();
+    ConfigView {
+        version: stored.version,
+        hash: hash::digest(stored.text.as_bytes()),
+        global: tree.policy.clone(),
+        regions: tree
+            .regions
+            .iter()
+            .map(|(name, region)| (name.clone(), region.policy.clone()))
+            .collect(),
+        domains,
+        customers,
+        services,
+        tokens: build_tokens(tree),
+    }
+}
+
+fn build_tokens(tree: &SettingsTree) -> BTreeMap<String, AccessRole> {
+    let operators = tree.operators.iter().map(|digest| (digest.clone(), AccessRole::Operator));
+    let readers = tree.readers.iter().map(|digest| (digest.clone(), AccessRole::ReadOnly));
+    let customers = tree.customers.iter().flat_map(|(name, customer)| {
+        customer
+            .tokens
+            .iter()
+            .map(|digest| (digest.clone(), AccessRole::Customer { customer: name.clone() }))
+    });
+    operators.chain(readers).chain(customers).collect()
+}
