--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -160,7 +160,7 @@
     let otlp = section.optional::<String>("otlp", faults);
     for (path, address) in [("store", &store), ("instances", &instances), ("otlp", &otlp)] {
         let Some(address) = address else { continue };
-        if !address.strip_prefix("http://").is_some_and(|rest| !rest.is_empty()) {
+        if address.strip_prefix("http://").is_none_or(str::is_empty) {
             faults.add(
                 path,
                 format!("\"{address}\" is not an HTTP address"),
--- a/crates/settings/src/tree.rs
+++ b/crates/settings/src/tree.rs
@@ -87,8 +87,8 @@
 /// Reads a tree and checks it as a whole.
 ///
 /// # Errors
-/// Reports every fault of the text. Checks across the tree, such as whether the guarantees fit, run
-/// only on a text without faults in single values.
+/// Reports every fault of the text. Whether the guarantees fit together is checked only on a text
+/// without other faults.
 pub fn parse(text: &str, file: &str) -> Result<SettingsTree, SettingsErrors> {
     let value = reader::read_text(text, file)?;
     let mut faults = FaultList::new(file);
--- a/crates/settings/src/tree/policy.rs
+++ b/crates/settings/src/tree/policy.rs
@@ -56,18 +56,19 @@
         } else {
             reader::read_leaf(&place, Value::Mapping(single), kind_of(field.kind), faults)
         };
-        if let Some(overlay) = overlay {
-            check_ranges(&place, &overlay, faults);
+        if overlay.is_some_and(|overlay| check_ranges(&place, &overlay, faults)) {
             accepted.insert(key, value);
         }
     }
     serde_norway::from_value(Value::Mapping(accepted)).unwrap_or_default()
 }
 
-/// Checks the single value that an overlay holds.
-fn check_ranges(path: &str, overlay: &PolicyOverlay, faults: &mut FaultList) {
+/// Checks the single value that an overlay holds and returns whether it is in range.
+fn check_ranges(path: &str, overlay: &PolicyOverlay, faults: &mut FaultList) -> bool {
+    let mut valid = true;
     let mut refuse = |fails: bool, mend: &str| {
         if fails {
+            valid = false;
             faults.add(path, "the value is out of range", mend);
         }
     };
@@ -96,4 +97,5 @@
     if let Some(shards) = overlay.claim_shards {
         refuse(!(1..=MAX_CLAIM_SHARDS).contains(&shards), "write a whole number from 1 to 1024");
     }
+    valid
 }
--- a/crates/settings/tests/parse.rs
+++ b/crates/settings/tests/parse.rs
@@ -98,11 +98,7 @@
         ),
         ("adjacency: rack", "adjacency: worker", "customers.bank.guarantees[0]"),
         ("workers: 2", "workers: 1", "customers.bank.guarantees[0]"),
-        (
-            "adjacency: rack }",
-            "adjacency: rack }, count: 4000000000",
-            "customers.bank.quota",
-        ),
+        ("adjacency: rack }", "adjacency: rack }, count: 4000000000", "customers.bank.quota"),
         ("adjacency: rack }", "adjacency: rack }, count: 0", "customers.bank.guarantees[0].count"),
     ];
     for (from, to, path) in cases {
