Add membership: heartbeats, configuration spreading, store evidence

Cause: processes must learn of each other, of a newer settings tree and of a store outage without a replicated store of our own. Change: crate membership.

--- /dev/null
+++ b/crates/membership/src/handler.rs
@@ -0,0 +1,84 @@
+//! Answers to the requests of peers.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use async_trait::async_trait;
+use lacewingrail_model::message::{PeerFrame, PeerRequest, PeerResponse};
+use lacewingrail_telemetry::spans;
+use lacewingrail_wire::PeerHandler;
+use tracing::Instrument;
+
+use crate::config::OfferOutcome;
+use crate::{MembershipState, config_controller};
+
+/// Answers heartbeats, configuration requests and scheduler requests.
+pub struct MembershipHandler {
+    state: Arc<MembershipState>,
+}
+
+impl MembershipHandler {
+    pub(crate) fn new(state: Arc<MembershipState>) -> Self {
+        Self { state }
+    }
+
+    async fn answer(&self, request: PeerRequest) -> PeerResponse {
+        match request {
+            PeerRequest::Heartbeat(heartbeat) => {
+                // The sender's word on the store is not used as evidence here: its age on arrival
+                // is unknown. The reply to an own heartbeat is.
+                let heard =
+                    lacewingrail_model::message::Heartbeat { store_reached: None, ..heartbeat };
+                self.state.learn(&heard, Instant::now());
+                PeerResponse::Heartbeat(self.state.heartbeat())
+            }
+            PeerRequest::ConfigPush(payload) => match self.state.config.offer(payload) {
+                OfferOutcome::Refused(reason) => PeerResponse::Refused { reason },
+                OfferOutcome::Taken | OfferOutcome::Known => PeerResponse::Done,
+            },
+            PeerRequest::ConfigPull { have } => {
+                let newer = self.state.config.payload().filter(|payload| payload.version > have);
+                PeerResponse::Config(newer)
+            }
+            PeerRequest::DomainVeto { domain, version } => {
+                self.state.note_veto(&domain, version);
+                let active = match self.state.hook.get() {
+                    Some(hook) => hook.veto(&domain, version).await,
+                    None => false,
+                };
+                PeerResponse::VetoConfirmed { active }
+            }
+            PeerRequest::AdminForward { domain, request } => match self.state.hook.get() {
+                Some(hook) => {
+                    let (status, body) = hook.answer(&domain, &request).await;
+                    PeerResponse::Admin { status, body }
+                }
+                None => PeerResponse::Refused {
+                    reason: "this process schedules no domain; ask a scheduler process".to_owned(),
+                },
+            },
+        }
+    }
+}
+
+#[async_trait]
+impl PeerHandler for MembershipHandler {
+    async fn handle(&self, frame: PeerFrame) -> PeerResponse {
+        let newer = match &frame.request {
+            PeerRequest::Heartbeat(heartbeat)
+                if heartbeat.config_version > self.state.config.version() =>
+            {
+                Some(heartbeat.address.clone())
+            }
+            _ => None,
+        };
+        let span = tracing::info_span!("peer_request");
+        spans::adopt(&span, &frame.traceparent);
+        let response = self.answer(frame.request).instrument(span).await;
+        if let Some(address) = newer {
+            let state = self.state.clone();
+            tokio::spawn(async move { config_controller::pull(&state, &address).await });
+        }
+        response
+    }
+}
--- a/crates/model/src/instance.rs
+++ b/crates/model/src/instance.rs
@@ -36,6 +36,9 @@
     pub domain: DomainName,
     /// Base address, such as `http://127.0.0.1:7001`.
     pub address: String,
+    /// Address on which a process of the system takes messages of its peers, as `ip:port`.
+    #[serde(default)]
+    pub peer_address: String,
     /// States whether the instance is leaving and must get no new work.
     #[serde(default)]
     pub leaving: bool,
--- a/crates/model/src/message.rs
+++ b/crates/model/src/message.rs
@@ -25,17 +25,28 @@
     pub config_version: ConfigVersion,
     /// Digest of the sender's settings tree.
     pub config_hash: u64,
-    /// Milliseconds since the sender's last successful call to the key-value service, at most
-    /// `u64::MAX` for never.
-    pub store_contact_age_ms: u64,
-    /// Epochs of the failure domains that the sender schedules.
-    pub epochs: BTreeMap<DomainName, Epoch>,
-    /// Free accelerators by failure domain that the sender schedules.
-    pub free_accelerators: BTreeMap<DomainName, u32>,
+    /// Whether the sender's newest calls to the key-value service succeeded; nothing before its
+    /// first call ended.
+    pub store_reached: Option<bool>,
+    /// Active schedulers that the sender knows of.
+    pub schedulers: BTreeMap<DomainName, SchedulerSeen>,
     /// Whether the sender is shutting down.
     pub leaving: bool,
 }
 
+/// Describes the active scheduler of a failure domain as one process knows it.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SchedulerSeen {
+    /// Epoch of the scheduler.
+    pub epoch: Epoch,
+    /// Address on which it takes messages, as `ip:port`.
+    pub address: String,
+    /// Free accelerators of the domain.
+    pub free_accelerators: u32,
+    /// Counts the scheduler's own updates within its epoch; higher is newer.
+    pub update: u64,
+}
+
 /// Carries one settings tree.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ConfigPayload {
