Add the platform crate: clients, read-modify-write and in-memory store

Cause: the scheduler and entry crates need the key-value service, the workers and the instance list behind the traits of the model, and tests need a key-value service with faults.

WatchBatch gets `reset`, because a bounded history cannot replay every change. A start carries the end of its permission on the worker's clock, since a relative time cannot bound a start that the network delays.

--- a/crates/model/src/store.rs
+++ b/crates/model/src/store.rs
@@ -47,6 +47,10 @@
     pub events: Vec<StoreEvent>,
     /// Revision to continue after.
     pub revision: Revision,
+    /// States that the history no longer reaches back to the requested revision: `events` then holds
+    /// every existing key of the prefix, and a key that is not among them does not exist.
+    #[serde(default)]
+    pub reset: bool,
 }
 
 /// States why a call to the service failed.
--- /dev/null
+++ b/crates/platform/src/http_store.rs
@@ -0,0 +1,196 @@
+//! Client of the key-value service over HTTP and JSON.
+//!
+//! A write that was sent and whose answer did not arrive whole ends in [`StoreError::Unclear`]. A
+//! refused connection and the statuses by which the service states that it did nothing end in
+//! [`StoreError::Unavailable`].
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use lacewingrail_model::store::{
+    KeyValueService, LeaseId, MAX_VALUE_BYTES, Revision, StoreEntry, StoreError, WatchBatch,
+};
+use reqwest::{Client, Method, RequestBuilder, StatusCode};
+use serde::de::DeserializeOwned;
+
+use crate::calls::{CallCounter, CallKind};
+use crate::http::{ExchangeError, HttpAnswer, build_client, exchange, join, millis};
+use crate::protocol::{
+    ConflictAnswer, GetAnswer, LeaseAnswer, LeaseRequest, ListAnswer, WriteAnswer,
+};
+
+/// Default time for a call; the scheduler lease of 4 s must survive two failed renewals.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time granted to the answer of a watch beyond its wait.
+const WATCH_GRACE: Duration = Duration::from_secs(1);
+/// Largest answer in bytes; bounds the memory that a faulty service can claim.
+const ANSWER_LIMIT: usize = 256_000_000;
+/// Idle connections kept.
+const IDLE_CONNECTIONS: usize = 16;
+
+/// Calls the key-value service over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpStore {
+    address: String,
+    client: Client,
+    timeout: Duration,
+    counter: Arc<CallCounter>,
+}
+
+impl HttpStore {
+    /// Creates a client for a base address such as `http://127.0.0.1:7000`.
+    pub fn new(address: impl Into<String>) -> Self {
+        Self {
+            address: address.into(),
+            client: build_client(IDLE_CONNECTIONS),
+            timeout: CALL_TIMEOUT,
+            counter: Arc::default(),
+        }
+    }
+
+    /// Sets the time after which a call other than a watch fails.
+    pub fn with_timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+
+    /// Returns the counters of the calls made.
+    pub fn counter(&self) -> &Arc<CallCounter> {
+        &self.counter
+    }
+
+    fn request(&self, method: Method, segments: &[&str]) -> Result<RequestBuilder, StoreError> {
+        let url = join(&self.address, segments).map_err(|error| lost(error, false))?;
+        Ok(self.client.request(method, url))
+    }
+
+    async fn call(
+        &self,
+        kind: CallKind,
+        request: RequestBuilder,
+        timeout: Duration,
+    ) -> Result<HttpAnswer, StoreError> {
+        self.counter.count(kind);
+        let outcome = match exchange(request, timeout, ANSWER_LIMIT).await {
+            Ok(answer) => refuse(kind, answer),
+            Err(error) => Err(lost(error, kind.is_write())),
+        };
+        if let Err(StoreError::Unavailable(_) | StoreError::Unclear(_)) = &outcome {
+            let unclear = matches!(outcome, Err(StoreError::Unclear(_)));
+            self.counter.count_failure(kind, unclear);
+        }
+        outcome
+    }
+}
+
+#[async_trait]
+impl KeyValueService for HttpStore {
+    async fn get(&self, key: &str) -> Result<Option<StoreEntry>, StoreError> {
+        let request = self.request(Method::GET, &["v1", "kv", key])?;
+        let answer = self.call(CallKind::Get, request, self.timeout).await?;
+        Ok(parse::<GetAnswer>(CallKind::Get, &answer)?.entry)
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<StoreEntry>, StoreError> {
+        let request = self.request(Method::GET, &["v1", "kv"])?.query(&[("prefix", prefix)]);
+        let answer = self.call(CallKind::List, request, self.timeout).await?;
+        Ok(parse::<ListAnswer>(CallKind::List, &answer)?.entries)
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: String,
+        expected: Revision,
+        lease: Option<LeaseId>,
+    ) -> Result<Revision, StoreError> {
+        if value.len() > MAX_VALUE_BYTES {
+            return Err(StoreError::TooLarge { bytes: value.len() });
+        }
+        let mut request = self
+            .request(Method::PUT, &["v1", "kv", key])?
+            .query(&[("revision", expected)])
+            .body(value);
+        if let Some(lease) = lease {
+            request = request.query(&[("lease", lease)]);
+        }
+        let answer = self.call(CallKind::Put, request, self.timeout).await?;
+        Ok(parse::<WriteAnswer>(CallKind::Put, &answer)?.revision)
+    }
+
+    async fn delete(&self, key: &str, expected: Revision) -> Result<(), StoreError> {
+        let request =
+            self.request(Method::DELETE, &["v1", "kv", key])?.query(&[("revision", expected)]);
+        self.call(CallKind::Delete, request, self.timeout).await.map(drop)
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<WatchBatch, StoreError> {
+        let request = self
+            .request(Method::GET, &["v1", "watch"])?
+            .query(&[("prefix", prefix)])
+            .query(&[("after", after), ("wait_ms", millis(wait))]);
+        let answer = self.call(CallKind::Watch, request, wait + WATCH_GRACE).await?;
+        parse(CallKind::Watch, &answer)
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        let request = self
+            .request(Method::POST, &["v1", "leases"])?
+            .json(&LeaseRequest { ttl_ms: millis(ttl) });
+        let answer = self.call(CallKind::GrantLease, request, self.timeout).await?;
+        Ok(parse::<LeaseAnswer>(CallKind::GrantLease, &answer)?.lease)
+    }
+
+    async fn renew_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        let request = self.request(Method::POST, &["v1", "leases", &lease.to_string(), "renew"])?;
+        self.call(CallKind::RenewLease, request, self.timeout).await.map(drop)
+    }
+
+    async fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        let request = self.request(Method::DELETE, &["v1", "leases", &lease.to_string()])?;
+        self.call(CallKind::RevokeLease, request, self.timeout).await.map(drop)
+    }
+}
+
+/// Converts every status other than success into its error.
+fn refuse(kind: CallKind, answer: HttpAnswer) -> Result<HttpAnswer, StoreError> {
+    match answer.status {
+        StatusCode::OK => Ok(answer),
+        StatusCode::CONFLICT => {
+            let conflict: ConflictAnswer = parse(kind, &answer)?;
+            Err(StoreError::Conflict { current: conflict.current })
+        }
+        StatusCode::GONE => Err(StoreError::LeaseLapsed),
+        StatusCode::PAYLOAD_TOO_LARGE => Err(StoreError::TooLarge { bytes: MAX_VALUE_BYTES + 1 }),
+        status if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE => {
+            Err(StoreError::Unavailable(answer.describe()))
+        }
+        _ if kind.is_write() => Err(StoreError::Unclear(answer.describe())),
+        _ => Err(StoreError::Unavailable(answer.describe())),
+    }
+}
+
+fn parse<T>(kind: CallKind, answer: &HttpAnswer) -> Result<T, StoreError>
+where
+    T: DeserializeOwned,
+{
+    serde_json::from_slice(&answer.body).map_err(|error| {
+        let cause = format!("{error} in {}", answer.describe());
+        if kind.is_write() { StoreError::Unclear(cause) } else { StoreError::Unavailable(cause) }
+    })
+}
+
+fn lost(error: ExchangeError, write: bool) -> StoreError {
+    match error {
+        ExchangeError::AnswerLost(cause) if write => StoreError::Unclear(cause),
+        ExchangeError::AnswerLost(cause) | ExchangeError::NotSent(cause) => {
+            StoreError::Unavailable(cause)
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http_worker.rs
@@ -0,0 +1,217 @@
+//! Client of the workers over HTTP and JSON.
+//!
+//! A start carries the end of its permission on the worker's own clock, so that a start delayed by
+//! the network is refused. The client learns that clock from the header of earlier answers: the
+//! worker read its clock before the answer arrived, so reading plus time since arrival is a lower
+//! bound of the clock, and the permission never ends later than the caller meant.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use lacewingrail_model::worker::{
+    MemberId, RenewItem, ReserveRequest, WorkerError, WorkerReport, WorkerService, WorkerSpec,
+};
+use lacewingrail_model::{Epoch, WorkerId};
+use reqwest::{Client, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::Instant;
+
+use crate::http::{ExchangeError, HttpAnswer, build_client, exchange, join, millis};
+use crate::protocol::{
+    CheckpointAnswer, CommitBody, MemberBody, RenewBody, ReserveBody, StartBody, ThrottleBody,
+    WORKER_CLOCK_HEADER,
+};
+
+/// Default time for a call; half of the reservation TTL, so that an aborted gang frees its
+/// reservations by request rather than by lapse.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest answer in bytes.
+const ANSWER_LIMIT: usize = 4_000_000;
+/// Idle connections kept to each worker address.
+const IDLE_CONNECTIONS: usize = 64;
+/// Clock readings kept; past it all are dropped, and each returns with the worker's next answer.
+const CLOCK_READINGS: usize = 10_000;
+
+/// Calls workers over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpWorkerClient {
+    client: Client,
+    timeout: Duration,
+    clocks: Arc<Mutex<HashMap<WorkerId, ClockReading>>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ClockReading {
+    clock_ms: u64,
+    arrived: Instant,
+}
+
+impl Default for HttpWorkerClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl HttpWorkerClient {
+    /// Creates a client for all workers.
+    pub fn new() -> Self {
+        Self {
+            client: build_client(IDLE_CONNECTIONS),
+            timeout: CALL_TIMEOUT,
+            clocks: Arc::default(),
+        }
+    }
+
+    /// Sets the time after which a call fails.
+    pub fn with_timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+
+    async fn post<B, T>(&self, worker: &WorkerSpec, call: &str, body: &B) -> Result<T, WorkerError>
+    where
+        B: Serialize + Sync,
+        T: DeserializeOwned,
+    {
+        let url = join(&worker.address, &["v1", call]).map_err(convert)?;
+        self.send(worker, self.client.post(url).json(body)).await
+    }
+
+    async fn send<T>(
+        &self,
+        worker: &WorkerSpec,
+        request: reqwest::RequestBuilder,
+    ) -> Result<T, WorkerError>
+    where
+        T: DeserializeOwned,
+    {
+        let answer = exchange(request, self.timeout, ANSWER_LIMIT).await.map_err(convert)?;
+        self.keep_clock(&worker.id, &answer);
+        if answer.status == StatusCode::OK {
+            return serde_json::from_slice(&answer.body)
+                .map_err(|error| WorkerError::Unclear { reason: error.to_string() });
+        }
+        if let Ok(error) = serde_json::from_slice::<WorkerError>(&answer.body) {
+            return Err(error);
+        }
+        let reason = answer.describe();
+        if answer.status.is_client_error() || answer.status == StatusCode::SERVICE_UNAVAILABLE {
+            return Err(WorkerError::Unreachable { reason });
+        }
+        Err(WorkerError::Unclear { reason })
+    }
+
+    fn keep_clock(&self, worker: &WorkerId, answer: &HttpAnswer) {
+        let header = answer.headers.get(WORKER_CLOCK_HEADER).and_then(|value| value.to_str().ok());
+        let Some(clock_ms) = header.and_then(|value| value.parse().ok()) else {
+            return;
+        };
+        let mut clocks = self.clocks.lock().unwrap_or_else(PoisonError::into_inner);
+        if clocks.len() >= CLOCK_READINGS && !clocks.contains_key(worker) {
+            clocks.clear();
+        }
+        clocks.insert(worker.clone(), ClockReading { clock_ms, arrived: Instant::now() });
+    }
+
+    /// Returns the instant `remaining` from now on the worker's clock, never later than meant.
+    fn on_clock(&self, worker: &WorkerId, remaining: Duration) -> Option<u64> {
+        let clocks = self.clocks.lock().unwrap_or_else(PoisonError::into_inner);
+        let reading = clocks.get(worker)?;
+        Some(reading.clock_ms + millis(reading.arrived.elapsed()) + millis(remaining))
+    }
+}
+
+#[async_trait]
+impl WorkerService for HttpWorkerClient {
+    async fn report(&self, worker: &WorkerSpec, epoch: Epoch) -> Result<WorkerReport, WorkerError> {
+        let url = join(&worker.address, &["v1", "tasks"]).map_err(convert)?;
+        self.send(worker, self.client.get(url).query(&[("epoch", epoch)])).await
+    }
+
+    async fn reserve(
+        &self,
+        worker: &WorkerSpec,
+        epoch: Epoch,
+        request: ReserveRequest,
+    ) -> Result<(), WorkerError> {
+        self.post(worker, "reserve", &ReserveBody { epoch, request }).await
+    }
+
+    async fn commit(
+        &self,
+        worker: &WorkerSpec,
+        epoch: Epoch,
+        member: &MemberId,
+        ttl: Duration,
+    ) -> Result<(), WorkerError> {
+        let body = CommitBody { epoch, member: member.clone(), ttl_ms: millis(ttl) };
+        self.post(worker, "commit", &body).await
+    }
+
+    async fn start(
+        &self,
+        worker: &WorkerSpec,
+        epoch: Epoch,
+        member: &MemberId,
+        not_after: Duration,
+    ) -> Result<(), WorkerError> {
+        let body = StartBody {
+            epoch,
+            member: member.clone(),
+            not_after_ms: millis(not_after),
+            not_after_clock_ms: self.on_clock(&worker.id, not_after),
+        };
+        self.post(worker, "start", &body).await
+    }
+
+    async fn renew(
+        &self,
+        worker: &WorkerSpec,
+        epoch: Epoch,
+        items: Vec<RenewItem>,
+    ) -> Result<WorkerReport, WorkerError> {
+        self.post(worker, "renew", &RenewBody { epoch, items }).await
+    }
+
+    async fn checkpoint(
+        &self,
+        worker: &WorkerSpec,
+        epoch: Epoch,
+        member: &MemberId,
+    ) -> Result<u64, WorkerError> {
+        let body = MemberBody { epoch, member: member.clone() };
+        let answer: CheckpointAnswer = self.post(worker, "checkpoint", &body).await?;
+        Ok(answer.checkpoint_ms)
+    }
+
+    async fn throttle(
+        &self,
+        worker: &WorkerSpec,
+        epoch: Epoch,
+        member: &MemberId,
+        share: f64,
+    ) -> Result<(), WorkerError> {
+        let body = ThrottleBody { epoch, member: member.clone(), share };
+        self.post(worker, "throttle", &body).await
+    }
+
+    async fn stop(
+        &self,
+        worker: &WorkerSpec,
+        epoch: Epoch,
+        member: &MemberId,
+    ) -> Result<(), WorkerError> {
+        let body = MemberBody { epoch, member: member.clone() };
+        self.post(worker, "stop", &body).await
+    }
+}
+
+fn convert(error: ExchangeError) -> WorkerError {
+    match error {
+        ExchangeError::NotSent(reason) => WorkerError::Unreachable { reason },
+        ExchangeError::AnswerLost(reason) => WorkerError::Unclear { reason },
+    }
+}
--- /dev/null
+++ b/crates/platform/src/memory_store.rs
@@ -0,0 +1,319 @@
+//! In-memory key-value service with fault injection.
+//!
+//! It serves tests in the same process and is the core of the key-value stand-in. All clones share
+//! one content. Time is tokio's clock, so tests may pause it.
+
+pub mod faults;
+pub mod meter;
+
+mod state;
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use lacewingrail_model::store::{
+    KeyValueService, LeaseId, Revision, StoreEntry, StoreError, WatchBatch,
+};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::calls::CallKind;
+use crate::memory_store::faults::{FaultInjector, StoreFaults, WriteFate};
+use crate::memory_store::meter::{CallMeter, StoreStats};
+use crate::memory_store::state::StoreState;
+
+/// Longest wait of a watch; a caller asks again after it.
+const LONGEST_WATCH: Duration = Duration::from_secs(60);
+/// Longest time to live of a lease in milliseconds: one day.
+const LONGEST_TTL_MS: i64 = 86_400_000;
+
+/// Serves keys, leases and watches from memory.
+#[derive(Clone, Debug)]
+pub struct MemoryStore {
+    shared: Arc<SharedStore>,
+}
+
+#[derive(Debug)]
+struct SharedStore {
+    inner: Mutex<StoreInner>,
+    changed: Notify,
+    started: Instant,
+}
+
+#[derive(Debug)]
+struct StoreInner {
+    state: StoreState,
+    injector: FaultInjector,
+    meter: CallMeter,
+    clock_offset_ms: i64,
+}
+
+impl Default for MemoryStore {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl MemoryStore {
+    /// Creates an empty store whose faults follow seed 0.
+    pub fn new() -> Self {
+        Self::seeded(0)
+    }
+
+    /// Creates an empty store whose faults follow a seed.
+    pub fn seeded(seed: u64) -> Self {
+        let inner = StoreInner {
+            state: StoreState::default(),
+            injector: FaultInjector::new(seed),
+            meter: CallMeter::default(),
+            clock_offset_ms: 0,
+        };
+        let shared = SharedStore {
+            inner: Mutex::new(inner),
+            changed: Notify::new(),
+            started: Instant::now(),
+        };
+        Self { shared: Arc::new(shared) }
+    }
+
+    /// Replaces the faults in effect; waiting watches notice at once.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        self.lock().injector.faults = faults;
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Returns the faults in effect, with the remaining numbers of writes to lose.
+    pub fn faults(&self) -> StoreFaults {
+        self.lock().injector.faults.clone()
+    }
+
+    /// Moves the clock of the leases by a number of milliseconds, which may be negative.
+    pub fn jump_lease_clock(&self, by_ms: i64) {
+        let mut inner = self.lock();
+        inner.clock_offset_ms = inner.clock_offset_ms.saturating_add(by_ms);
+        drop(inner);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Returns counts, rates and sizes.
+    pub fn stats(&self) -> StoreStats {
+        let second = self.shared.started.elapsed().as_secs();
+        let mut inner = self.lock();
+        StoreStats {
+            kinds: inner.meter.kinds(second),
+            waiting_watches: inner.meter.waiting,
+            peak_waiting_watches: inner.meter.peak_waiting,
+            bytes: inner.meter.bytes,
+            refused: inner.meter.refused,
+            unclear: inner.meter.unclear,
+            revision: inner.state.revision(),
+            keys: inner.state.keys(),
+            value_bytes: inner.state.value_bytes(),
+            leases: inner.state.leases(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StoreInner> {
+        self.shared.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Locks the store after it has ended the leases that have lapsed; returns the lease clock too.
+    fn lock_current(&self) -> (MutexGuard<'_, StoreInner>, i64) {
+        let mut inner = self.lock();
+        let elapsed = i64::try_from(self.shared.started.elapsed().as_millis()).unwrap_or(i64::MAX);
+        let now_ms = elapsed.saturating_add(inner.clock_offset_ms);
+        if inner.state.lapse(now_ms) {
+            self.shared.changed.notify_waiters();
+        }
+        (inner, now_ms)
+    }
+
+    /// Counts a call, refuses it if the faults say so, and waits for half of the injected delay.
+    async fn admit(&self, kind: CallKind, bytes: usize) -> Result<Duration, StoreError> {
+        let second = self.shared.started.elapsed().as_secs();
+        let half = {
+            let mut inner = self.lock();
+            let load = inner.meter.load(kind.is_write(), second);
+            inner.meter.count(kind, second);
+            inner.meter.bytes += bytes as u64;
+            let faults = &inner.injector.faults;
+            let limit =
+                if kind.is_write() { faults.writes_per_second } else { faults.reads_per_second };
+            if faults.unavailable || (limit > 0 && load >= limit) {
+                inner.meter.refused += 1;
+                let cause = if inner.injector.faults.unavailable { "outage" } else { "rate limit" };
+                return Err(StoreError::Unavailable(cause.into()));
+            }
+            inner.injector.half_delay()
+        };
+        pause(half).await;
+        Ok(half)
+    }
+
+    async fn read<T, F>(&self, kind: CallKind, key: &str, operate: F) -> Result<T, StoreError>
+    where
+        F: FnOnce(&StoreState) -> (T, usize) + Send,
+        T: Send,
+    {
+        let half = self.admit(kind, key.len()).await?;
+        let value = {
+            let (mut inner, _) = self.lock_current();
+            let (value, bytes) = operate(&inner.state);
+            inner.meter.bytes += bytes as u64;
+            value
+        };
+        pause(half).await;
+        Ok(value)
+    }
+
+    async fn write<T, F>(&self, kind: CallKind, bytes: usize, operate: F) -> Result<T, StoreError>
+    where
+        F: FnOnce(&mut StoreState, i64) -> Result<T, StoreError> + Send,
+        T: Send,
+    {
+        let half = self.admit(kind, bytes).await?;
+        let outcome = {
+            let (mut inner, now_ms) = self.lock_current();
+            let fate = inner.injector.decide();
+            if fate != WriteFate::Answered {
+                inner.meter.unclear += 1;
+            }
+            if fate == WriteFate::RequestLost {
+                return Err(StoreError::Unclear("the request was lost".into()));
+            }
+            let outcome = operate(&mut inner.state, now_ms);
+            if fate == WriteFate::AnswerLost {
+                Err(StoreError::Unclear("the answer was lost".into()))
+            } else {
+                outcome
+            }
+        };
+        self.shared.changed.notify_waiters();
+        pause(half).await;
+        outcome
+    }
+
+    /// Returns the changes after a revision and the time until the next lease lapses.
+    fn poll_changes(
+        &self,
+        prefix: &str,
+        after: Revision,
+    ) -> Result<(WatchBatch, Option<Duration>), StoreError> {
+        let (mut inner, now_ms) = self.lock_current();
+        if inner.injector.faults.unavailable {
+            inner.meter.refused += 1;
+            return Err(StoreError::Unavailable("outage".into()));
+        }
+        let batch = inner.state.changes(prefix, after);
+        let bytes: usize = batch
+            .events
+            .iter()
+            .map(|event| event.key.len() + event.value.as_deref().map_or(0, str::len))
+            .sum();
+        inner.meter.bytes += bytes as u64;
+        let lapse = inner.state.next_lapse().map(|at_ms| {
+            let left = at_ms.saturating_sub(now_ms).max(1);
+            Duration::from_millis(u64::try_from(left).unwrap_or(1))
+        });
+        Ok((batch, lapse))
+    }
+}
+
+#[async_trait]
+impl KeyValueService for MemoryStore {
+    async fn get(&self, key: &str) -> Result<Option<StoreEntry>, StoreError> {
+        self.read(CallKind::Get, key, |state| {
+            let entry = state.get(key);
+            let bytes = entry.as_ref().map_or(0, |entry| entry.value.len());
+            (entry, bytes)
+        })
+        .await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<StoreEntry>, StoreError> {
+        self.read(CallKind::List, prefix, |state| {
+            let entries = state.list(prefix);
+            let bytes = entries.iter().map(|entry| entry.key.len() + entry.value.len()).sum();
+            (entries, bytes)
+        })
+        .await
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: String,
+        expected: Revision,
+        lease: Option<LeaseId>,
+    ) -> Result<Revision, StoreError> {
+        self.write(CallKind::Put, key.len() + value.len(), |state, _| {
+            state.put(key, value, expected, lease)
+        })
+        .await
+    }
+
+    async fn delete(&self, key: &str, expected: Revision) -> Result<(), StoreError> {
+        self.write(CallKind::Delete, key.len(), |state, _| state.delete(key, expected)).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<WatchBatch, StoreError> {
+        let half = self.admit(CallKind::Watch, prefix.len()).await?;
+        let deadline = Instant::now() + wait.min(LONGEST_WATCH);
+        let _waiting = WaitingWatch::enter(self);
+        loop {
+            // Registers before the check, so that a change between the two is not missed.
+            let notified = self.shared.changed.notified();
+            tokio::pin!(notified);
+            notified.as_mut().enable();
+            let (batch, lapse) = self.poll_changes(prefix, after)?;
+            let now = Instant::now();
+            if batch.reset || !batch.events.is_empty() || now >= deadline {
+                pause(half).await;
+                return Ok(batch);
+            }
+            let until = lapse.map_or(deadline, |lapse| deadline.min(now + lapse));
+            let _ = tokio::time::timeout_at(until, notified).await;
+        }
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        let ttl_ms = i64::try_from(ttl.as_millis()).unwrap_or(i64::MAX).clamp(1, LONGEST_TTL_MS);
+        self.write(CallKind::GrantLease, 0, |state, now_ms| state.grant(ttl_ms, now_ms)).await
+    }
+
+    async fn renew_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        self.write(CallKind::RenewLease, 0, |state, now_ms| state.renew(lease, now_ms)).await
+    }
+
+    async fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        self.write(CallKind::RevokeLease, 0, |state, _| state.revoke(lease)).await
+    }
+}
+
+/// Counts a waiting watch while it exists.
+struct WaitingWatch<'a>(&'a MemoryStore);
+
+impl<'a> WaitingWatch<'a> {
+    fn enter(store: &'a MemoryStore) -> Self {
+        store.lock().meter.count_waiting();
+        Self(store)
+    }
+}
+
+impl Drop for WaitingWatch<'_> {
+    fn drop(&mut self) {
+        self.0.lock().meter.waiting -= 1;
+    }
+}
+
+async fn pause(duration: Duration) {
+    if !duration.is_zero() {
+        tokio::time::sleep(duration).await;
+    }
+}
--- /dev/null
+++ b/crates/platform/src/memory_store/faults.rs
@@ -0,0 +1,87 @@
+//! Faults that the in-memory store injects.
+
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+
+/// Describes the faults in effect; the default is none.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct StoreFaults {
+    /// Refuses every call.
+    pub unavailable: bool,
+    /// Time added to every call in milliseconds, half of it before and half after it takes effect.
+    pub delay_ms: u64,
+    /// Number of next writes that take effect and whose answers are lost.
+    pub lost_answers: u32,
+    /// Share of writes from 0 to 1 that take effect and whose answers are lost.
+    pub lost_answer_share: f64,
+    /// Number of next writes that are lost before they take effect, with an unclear outcome.
+    pub lost_requests: u32,
+    /// Writes that are accepted each second; 0 for no limit. Further ones are refused.
+    pub writes_per_second: u64,
+    /// Reads and waiting watches that are accepted each second; 0 for no limit.
+    pub reads_per_second: u64,
+}
+
+impl StoreFaults {
+    /// Returns faults that refuse every call.
+    pub fn outage() -> Self {
+        Self { unavailable: true, ..Self::default() }
+    }
+
+    /// Returns faults that make every call slower.
+    pub fn slow(delay: Duration) -> Self {
+        let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+        Self { delay_ms, ..Self::default() }
+    }
+
+    /// Returns faults that lose the answers of the next writes after they took effect.
+    pub fn losing_answers(writes: u32) -> Self {
+        Self { lost_answers: writes, ..Self::default() }
+    }
+}
+
+/// States what becomes of a write.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum WriteFate {
+    Answered,
+    AnswerLost,
+    RequestLost,
+}
+
+/// Decides the fate of each write from the faults and a seed.
+#[derive(Debug)]
+pub(super) struct FaultInjector {
+    pub faults: StoreFaults,
+    random: ChaCha8Rng,
+}
+
+impl FaultInjector {
+    pub fn new(seed: u64) -> Self {
+        Self { faults: StoreFaults::default(), random: ChaCha8Rng::seed_from_u64(seed) }
+    }
+
+    pub fn decide(&mut self) -> WriteFate {
+        if self.faults.lost_requests > 0 {
+            self.faults.lost_requests -= 1;
+            return WriteFate::RequestLost;
+        }
+        if self.faults.lost_answers > 0 {
+            self.faults.lost_answers -= 1;
+            return WriteFate::AnswerLost;
+        }
+        let share = self.faults.lost_answer_share;
+        if share > 0.0 && self.random.random::<f64>() < share {
+            return WriteFate::AnswerLost;
+        }
+        WriteFate::Answered
+    }
+
+    /// Returns half of the injected delay.
+    pub fn half_delay(&self) -> Duration {
+        Duration::from_millis(self.faults.delay_ms) / 2
+    }
+}
--- /dev/null
+++ b/crates/platform/src/update.rs
@@ -0,0 +1,181 @@
+//! Read-modify-write of one record in the key-value service.
+//!
+//! Each update carries one mark for all its attempts. After an unclear answer the record is read
+//! again: its mark tells whether the write took effect. An attempt that the service still holds back
+//! cannot take effect twice, because it expects the old revision.
+
+use std::fmt;
+use std::time::Duration;
+
+use lacewingrail_model::mark::{MarkIssuer, WriteMark};
+use lacewingrail_model::store::{KeyValueService, LeaseId, Revision, StoreError};
+use lacewingrail_model::timer::TimerService;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Attempts that one update makes before it reports the last error.
+const ATTEMPTS: u32 = 12;
+/// Longest wait after the first lost race; it doubles up to [`LONGEST_WAIT`].
+const FIRST_WAIT: Duration = Duration::from_millis(4);
+/// Longest wait between attempts.
+const LONGEST_WAIT: Duration = Duration::from_millis(250);
+
+/// Describes a record that carries the mark of its newest write.
+pub trait MarkedRecord: DeserializeOwned + Send + Serialize + Sync {
+    /// Returns the mark of the newest write.
+    fn mark(&self) -> &str;
+
+    /// Sets the mark before a write.
+    fn set_mark(&mut self, mark: WriteMark);
+
+    /// Returns whether the write with this mark took effect, or nothing when the record cannot tell.
+    ///
+    /// A record that keeps the marks of all its writes answers `Some(false)` for a missing one.
+    fn took_effect(&self, mark: &str) -> Option<bool> {
+        (self.mark() == mark).then_some(true)
+    }
+}
+
+/// Holds a record as it was written.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WrittenRecord<R> {
+    /// Record with its mark.
+    pub record: R,
+    /// Revision of the record when it was last known to hold this write.
+    pub revision: Revision,
+}
+
+/// States why an update failed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum UpdateError<E> {
+    /// The change refused the current record; nothing was written.
+    Refused(E),
+    /// The service failed; `Unclear` means that the write may have taken effect.
+    Store(StoreError),
+}
+
+impl<E> fmt::Display for UpdateError<E>
+where
+    E: fmt::Display,
+{
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Refused(error) => error.fmt(formatter),
+            Self::Store(error) => error.fmt(formatter),
+        }
+    }
+}
+
+impl<E> std::error::Error for UpdateError<E> where E: fmt::Debug + fmt::Display {}
+
+/// Reads and parses a record; returns it with its revision, or nothing if the key does not exist.
+pub async fn read<R>(
+    store: &dyn KeyValueService,
+    key: &str,
+) -> Result<Option<(R, Revision)>, StoreError>
+where
+    R: DeserializeOwned,
+{
+    let Some(entry) = store.get(key).await? else {
+        return Ok(None);
+    };
+    let record = serde_json::from_str(&entry.value)
+        .map_err(|error| StoreError::Malformed(format!("{key}: {error}")))?;
+    Ok(Some((record, entry.revision)))
+}
+
+/// Changes a record by compare-and-swap until the write is confirmed.
+///
+/// `change` gets the current record, or nothing if the key does not exist, and returns the record to
+/// write or its own refusal. It runs again after each lost race. If the outcome of the write cannot
+/// be learned, the result is `UpdateError::Store(StoreError::Unclear)`.
+pub async fn update<R, E, F>(
+    store: &dyn KeyValueService,
+    issuer: &MarkIssuer,
+    key: &str,
+    change: F,
+) -> Result<WrittenRecord<R>, UpdateError<E>>
+where
+    R: MarkedRecord,
+    E: Send,
+    F: FnMut(Option<R>) -> Result<R, E> + Send,
+{
+    update_leased(store, issuer, key, None, change).await
+}
+
+/// Changes a record as [`update()`] does and binds its key to a lease.
+pub async fn update_leased<R, E, F>(
+    store: &dyn KeyValueService,
+    issuer: &MarkIssuer,
+    key: &str,
+    lease: Option<LeaseId>,
+    mut change: F,
+) -> Result<WrittenRecord<R>, UpdateError<E>>
+where
+    R: MarkedRecord,
+    E: Send,
+    F: FnMut(Option<R>) -> Result<R, E> + Send,
+{
+    let mark = issuer.issue();
+    // Revision that the newest unclear write expected.
+    let mut unclear: Option<(Revision, String)> = None;
+    let mut last = StoreError::Unavailable("no attempt was made".into());
+    for attempt in 0..ATTEMPTS {
+        if attempt > 0 {
+            wait_before(attempt).await;
+        }
+        let current = match read::<R>(store, key).await {
+            Ok(current) => current,
+            Err(StoreError::Unavailable(cause)) if unclear.is_some() => {
+                last = StoreError::Unavailable(cause);
+                continue;
+            }
+            Err(error) => return Err(fail(error, unclear)),
+        };
+        let (record, expected) = current.map_or((None, 0), |(record, at)| (Some(record), at));
+        if let Some((unclear_at, cause)) = &unclear {
+            match record.as_ref().and_then(|record| record.took_effect(&mark)) {
+                Some(true) => {
+                    return record
+                        .map(|record| WrittenRecord { record, revision: expected })
+                        .ok_or_else(|| UpdateError::Store(StoreError::Unclear(cause.clone())));
+                }
+                Some(false) => {}
+                None if *unclear_at == expected => {}
+                None => return Err(UpdateError::Store(StoreError::Unclear(cause.clone()))),
+            }
+        }
+        let mut record = change(record).map_err(|error| match &unclear {
+            Some((at, cause)) if *at == expected => {
+                UpdateError::Store(StoreError::Unclear(cause.clone()))
+            }
+            _ => UpdateError::Refused(error),
+        })?;
+        record.set_mark(mark.clone());
+        let value = serde_json::to_string(&record)
+            .map_err(|error| UpdateError::Store(StoreError::Malformed(error.to_string())))?;
+        match store.put(key, value, expected, lease).await {
+            Ok(revision) => return Ok(WrittenRecord { record, revision }),
+            Err(StoreError::Conflict { current }) => last = StoreError::Conflict { current },
+            Err(StoreError::Unclear(cause)) => {
+                last = StoreError::Unclear(cause.clone());
+                unclear = Some((expected, cause));
+            }
+            Err(error) => return Err(fail(error, unclear)),
+        }
+    }
+    Err(fail(last, unclear))
+}
+
+/// Reports a failure as unclear if an earlier write of the update may have taken effect.
+fn fail<E>(error: StoreError, unclear: Option<(Revision, String)>) -> UpdateError<E> {
+    UpdateError::Store(match unclear {
+        Some((_, cause)) => StoreError::Unclear(cause),
+        None => error,
+    })
+}
+
+async fn wait_before(attempt: u32) {
+    let ceiling = FIRST_WAIT.saturating_mul(1 << attempt.min(8)).min(LONGEST_WAIT);
+    TimerService::new().wait(ceiling.mul_f64(rand::random::<f64>())).await;
+}
--- /dev/null
+++ b/crates/platform/tests/memory_store.rs
@@ -0,0 +1,259 @@
+//! Guards the in-memory store against deviations from a simple model, late lease lapses, missed
+//! watch events and unbounded history.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use lacewingrail_model::store::{KeyValueService, MAX_VALUE_BYTES, StoreError};
+use lacewingrail_platform::{CallKind, MemoryStore, StoreFaults};
+use proptest::prelude::*;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Put { key: u8, fresh: bool, value: u8, lease: Option<u8> },
+    Delete { key: u8, fresh: bool },
+    Grant { ttl_ms: u16 },
+    Renew { lease: u8 },
+    Revoke { lease: u8 },
+    Advance { by_ms: u16 },
+    LoseAnswer,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        4 => (0..4_u8, any::<bool>(), any::<u8>(), prop::option::of(0..3_u8))
+            .prop_map(|(key, fresh, value, lease)| Step::Put { key, fresh, value, lease }),
+        2 => (0..4_u8, any::<bool>()).prop_map(|(key, fresh)| Step::Delete { key, fresh }),
+        1 => (1..500_u16).prop_map(|ttl_ms| Step::Grant { ttl_ms }),
+        1 => (0..3_u8).prop_map(|lease| Step::Renew { lease }),
+        1 => (0..3_u8).prop_map(|lease| Step::Revoke { lease }),
+        2 => (0..400_u16).prop_map(|by_ms| Step::Advance { by_ms }),
+        1 => Just(Step::LoseAnswer),
+    ];
+    prop::collection::vec(step, 1..60)
+}
+
+/// Model of one key: value, revision and lease.
+type ModelKeys = BTreeMap<String, (String, u64, Option<u64>)>;
+
+#[derive(Default)]
+struct ModelStore {
+    keys: ModelKeys,
+    /// Time to live and deadline by lease.
+    leases: BTreeMap<u64, (u64, u64)>,
+    revision: u64,
+    now_ms: u64,
+}
+
+impl ModelStore {
+    fn lapse(&mut self) {
+        let now_ms = self.now_ms;
+        let lapsed: Vec<u64> =
+            self.leases.iter().filter(|(_, held)| held.1 <= now_ms).map(|(id, _)| *id).collect();
+        lapsed.into_iter().for_each(|id| self.end(id));
+    }
+
+    fn end(&mut self, id: u64) {
+        self.leases.remove(&id);
+        let before = self.keys.len();
+        self.keys.retain(|_, held| held.2 != Some(id));
+        self.revision += (before - self.keys.len()) as u64;
+    }
+}
+
+async fn run(steps: Vec<Step>) {
+    let store = MemoryStore::seeded(1);
+    let mut model = ModelStore::default();
+    let mut lossy = false;
+    let mut replica: BTreeMap<String, String> = BTreeMap::new();
+    let mut seen = 0;
+    for step in steps {
+        let losing = std::mem::take(&mut lossy);
+        match step {
+            Step::Put { key, fresh, value, lease } => {
+                let (key, value) = (format!("k/{key}"), format!("{value}"));
+                let current = model.keys.get(&key).map_or(0, |held| held.1);
+                let expected = if fresh { current } else { current + 1 };
+                let lease = lease.map(u64::from);
+                let alive = lease.is_none_or(|id| model.leases.contains_key(&id));
+                let outcome = store.put(&key, value.clone(), expected, lease).await;
+                if fresh && alive {
+                    model.revision += 1;
+                    model.keys.insert(key, (value, model.revision, lease));
+                }
+                match outcome {
+                    Ok(revision) => assert!(fresh && alive && revision == model.revision),
+                    Err(StoreError::Conflict { current: at }) => {
+                        assert!(!fresh && at == current);
+                    }
+                    Err(StoreError::LeaseLapsed) => assert!(fresh && !alive),
+                    Err(error) => assert!(losing, "{error}"),
+                }
+            }
+            Step::Delete { key, fresh } => {
+                let key = format!("k/{key}");
+                let current = model.keys.get(&key).map_or(0, |held| held.1);
+                let expected = if fresh { current } else { current + 1 };
+                let outcome = store.delete(&key, expected).await;
+                if fresh && model.keys.remove(&key).is_some() {
+                    model.revision += 1;
+                }
+                assert!(losing || outcome.is_ok() == fresh);
+            }
+            Step::Grant { ttl_ms } => {
+                let ttl_ms = u64::from(ttl_ms);
+                let outcome = store.grant_lease(Duration::from_millis(ttl_ms)).await;
+                let next = store.stats().leases;
+                assert!(losing || outcome.is_ok());
+                if let Ok(id) = outcome {
+                    model.leases.insert(id, (ttl_ms, model.now_ms + ttl_ms));
+                } else {
+                    // The caller does not learn the id of a lease whose answer was lost.
+                    assert_eq!(next, model.leases.len() as u64 + 1);
+                    return;
+                }
+            }
+            Step::Renew { lease } => {
+                let outcome = store.renew_lease(u64::from(lease)).await;
+                let now_ms = model.now_ms;
+                let held = model.leases.get_mut(&u64::from(lease));
+                assert!(losing || outcome.is_ok() == held.is_some());
+                if let Some(held) = held {
+                    held.1 = now_ms + held.0;
+                }
+            }
+            Step::Revoke { lease } => {
+                let outcome = store.revoke_lease(u64::from(lease)).await;
+                let alive = model.leases.contains_key(&u64::from(lease));
+                assert!(losing || outcome.is_ok() == alive);
+                model.end(u64::from(lease));
+            }
+            Step::Advance { by_ms } => {
+                tokio::time::advance(Duration::from_millis(u64::from(by_ms))).await;
+                model.now_ms += u64::from(by_ms);
+                lossy = losing;
+                model.lapse();
+            }
+            Step::LoseAnswer => {
+                lossy = true;
+                store.set_faults(StoreFaults::losing_answers(1));
+            }
+        }
+        let listed = store.list("k/").await.unwrap();
+        let listed: Vec<_> =
+            listed.into_iter().map(|entry| (entry.key, entry.value, entry.revision)).collect();
+        let expected: Vec<_> =
+            model.keys.iter().map(|(key, held)| (key.clone(), held.0.clone(), held.1)).collect();
+        assert_eq!(listed, expected);
+        assert_eq!(store.stats().revision, model.revision);
+
+        let batch = store.watch("k/", seen, Duration::ZERO).await.unwrap();
+        assert!(!batch.reset);
+        seen = batch.revision;
+        for event in batch.events {
+            match event.value {
+                Some(value) => replica.insert(event.key, value),
+                None => replica.remove(&event.key),
+            };
+        }
+        let values: BTreeMap<_, _> =
+            model.keys.iter().map(|(key, held)| (key.clone(), held.0.clone())).collect();
+        assert_eq!(replica, values, "the replay of the watch differs from the keys");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, ..ProptestConfig::default() })]
+
+    /// Guards against any difference between the store, a simple model and the replay of a watch.
+    #[test]
+    fn store_follows_model(steps in steps()) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .unwrap();
+        runtime.block_on(run(steps));
+    }
+}
+
+/// Guards against a holder that is still listed after its lease lapsed while a watch waits.
+#[tokio::test(start_paused = true)]
+async fn lapse_wakes_waiting_watch() {
+    let store = MemoryStore::new();
+    let lease = store.grant_lease(Duration::from_secs(4)).await.unwrap();
+    let revision = store.put("lease/a", "holder".into(), 0, Some(lease)).await.unwrap();
+    let started = tokio::time::Instant::now();
+    let batch = store.watch("lease/", revision, Duration::from_secs(30)).await.unwrap();
+    assert_eq!(batch.events.len(), 1);
+    assert_eq!(batch.events[0].value, None);
+    assert!(started.elapsed() <= Duration::from_millis(4_010), "{:?}", started.elapsed());
+    assert_eq!(store.renew_lease(lease).await, Err(StoreError::LeaseLapsed));
+}
+
+/// Guards against a jump of the lease clock that leaves a lapsed key readable.
+#[tokio::test(start_paused = true)]
+async fn clock_jump_ends_lease() {
+    let store = MemoryStore::new();
+    let lease = store.grant_lease(Duration::from_secs(4)).await.unwrap();
+    store.put("lease/a", "holder".into(), 0, Some(lease)).await.unwrap();
+    store.jump_lease_clock(3_999);
+    assert!(store.get("lease/a").await.unwrap().is_some());
+    store.jump_lease_clock(1);
+    assert_eq!(store.get("lease/a").await.unwrap(), None);
+    let stale = store.put("x", "late".into(), 0, Some(lease)).await;
+    assert_eq!(stale, Err(StoreError::LeaseLapsed));
+}
+
+/// Guards against a watch that waits through an outage and against uncounted waiting watches.
+#[tokio::test(start_paused = true)]
+async fn outage_ends_waiting_watch() {
+    let store = MemoryStore::new();
+    let waiting = {
+        let store = store.clone();
+        tokio::spawn(async move { store.watch("", 0, Duration::from_secs(30)).await })
+    };
+    tokio::time::sleep(Duration::from_millis(10)).await;
+    assert_eq!(store.stats().waiting_watches, 1);
+    store.set_faults(StoreFaults::outage());
+    assert_matches!(waiting.await.unwrap(), Err(StoreError::Unavailable(_)));
+    assert_eq!(store.stats().waiting_watches, 0);
+    assert_eq!(store.stats().kind(CallKind::Watch).unwrap().total, 1);
+}
+
+/// Guards against unbounded history and against a watch that hides dropped changes.
+#[tokio::test]
+async fn old_watch_is_reset() {
+    let store = MemoryStore::new();
+    let mut revision = 0;
+    for number in 0..10_050 {
+        revision = store.put("counter", number.to_string(), revision, None).await.unwrap();
+    }
+    let batch = store.watch("", 1, Duration::ZERO).await.unwrap();
+    assert!(batch.reset);
+    assert_eq!(batch.events.len(), 1);
+    let batch = store.watch("", revision - 10, Duration::ZERO).await.unwrap();
+    assert!(!batch.reset);
+    assert_eq!(batch.events.len(), 10);
+    let ahead = store.watch("", revision + 7, Duration::ZERO).await.unwrap();
+    assert!(ahead.reset, "a store that lost its contents must not look unchanged");
+}
+
+/// Guards against values over the limit and against calls beyond the service's rates.
+#[tokio::test(start_paused = true)]
+async fn limits_refuse() {
+    let store = MemoryStore::new();
+    let large = "x".repeat(MAX_VALUE_BYTES + 1);
+    assert_matches!(store.put("a", large, 0, None).await, Err(StoreError::TooLarge { .. }));
+    store.set_faults(StoreFaults { writes_per_second: 3, ..StoreFaults::default() });
+    tokio::time::advance(Duration::from_secs(1)).await;
+    let mut accepted = 0;
+    for number in 0..5 {
+        accepted +=
+            u32::from(store.put(&format!("k{number}"), String::new(), 0, None).await.is_ok());
+    }
+    assert_eq!(accepted, 3);
+    tokio::time::advance(Duration::from_secs(1)).await;
+    assert!(store.put("later", String::new(), 0, None).await.is_ok());
+}
--- /dev/null
+++ b/crates/platform/tests/update.rs
@@ -0,0 +1,162 @@
+//! Guards read-modify-write against lost updates and against writes that take effect twice.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use lacewingrail_model::mark::{MarkIssuer, WriteMark, fresh_instance};
+use lacewingrail_model::store::{KeyValueService, StoreError};
+use lacewingrail_platform::{MarkedRecord, MemoryStore, StoreFaults, UpdateError, read, update};
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+struct Counter {
+    value: u64,
+    mark: WriteMark,
+}
+
+impl MarkedRecord for Counter {
+    fn mark(&self) -> &str {
+        &self.mark
+    }
+
+    fn set_mark(&mut self, mark: WriteMark) {
+        self.mark = mark;
+    }
+}
+
+/// Record that keeps all its marks.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+struct Ledger {
+    marks: Vec<WriteMark>,
+}
+
+impl MarkedRecord for Ledger {
+    fn mark(&self) -> &str {
+        self.marks.last().map_or("", |mark| mark)
+    }
+
+    fn set_mark(&mut self, mark: WriteMark) {
+        self.marks.push(mark);
+    }
+
+    fn took_effect(&self, mark: &str) -> Option<bool> {
+        Some(self.marks.iter().any(|kept| kept == mark))
+    }
+}
+
+fn issuer() -> MarkIssuer {
+    MarkIssuer::new(fresh_instance("test"))
+}
+
+fn add(current: Option<Counter>) -> Result<Counter, String> {
+    let mut counter = current.unwrap_or_default();
+    counter.value += 1;
+    Ok(counter)
+}
+
+/// Guards against applying a write twice when only its answer was lost.
+#[tokio::test(start_paused = true)]
+async fn lost_answer_counts_once() {
+    let store = MemoryStore::new();
+    let issuer = issuer();
+    update(&store, &issuer, "counter", add).await.unwrap();
+    store.set_faults(StoreFaults::losing_answers(1));
+    let written = update(&store, &issuer, "counter", add).await.unwrap();
+    assert_eq!(written.record.value, 2);
+    let (kept, revision) = read::<Counter>(&store, "counter").await.unwrap().unwrap();
+    assert_eq!((kept, revision), (written.record, written.revision));
+}
+
+/// Guards against reporting success for a write that never arrived.
+#[tokio::test(start_paused = true)]
+async fn lost_request_is_repeated() {
+    let store = MemoryStore::new();
+    store.set_faults(StoreFaults { lost_requests: 2, ..StoreFaults::default() });
+    let written = update(&store, &issuer(), "counter", add).await.unwrap();
+    assert_eq!(written.record.value, 1);
+    assert_eq!(store.get("counter").await.unwrap().unwrap().revision, written.revision);
+}
+
+/// Guards against lost updates when many writers race and answers are lost at random.
+#[tokio::test(start_paused = true)]
+async fn racing_writers_lose_nothing() {
+    for seed in 0..5 {
+        let store = MemoryStore::seeded(seed);
+        store.set_faults(StoreFaults {
+            lost_answer_share: 0.3,
+            ..StoreFaults::slow(Duration::from_millis(2))
+        });
+        let writers = (0..6).map(|_| {
+            let store = store.clone();
+            tokio::spawn(async move {
+                let issuer = issuer();
+                let mut confirmed = Vec::new();
+                let mut unclear = 0_usize;
+                for _ in 0..10 {
+                    let change = |kept: Option<Ledger>| Ok::<_, String>(kept.unwrap_or_default());
+                    match update(&store, &issuer, "ledger", change).await {
+                        Ok(written) => confirmed.push(written.record),
+                        Err(UpdateError::Store(StoreError::Unclear(_))) => unclear += 1,
+                        Err(UpdateError::Store(StoreError::Conflict { .. })) => {}
+                        Err(error) => panic!("seed {seed}: {error}"),
+                    }
+                }
+                (confirmed.len(), unclear)
+            })
+        });
+        let (mut confirmed, mut unclear) = (0, 0);
+        for writer in writers.collect::<Vec<_>>() {
+            let counts = writer.await.unwrap();
+            confirmed += counts.0;
+            unclear += counts.1;
+        }
+        let (ledger, _) = read::<Ledger>(&store, "ledger").await.unwrap().unwrap();
+        let mut marks = ledger.marks.clone();
+        marks.sort();
+        marks.dedup();
+        assert_eq!(marks.len(), ledger.marks.len(), "seed {seed}: a write took effect twice");
+        assert!(marks.len() >= confirmed, "seed {seed}: a confirmed write is missing");
+        assert!(marks.len() <= confirmed + unclear, "seed {seed}: a failed write took effect");
+        assert!(confirmed >= 30, "seed {seed}: {confirmed} confirmed");
+    }
+}
+
+/// Guards against guessing when another writer replaced a record whose write was unclear.
+#[tokio::test(start_paused = true)]
+async fn replaced_record_stays_unclear() {
+    let store = MemoryStore::new();
+    let other = issuer();
+    store.set_faults(StoreFaults {
+        lost_answers: 1,
+        ..StoreFaults::slow(Duration::from_millis(20))
+    });
+    let writing = {
+        let store = store.clone();
+        tokio::spawn(async move { update(&store, &issuer(), "counter", add).await })
+    };
+    tokio::time::sleep(Duration::from_millis(35)).await;
+    store.set_faults(StoreFaults::default());
+    update(&store, &other, "counter", add).await.unwrap();
+    let outcome = writing.await.unwrap();
+    assert_matches!(outcome, Err(UpdateError::Store(StoreError::Unclear(_))));
+    let (kept, _) = read::<Counter>(&store, "counter").await.unwrap().unwrap();
+    assert_eq!(kept.value, 2);
+}
+
+/// Guards against writing what the change refused and against hiding an outage or a bad value.
+#[tokio::test(start_paused = true)]
+async fn refusal_and_faults_are_reported() {
+    let store = MemoryStore::new();
+    let refuse = |_: Option<Counter>| Err::<Counter, _>("full".to_owned());
+    let outcome = update(&store, &issuer(), "counter", refuse).await;
+    assert_matches!(outcome, Err(UpdateError::Refused(reason)) if reason == "full");
+    assert_eq!(store.get("counter").await.unwrap(), None);
+
+    store.put("bad", "{".into(), 0, None).await.unwrap();
+    let outcome = update(&store, &issuer(), "bad", add).await;
+    assert_matches!(outcome, Err(UpdateError::Store(StoreError::Malformed(_))));
+
+    store.set_faults(StoreFaults::outage());
+    let outcome = update(&store, &issuer(), "counter", add).await;
+    assert_matches!(outcome, Err(UpdateError::Store(StoreError::Unavailable(_))));
+}
