Add the key-value and instance list stand-ins

Cause: tests and the development process need both services in other processes and with faults.

Change: StoreServer serves MemoryStore over HTTP with stats, faults and lease clock endpoints; InstanceListServer serves instances and workers with a settable lag. A lost answer breaks the connection.

--- /dev/null
+++ b/crates/standins/src/bin/standin-store.rs
@@ -0,0 +1,14 @@
+//! Runs the key-value stand-in.
+
+use lacewingrail_standins::{StoreServer, cli};
+use pico_args::Arguments;
+
+#[tokio::main]
+async fn main() -> Result<(), cli::CliError> {
+    let mut arguments = Arguments::from_env();
+    let listen = cli::option(&mut arguments, "--listen", "127.0.0.1:7000".to_owned())?;
+    let seed = cli::seed(&mut arguments)?;
+    cli::finish(arguments)?;
+    let server = StoreServer::spawn(&listen, seed).await?;
+    cli::announce("store", &server.url(), seed).await
+}
--- /dev/null
+++ b/crates/standins/src/cli.rs
@@ -0,0 +1,44 @@
+//! Arguments and life cycle of the binaries.
+
+use std::fmt::Display;
+use std::str::FromStr;
+
+use pico_args::Arguments;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Error of a binary: a message for the operator.
+pub type CliError = Box<dyn std::error::Error + Send + Sync>;
+
+/// Reads an optional argument or takes its default.
+pub fn option<T>(arguments: &mut Arguments, name: &'static str, default: T) -> Result<T, CliError>
+where
+    T: FromStr,
+    T::Err: Display,
+{
+    Ok(arguments.opt_value_from_str(name)?.unwrap_or(default))
+}
+
+/// Refuses arguments that no option has taken.
+pub fn finish(arguments: Arguments) -> Result<(), CliError> {
+    let rest = arguments.finish();
+    if rest.is_empty() {
+        return Ok(());
+    }
+    Err(format!("unknown arguments {rest:?}; see docs/standins.md").into())
+}
+
+/// Returns the seed of the argument `--seed`, or a fresh one.
+pub fn seed(arguments: &mut Arguments) -> Result<u64, CliError> {
+    Ok(arguments.opt_value_from_str("--seed")?.unwrap_or_else(rand::random))
+}
+
+/// Prints the address and seed as one line of JSON and waits for SIGINT or SIGTERM.
+pub async fn announce(name: &str, url: &str, seed: u64) -> Result<(), CliError> {
+    println!("{}", serde_json::json!({ "standin": name, "url": url, "seed": seed }));
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        outcome = tokio::signal::ctrl_c() => outcome?,
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/standins/src/journal.rs
@@ -0,0 +1,56 @@
+//! Bounded records of what really happened.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+
+/// Keeps the newest entries and counts those it dropped.
+#[derive(Clone, Debug)]
+pub struct BoundedJournal<T> {
+    entries: VecDeque<T>,
+    capacity: usize,
+    dropped: u64,
+}
+
+/// Holds the contents of a journal at one instant.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct JournalPage<T> {
+    /// Entries, oldest first.
+    pub entries: Vec<T>,
+    /// Older entries that were dropped; an assertion over all entries needs it to be 0.
+    pub dropped: u64,
+}
+
+impl<T> BoundedJournal<T> {
+    /// Creates an empty journal for a number of entries.
+    pub fn new(capacity: usize) -> Self {
+        Self { entries: VecDeque::new(), capacity, dropped: 0 }
+    }
+
+    /// Appends an entry and drops the oldest one of a full journal.
+    pub fn push(&mut self, entry: T) {
+        if self.entries.len() >= self.capacity {
+            self.entries.pop_front();
+            self.dropped += 1;
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Returns the number of entries dropped.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
+    /// Returns the entries, oldest first.
+    pub fn iter(&self) -> impl Iterator<Item = &T> {
+        self.entries.iter()
+    }
+
+    /// Copies the journal.
+    pub fn page(&self) -> JournalPage<T>
+    where
+        T: Clone,
+    {
+        JournalPage { entries: self.entries.iter().cloned().collect(), dropped: self.dropped }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/store_server.rs
@@ -0,0 +1,182 @@
+//! Stand-in of the platform's key-value service: [`MemoryStore`] over HTTP and JSON.
+
+use std::io;
+use std::time::Duration;
+
+use axum::extract::{DefaultBodyLimit, Path, Query, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::{delete, get, post};
+use axum::{Json, Router};
+use lacewingrail_model::store::{KeyValueService, LeaseId, Revision, StoreError};
+use lacewingrail_platform::protocol::{
+    ConflictAnswer, GetAnswer, LeaseAnswer, LeaseRequest, ListAnswer, WriteAnswer,
+};
+use lacewingrail_platform::{MemoryStore, StoreFaults, StoreStats};
+use serde::{Deserialize, Serialize};
+
+use crate::server::{ServerHandle, broken_answer};
+
+/// Largest request body in bytes; above the value limit, so that the store itself refuses a value.
+const BODY_LIMIT: usize = 2_000_000;
+
+/// Serves a [`MemoryStore`] over HTTP.
+#[derive(Debug)]
+pub struct StoreServer {
+    store: MemoryStore,
+    handle: ServerHandle,
+}
+
+impl StoreServer {
+    /// Serves an empty store on an address such as `127.0.0.1:0`.
+    pub async fn spawn(address: &str, seed: u64) -> io::Result<Self> {
+        Self::spawn_store(address, MemoryStore::seeded(seed)).await
+    }
+
+    /// Serves an existing store; a server that is started again with the same store keeps its keys.
+    pub async fn spawn_store(address: &str, store: MemoryStore) -> io::Result<Self> {
+        let handle = ServerHandle::spawn(address, router(store.clone())).await?;
+        Ok(Self { store, handle })
+    }
+
+    /// Returns the store for direct access.
+    pub fn store(&self) -> &MemoryStore {
+        &self.store
+    }
+
+    /// Returns the server's handle.
+    pub fn handle(&self) -> &ServerHandle {
+        &self.handle
+    }
+
+    /// Returns the base URL.
+    pub fn url(&self) -> String {
+        self.handle.url()
+    }
+}
+
+/// Moves the clock of the leases.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct ClockJump {
+    /// Milliseconds; may be negative.
+    pub by_ms: i64,
+}
+
+#[derive(Deserialize)]
+struct PrefixQuery {
+    #[serde(default)]
+    prefix: String,
+}
+
+#[derive(Deserialize)]
+struct WriteQuery {
+    revision: Revision,
+    lease: Option<LeaseId>,
+}
+
+#[derive(Deserialize)]
+struct WatchQuery {
+    #[serde(default)]
+    prefix: String,
+    after: Revision,
+    wait_ms: u64,
+}
+
+fn router(store: MemoryStore) -> Router {
+    Router::new()
+        .route("/v1/kv", get(list))
+        .route("/v1/kv/{key}", get(read).put(write).delete(remove))
+        .route("/v1/watch", get(watch))
+        .route("/v1/leases", post(grant))
+        .route("/v1/leases/{lease}", delete(revoke))
+        .route("/v1/leases/{lease}/renew", post(renew))
+        .route("/v1/stats", get(stats))
+        .route("/v1/faults", get(faults).post(set_faults))
+        .route("/v1/lease-clock", post(jump))
+        .layer(DefaultBodyLimit::max(BODY_LIMIT))
+        .with_state(store)
+}
+
+async fn read(State(store): State<MemoryStore>, Path(key): Path<String>) -> Response {
+    answer(store.get(&key).await.map(|entry| GetAnswer { entry }))
+}
+
+async fn list(State(store): State<MemoryStore>, Query(query): Query<PrefixQuery>) -> Response {
+    answer(store.list(&query.prefix).await.map(|entries| ListAnswer { entries }))
+}
+
+async fn write(
+    State(store): State<MemoryStore>,
+    Path(key): Path<String>,
+    Query(query): Query<WriteQuery>,
+    value: String,
+) -> Response {
+    let outcome = store.put(&key, value, query.revision, query.lease).await;
+    answer(outcome.map(|revision| WriteAnswer { revision }))
+}
+
+async fn remove(
+    State(store): State<MemoryStore>,
+    Path(key): Path<String>,
+    Query(query): Query<WriteQuery>,
+) -> Response {
+    answer(store.delete(&key, query.revision).await)
+}
+
+async fn watch(State(store): State<MemoryStore>, Query(query): Query<WatchQuery>) -> Response {
+    let wait = Duration::from_millis(query.wait_ms);
+    answer(store.watch(&query.prefix, query.after, wait).await)
+}
+
+async fn grant(State(store): State<MemoryStore>, Json(request): Json<LeaseRequest>) -> Response {
+    let outcome = store.grant_lease(Duration::from_millis(request.ttl_ms)).await;
+    answer(outcome.map(|lease| LeaseAnswer { lease }))
+}
+
+async fn renew(State(store): State<MemoryStore>, Path(lease): Path<LeaseId>) -> Response {
+    answer(store.renew_lease(lease).await)
+}
+
+async fn revoke(State(store): State<MemoryStore>, Path(lease): Path<LeaseId>) -> Response {
+    answer(store.revoke_lease(lease).await)
+}
+
+async fn stats(State(store): State<MemoryStore>) -> Json<StoreStats> {
+    Json(store.stats())
+}
+
+async fn faults(State(store): State<MemoryStore>) -> Json<StoreFaults> {
+    Json(store.faults())
+}
+
+async fn set_faults(State(store): State<MemoryStore>, Json(faults): Json<StoreFaults>) {
+    log::info!("the faults of the key-value service are now {faults:?}");
+    store.set_faults(faults);
+}
+
+async fn jump(State(store): State<MemoryStore>, Json(jump): Json<ClockJump>) {
+    store.jump_lease_clock(jump.by_ms);
+}
+
+fn answer<T>(outcome: Result<T, StoreError>) -> Response
+where
+    T: Serialize,
+{
+    match outcome {
+        Ok(value) => Json(value).into_response(),
+        Err(StoreError::Conflict { current }) => {
+            (StatusCode::CONFLICT, Json(ConflictAnswer { current })).into_response()
+        }
+        Err(StoreError::Unclear(_)) => broken_answer(),
+        Err(error) => (status(&error), error.to_string()).into_response(),
+    }
+}
+
+fn status(error: &StoreError) -> StatusCode {
+    match error {
+        StoreError::LeaseLapsed => StatusCode::GONE,
+        StoreError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+        StoreError::Unavailable(_) => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::INTERNAL_SERVER_ERROR,
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/instance_list.rs
@@ -0,0 +1,71 @@
+//! Guards against a list that shows changes before its lag, loses them or cannot be changed.
+
+use std::time::Duration;
+
+use lacewingrail_model::instance::{InstanceEntry, InstanceList, InstanceRole};
+use lacewingrail_model::worker::WorkerSpec;
+use lacewingrail_platform::HttpInstanceList;
+use lacewingrail_standins::instance_server::ListFaults;
+use lacewingrail_standins::{InstanceChange, InstanceListServer};
+
+fn backend(name: &str) -> InstanceEntry {
+    InstanceEntry {
+        name: name.into(),
+        role: InstanceRole::Backend,
+        service: "framecheck".into(),
+        domain: "jawa-1".into(),
+        address: "http://127.0.0.1:1".into(),
+        leaving: false,
+        slots: 8,
+        connections: 64,
+    }
+}
+
+/// Guards against a leaving flag that shows at once although the list lags, or never.
+#[tokio::test]
+async fn changes_show_after_lag() {
+    let server = InstanceListServer::spawn("127.0.0.1:0").await.unwrap();
+    let list = HttpInstanceList::new(server.url());
+    server.change(InstanceChange::AddInstance(backend("b1")));
+    assert_eq!(list.read().await.unwrap(), [backend("b1")]);
+    server.set_faults(ListFaults { lag_ms: 300, ..ListFaults::default() });
+    let changed = std::time::Instant::now();
+    server.change(InstanceChange::SetLeaving { name: "b1".into(), leaving: true });
+    loop {
+        let leaving = list.read().await.unwrap()[0].leaving;
+        if leaving {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert!(changed.elapsed() >= Duration::from_millis(299));
+}
+
+/// Guards against entries that other processes cannot add, remove or hide by an outage.
+#[tokio::test]
+async fn entries_change_over_http() {
+    let server = InstanceListServer::spawn("127.0.0.1:0").await.unwrap();
+    let list = HttpInstanceList::new(server.url());
+    let client = reqwest::Client::new();
+    let url = |path: &str| format!("{}{path}", server.url());
+    let spec = WorkerSpec {
+        id: "w1".into(),
+        domain: "jawa-1".into(),
+        rack: "r1".into(),
+        accelerators: 8,
+        cores: 128,
+        memory_mb: 512_000,
+        address: "http://127.0.0.1:1/w/w1".into(),
+    };
+    client.post(url("/v1/instances")).json(&[backend("b1")]).send().await.unwrap();
+    client.post(url("/v1/workers")).json(&[&spec]).send().await.unwrap();
+    let leaving = serde_json::json!({ "leaving": true });
+    client.post(url("/v1/instances/b1/leaving")).json(&leaving).send().await.unwrap();
+    assert!(list.read().await.unwrap()[0].leaving);
+    assert_eq!(list.workers().await.unwrap(), [spec]);
+    client.delete(url("/v1/instances/b1")).send().await.unwrap();
+    client.delete(url("/v1/workers/w1")).send().await.unwrap();
+    assert!(list.read().await.unwrap().is_empty() && list.workers().await.unwrap().is_empty());
+    server.set_faults(ListFaults { unavailable: true, ..ListFaults::default() });
+    assert!(list.read().await.is_err());
+}
