--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -117,6 +117,30 @@
     pub started_at: Option<UnixMillis>,
     /// Time of the end, if any.
     pub ended_at: Option<UnixMillis>,
+    /// Where the job came from, until its first attempt under the new owner.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub arrival: Option<JobArrival>,
+    /// Mark of the newest write.
+    pub mark: WriteMark,
+}
+
+/// Describes a change of owner that is in progress.
+///
+/// The former owner's record names the new owner until the latter has confirmed the change; only a
+/// confirmed job may start, so that a delayed write of the former owner cannot run it again.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct JobArrival {
+    /// Former owner.
+    pub from: DomainName,
+    /// Whether the new owner has confirmed the change.
+    pub confirmed: bool,
+}
+
+/// Holds the ended jobs of one failure domain and day, see [`crate::keys::history`].
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct HistoryPage {
+    /// Records in the order in which the jobs ended.
+    pub jobs: Vec<JobRecord>,
     /// Mark of the newest write.
     pub mark: WriteMark,
 }
--- /dev/null
+++ b/crates/scheduler/src/gang_controller/teardown.rs
@@ -0,0 +1,109 @@
+//! Checkpoints and stops of whole gangs.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use lacewingrail_model::timer::TimerService;
+use lacewingrail_model::worker::{MemberId, WorkerError, WorkerService, WorkerSpec};
+use lacewingrail_model::{Epoch, JobId};
+
+use super::{CheckpointEnded, EventSink, GangController, GangEvent, TeardownEnded};
+use crate::gang::{GangEnd, GangPhase};
+
+/// Longest time of one stop call.
+const STOP_LIMIT: Duration = Duration::from_millis(500);
+/// Pause before a stop is repeated.
+const STOP_RETRY: Duration = Duration::from_millis(250);
+
+struct MemberStopper {
+    workers: Arc<dyn WorkerService>,
+    sink: EventSink,
+    timer: TimerService,
+    epoch: Epoch,
+}
+
+impl GangController {
+    /// Lets all members write a checkpoint and then stops them.
+    pub(super) fn checkpoint(&mut self, job: &JobId, grace: Duration) {
+        let Some(track) = self.gangs.get_mut(job) else {
+            return;
+        };
+        (track.phase, track.since) = (GangPhase::Checkpointing, Instant::now());
+        let starter = &self.settings.starter;
+        let (workers, epoch, me) = (starter.workers.clone(), starter.epoch, self.me.clone());
+        let (job, attempt) = (job.clone(), track.plan.attempt);
+        let places = track.plan.members.clone();
+        tokio::spawn(async move {
+            let calls = places.iter().map(|place| async {
+                let call = workers.checkpoint(&place.worker, epoch, &place.id);
+                tokio::time::timeout(grace, call).await.ok()?.ok()
+            });
+            let kept = join_all(calls).await;
+            let _ = me.tell(CheckpointEnded { job, attempt, kept }).try_send();
+        });
+    }
+
+    /// Stops all members; the attempt ends when each is confirmed or its lease has lapsed.
+    pub(super) fn tear_down(&mut self, job: &JobId, end: GangEnd) {
+        let Some(track) = self.gangs.get_mut(job) else {
+            return;
+        };
+        if track.phase == GangPhase::Stopping {
+            return;
+        }
+        if !matches!(end, GangEnd::Stopped) {
+            log::info!("attempt {} of job {job} ends: {end:?}", track.plan.attempt);
+        }
+        (track.phase, track.since) = (GangPhase::Stopping, Instant::now());
+        track.end = Some(end);
+        track.cancel.send_replace(true);
+        let stopper = MemberStopper {
+            workers: self.settings.starter.workers.clone(),
+            sink: self.settings.sink.clone(),
+            timer: self.settings.context.timer.clone(),
+            epoch: self.settings.starter.epoch,
+        };
+        let members: Vec<_> = track
+            .members
+            .iter()
+            .map(|member| (member.place.worker.clone(), member.place.id.clone(), member.lease_until))
+            .collect();
+        let (job, attempt, me) = (job.clone(), track.plan.attempt, self.me.clone());
+        tokio::spawn(async move {
+            let stops = members.iter().map(|(worker, member, until)| {
+                stopper.stop(worker, member, *until)
+            });
+            join_all(stops).await;
+            let _ = me.tell(TeardownEnded { job, attempt }).try_send();
+        });
+    }
+
+    /// Stops a member that belongs to no gang; a lost call is repeated after the next report.
+    pub(super) fn stop_orphan(&self, worker: &Arc<WorkerSpec>, member: MemberId) {
+        let label = crate::metrics::DomainLabel { domain: self.settings.domain.clone() };
+        self.settings.context.metrics.orphans.get_or_create(&label).inc();
+        log::warn!("worker {} holds member {member} of no gang; it is stopped", worker.id);
+        let (worker, starter) = (worker.clone(), self.settings.starter.clone());
+        tokio::spawn(async move {
+            let call = starter.workers.stop(&worker, starter.epoch, &member);
+            let _ = tokio::time::timeout(STOP_LIMIT, call).await;
+        });
+    }
+}
+
+impl MemberStopper {
+    async fn stop(&self, worker: &WorkerSpec, member: &MemberId, until: Instant) {
+        while Instant::now() < until {
+            let call = self.workers.stop(worker, self.epoch, member);
+            match tokio::time::timeout(STOP_LIMIT, call).await {
+                Ok(Ok(()) | Err(WorkerError::UnknownMember)) => return,
+                Ok(Err(WorkerError::StaleEpoch { seen })) => {
+                    (self.sink)(GangEvent::Stale { seen });
+                    return;
+                }
+                Ok(Err(_)) | Err(_) => self.timer.wait(STOP_RETRY).await,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/handover.rs
@@ -0,0 +1,109 @@
+//! The change of a job's owner between failure domains.
+//!
+//! The record moves between two keys, which the store cannot change together:
+//! 1. The former owner names the new owner in its own record, and acts no more on the job.
+//! 2. It creates the new owner's record, marked as an unconfirmed arrival.
+//! 3. The new owner finds the former record naming it, marks its own as confirmed, deletes the
+//!    former record, and only then may start the job.
+//!
+//! A crash after any step is completed by the successors. A delayed write of step 2, after the new
+//! owner has finished the job, creates a record whose former record is gone: it is deleted unstarted.
+
+use lacewingrail_model::job::{JobArrival, JobRecord};
+use lacewingrail_model::mark::MarkIssuer;
+use lacewingrail_model::store::{Revision, StoreError};
+use lacewingrail_model::{DomainName, JobId, keys};
+use lacewingrail_platform::read;
+
+use crate::context::ProcessContext;
+use crate::records::{self, WriteOutcome};
+
+/// States what became of an arrival.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ArrivalOutcome {
+    /// The job belongs to this domain; its record as stored now.
+    Confirmed(Box<(JobRecord, Revision)>),
+    /// The record came from a delayed write and is gone.
+    Ghost,
+    /// Nothing is known; try again later.
+    Failed(StoreError),
+}
+
+/// Creates the new owner's record from the former owner's, which names it already.
+///
+/// # Errors
+/// Reports what the store reports; the step may be repeated.
+pub async fn send(
+    context: &ProcessContext,
+    issuer: &MarkIssuer,
+    from: &DomainName,
+    record: &JobRecord,
+) -> Result<(), StoreError> {
+    let arrival = Some(JobArrival { from: from.clone(), confirmed: false });
+    let record = JobRecord { arrival, mark: issuer.issue(), ..record.clone() };
+    let key = keys::job(&record.owner, &record.id);
+    match records::write(&*context.store, &context.timer, &key, &record, 0).await {
+        // The record exists, so an earlier attempt created it.
+        WriteOutcome::Written(_) | WriteOutcome::Conflict(Some(_)) => Ok(()),
+        // It existed and is gone, so the new owner is done with it.
+        WriteOutcome::Conflict(None) => Ok(()),
+        WriteOutcome::Failed(error) => Err(error),
+    }
+}
+
+/// Confirms the arrival of a job in its new domain and deletes the former record.
+///
+/// The step may be repeated after a failure.
+pub async fn receive(
+    context: &ProcessContext,
+    issuer: &MarkIssuer,
+    domain: &DomainName,
+    job: &JobId,
+) -> ArrivalOutcome {
+    match try_receive(context, issuer, domain, job).await {
+        Ok(outcome) => outcome,
+        Err(error) => ArrivalOutcome::Failed(error),
+    }
+}
+
+async fn try_receive(
+    context: &ProcessContext,
+    issuer: &MarkIssuer,
+    domain: &DomainName,
+    job: &JobId,
+) -> Result<ArrivalOutcome, StoreError> {
+    let store = &*context.store;
+    let own = keys::job(domain, job);
+    let Some((record, revision)) = records::limit(read::<JobRecord>(store, &own)).await? else {
+        return Ok(ArrivalOutcome::Ghost);
+    };
+    let Some(arrival) = record.arrival.clone() else {
+        return Ok(ArrivalOutcome::Confirmed(Box::new((record, revision))));
+    };
+    let former = keys::job(&arrival.from, job);
+    let before = records::limit(read::<JobRecord>(store, &former)).await?;
+    let Some((before, at)) = before.filter(|(before, _)| before.owner == record.owner) else {
+        if arrival.confirmed {
+            return Ok(ArrivalOutcome::Confirmed(Box::new((record, revision))));
+        }
+        log::info!("job {job} arrived by a delayed write of {}; it is dropped", arrival.from);
+        return match records::limit(store.delete(&own, revision)).await {
+            Ok(()) | Err(StoreError::Conflict { .. }) => Ok(ArrivalOutcome::Ghost),
+            Err(error) => Err(error),
+        };
+    };
+    let mut confirmed = JobRecord { mark: issuer.issue(), ..record.clone() };
+    confirmed.arrival = Some(JobArrival { confirmed: true, ..arrival });
+    // A cancellation may have reached the former record last. The delete below fails if it comes
+    // even later, and the step is repeated.
+    if before.state.is_final() {
+        confirmed.state = before.state;
+    }
+    let revision = match records::write(store, &context.timer, &own, &confirmed, revision).await {
+        WriteOutcome::Written(revision) => revision,
+        WriteOutcome::Conflict(_) => return Err(StoreError::Conflict { current: 0 }),
+        WriteOutcome::Failed(error) => return Err(error),
+    };
+    records::limit(store.delete(&former, at)).await?;
+    Ok(ArrivalOutcome::Confirmed(Box::new((confirmed, revision))))
+}
--- /dev/null
+++ b/crates/scheduler/src/history.rs
@@ -0,0 +1,120 @@
+//! Moves ended jobs from their records to the history of the day.
+//!
+//! Ends come in waves, when hundreds of jobs are cancelled at once. All ends that wait are written
+//! with one compare-and-swap; only then are their records deleted, so that a crash in between
+//! repeats the step. A job that is in the history already is not added again.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::{StreamExt, stream};
+use lacewingrail_model::clock::unix_millis;
+use lacewingrail_model::job::{HistoryPage, JobRecord};
+use lacewingrail_model::mark::{MarkIssuer, WriteMark};
+use lacewingrail_model::store::Revision;
+use lacewingrail_model::{DomainName, keys};
+use lacewingrail_platform::{MarkedRecord, UpdateError, update};
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
+
+use crate::context::ProcessContext;
+use crate::records;
+
+/// Ends written at a time, so that a page grows by less than 100 KB with one write.
+const MAX_BATCH: usize = 128;
+/// Size at which a page is full; the next ends go to another page of the day.
+const MAX_PAGE_BYTES: usize = 800_000;
+/// Records deleted at a time.
+const DELETE_WIDTH: usize = 32;
+/// Pause after a failed write.
+const RETRY: Duration = Duration::from_millis(500);
+/// Milliseconds of a day.
+const DAY_MS: u64 = 86_400_000;
+
+/// Holds a job that ended, with the revision of its record.
+#[derive(Clone, Debug)]
+pub struct EndedJob {
+    /// Record in its final state.
+    pub record: JobRecord,
+    /// Revision of the stored record; 0 if it is not stored any more.
+    pub revision: Revision,
+}
+
+/// Takes the jobs whose end is recorded and whose record is gone.
+pub type EndedSink = Arc<dyn Fn(Vec<EndedJob>) + Send + Sync>;
+
+#[derive(Deserialize, Serialize)]
+#[serde(transparent)]
+struct StoredPage(HistoryPage);
+
+impl MarkedRecord for StoredPage {
+    fn mark(&self) -> &str {
+        &self.0.mark
+    }
+
+    fn set_mark(&mut self, mark: WriteMark) {
+        self.0.mark = mark;
+    }
+}
+
+/// Writes ends until the channel closes.
+pub async fn run(
+    context: Arc<ProcessContext>,
+    domain: DomainName,
+    issuer: Arc<MarkIssuer>,
+    mut ends: mpsc::UnboundedReceiver<EndedJob>,
+    done: EndedSink,
+) {
+    let mut batch = Vec::new();
+    while ends.recv_many(&mut batch, MAX_BATCH).await > 0 {
+        while let Err(cause) = append(&context, &domain, &issuer, &batch).await {
+            log::warn!("the ends of {} jobs are not recorded yet: {cause}", batch.len());
+            context.timer.wait(RETRY).await;
+        }
+        let deletes = batch.iter().filter(|ended| ended.revision > 0).map(|ended| {
+            let key = keys::job(&domain, &ended.record.id);
+            let (context, revision) = (context.clone(), ended.revision);
+            async move {
+                while let Err(error) = records::delete(&*context.store, &key, revision).await {
+                    log::warn!("{key} ended but is not deleted yet: {error}");
+                    context.timer.wait(RETRY).await;
+                }
+            }
+        });
+        stream::iter(deletes.collect::<Vec<_>>()).buffer_unordered(DELETE_WIDTH).collect::<Vec<_>>().await;
+        done(std::mem::take(&mut batch));
+    }
+}
+
+async fn append(
+    context: &ProcessContext,
+    domain: &DomainName,
+    issuer: &MarkIssuer,
+    batch: &[EndedJob],
+) -> Result<(), String> {
+    let day = unix_millis() / DAY_MS;
+    let base = keys::history(domain, day);
+    for page in 0.. {
+        let key = if page == 0 { base.clone() } else { format!("{base}/{page}") };
+        let change = |current: Option<StoredPage>| {
+            let mut content = current.map(|page| page.0).unwrap_or_default();
+            let size = serde_json::to_string(&content).map_or(0, |text| text.len());
+            if size >= MAX_PAGE_BYTES {
+                return Err(());
+            }
+            for ended in batch {
+                if !content.jobs.iter().any(|known| known.id == ended.record.id) {
+                    content.jobs.push(ended.record.clone());
+                }
+            }
+            Ok(StoredPage(content))
+        };
+        match update(&*context.store, issuer, &key, change).await {
+            Ok(_) => return Ok(()),
+            Err(UpdateError::Refused(())) => {}
+            Err(UpdateError::Store(error)) => return Err(error.to_string()),
+        }
+    }
+    Ok(())
+}
+
--- /dev/null
+++ b/crates/scheduler/src/job_controller/outs.rs
@@ -0,0 +1,89 @@
+//! Settings, and what follows when operators take the domain out.
+
+use std::collections::BTreeMap;
+
+use lacewingrail_model::JobId;
+use lacewingrail_model::config::{ConfigView, DomainOutAction};
+use lacewingrail_placement::{CustomerShare, GuaranteeEntry};
+
+use super::{JobController, JobPhase, StopReason};
+
+impl JobController {
+    /// Gives the planner the settings in force.
+    pub(super) fn follow_settings(&mut self) {
+        let config = self.settings.context.membership.current();
+        if config.version == self.config_version {
+            return;
+        }
+        self.config_version = config.version;
+        let domain = &self.settings.domain;
+        self.planner.set_choice(config.policy(domain, None, None).placement);
+        if let Some(settings) = config.domains.get(domain) {
+            self.planner.set_nominal(settings.nominal_racks.clone());
+        }
+        self.planner.set_guarantees(guarantees(&config, domain));
+        let shares = config.customers.iter().map(|(name, customer)| {
+            let in_use_elsewhere = self.elsewhere.get(name).copied().unwrap_or(0);
+            let share =
+                CustomerShare { weight: customer.weight, quota: customer.quota, in_use_elsewhere };
+            (name.clone(), share)
+        });
+        self.planner.set_customers(shares.collect::<BTreeMap<_, _>>());
+    }
+
+    /// Applies the policy for running gangs once the domain is out.
+    pub(super) fn follow_out(&mut self) {
+        let membership = &self.settings.context.membership;
+        let out = membership.is_out(&self.settings.domain);
+        if out == self.out_handled {
+            return;
+        }
+        self.out_handled = out;
+        if !out {
+            log::info!("failure domain {} is in service", self.settings.domain);
+            return;
+        }
+        log::info!("failure domain {} is out", self.settings.domain);
+        let config = membership.current();
+        let mut affected: Vec<(JobId, DomainOutAction)> = Vec::new();
+        for (job, entry) in &self.jobs {
+            let spec = &entry.record.spec;
+            let policy = config.policy(&self.settings.domain, Some(&spec.customer), None);
+            let action = match policy.on_domain_out {
+                // Without a checkpoint a move would lose all work, so the gang may finish instead.
+                DomainOutAction::Move if !spec.checkpointable => DomainOutAction::Finish,
+                action => action,
+            };
+            let starting = entry.gang.as_ref().is_some_and(|gang| !gang.running);
+            if entry.phase == JobPhase::Active && (starting || action != DomainOutAction::Finish) {
+                affected.push((job.clone(), action));
+            }
+        }
+        for (job, _) in affected {
+            self.stop(&job, StopReason::DomainOut);
+        }
+        let pending: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, entry)| matches!(entry.phase, JobPhase::Deferred | JobPhase::Claiming))
+            .map(|(job, _)| job.clone())
+            .collect();
+        pending.iter().for_each(|job| self.give_back(job));
+        self.hand_over();
+    }
+}
+
+/// Returns the guarantees of all customers in a domain.
+pub(super) fn guarantees(config: &ConfigView, domain: &str) -> Vec<GuaranteeEntry> {
+    let entries = config.customers.iter().flat_map(|(name, customer)| {
+        let own = customer.guarantees.iter().filter(|guarantee| guarantee.domain == domain);
+        own.map(|guarantee| GuaranteeEntry {
+            customer: name.clone(),
+            shape: guarantee.shape,
+            count: guarantee.count,
+            precedence: customer.precedence,
+            since: guarantee.since,
+        })
+    });
+    entries.collect()
+}
--- /dev/null
+++ b/crates/scheduler/src/job_controller/writes.rs
@@ -0,0 +1,234 @@
+//! Records of jobs: own writes, and changes that others wrote.
+
+use std::collections::BTreeSet;
+
+use kameo::message::{Context, Message};
+use lacewingrail_model::job::{JobRecord, JobState};
+use lacewingrail_model::store::{Revision, StoreEvent};
+use lacewingrail_model::{JobId, keys};
+
+use super::{JobController, JobEntry, JobPhase, StopReason};
+use crate::rebuild::FoundJob;
+use crate::records::{self, WriteOutcome};
+
+/// Delivers changes of the domain's records.
+pub struct StoreChanged {
+    /// Changes in order.
+    pub events: Vec<StoreEvent>,
+    /// Whether the changes are all existing records, and others do not exist.
+    pub reset: bool,
+}
+
+pub(crate) struct RecordWritten {
+    job: JobId,
+    outcome: WriteOutcome,
+}
+
+impl Message<StoreChanged> for JobController {
+    type Reply = ();
+
+    async fn handle(&mut self, message: StoreChanged, _context: &mut Context<Self, ()>) {
+        let prefix = keys::jobs_of(&self.settings.domain);
+        let mut present = BTreeSet::new();
+        for event in message.events {
+            let Some(job) = event.key.strip_prefix(&prefix).map(JobId::from) else {
+                continue;
+            };
+            present.insert(job.clone());
+            match event.value {
+                Some(text) => self.take_event(&job, &text, event.revision),
+                None => self.take_deletion(&job, event.revision),
+            }
+        }
+        if message.reset {
+            let missing: Vec<JobId> =
+                self.jobs.keys().filter(|job| !present.contains(*job)).cloned().collect();
+            missing.iter().for_each(|job| self.take_deletion(job, Revision::MAX));
+        }
+        self.request_pump();
+    }
+}
+
+impl Message<RecordWritten> for JobController {
+    type Reply = ();
+
+    async fn handle(&mut self, message: RecordWritten, _context: &mut Context<Self, ()>) {
+        let RecordWritten { job, outcome } = message;
+        let Some(entry) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        entry.writing = false;
+        match outcome {
+            WriteOutcome::Written(revision) => {
+                entry.revision = entry.revision.max(revision);
+                self.follow_write(&job);
+            }
+            WriteOutcome::Conflict(Some(current)) => {
+                entry.dirty = true;
+                let (record, revision) = *current;
+                self.take_foreign(&job, record, revision);
+                self.flush(&job);
+            }
+            WriteOutcome::Conflict(None) => self.take_deletion(&job, Revision::MAX),
+            WriteOutcome::Failed(error) => {
+                entry.dirty = true;
+                log::warn!("the record of job {job} is not written yet: {error}");
+                // In an outage of the store, the permission rests on the word of the other domains,
+                // and this process is the only one with its epoch.
+                if entry.phase == JobPhase::Claiming && self.settings.permission.is_outage() {
+                    self.start_claimed(&job);
+                }
+            }
+        }
+        self.request_pump();
+    }
+}
+
+impl JobController {
+    /// Writes the record of a job unless a write is in progress already.
+    pub(super) fn flush(&mut self, job: &JobId) {
+        let Some(entry) = self.jobs.get_mut(job).filter(|entry| entry.dirty && !entry.writing)
+        else {
+            return;
+        };
+        if entry.phase == JobPhase::Ending {
+            return;
+        }
+        (entry.dirty, entry.writing) = (false, true);
+        entry.record.mark = self.settings.issuer.issue();
+        let (context, me) = (self.settings.context.clone(), self.me.clone());
+        let key = keys::job(&self.settings.domain, job);
+        let (job, record, revision) = (job.clone(), entry.record.clone(), entry.revision);
+        tokio::spawn(async move {
+            let (store, timer) = (&*context.store, &context.timer);
+            let outcome = records::write(store, timer, &key, &record, revision).await;
+            let _ = me.tell(RecordWritten { job, outcome }).try_send();
+        });
+    }
+
+    /// Writes again what failed.
+    pub(super) fn retry_writes(&mut self) {
+        let dirty = self.jobs.iter().filter(|(_, entry)| entry.dirty && !entry.writing);
+        let dirty: Vec<JobId> = dirty.map(|(job, _)| job.clone()).collect();
+        dirty.iter().for_each(|job| self.flush(job));
+    }
+
+    /// Does what waited for a write.
+    fn follow_write(&mut self, job: &JobId) {
+        let Some(entry) = self.jobs.get(job) else {
+            return;
+        };
+        if entry.dirty {
+            self.flush(job);
+            return;
+        }
+        match entry.phase {
+            JobPhase::Claiming => self.start_claimed(job),
+            JobPhase::Leaving(_) => self.send_away(job),
+            _ => {}
+        }
+    }
+
+    fn take_event(&mut self, job: &JobId, text: &str, revision: Revision) {
+        let record: JobRecord = match serde_json::from_str(text) {
+            Ok(record) => record,
+            Err(error) => {
+                log::error!("the record of job {job} is malformed ({error}); delete it");
+                return;
+            }
+        };
+        if let Some(entry) = self.jobs.get_mut(job) {
+            if revision <= entry.revision {
+                return;
+            }
+            if record.mark.starts_with(&self.mark_prefix) {
+                if !entry.writing {
+                    entry.revision = revision;
+                }
+                return;
+            }
+            self.take_foreign(job, record, revision);
+            return;
+        }
+        if record.mark.starts_with(&self.mark_prefix) || self.gone.covers(job, revision) {
+            return;
+        }
+        if record.owner != self.settings.domain {
+            // The former active scheduler named the new owner and did not finish the step.
+            let owner = record.owner.clone();
+            let found = FoundJob { record, revision, blocked: false };
+            let mut entry = JobEntry::new(found, self.settings.context.now());
+            entry.phase = JobPhase::Leaving(owner);
+            self.jobs.insert(job.clone(), entry);
+            self.send_away(job);
+            return;
+        }
+        let found = FoundJob { record, revision, blocked: false };
+        self.jobs.insert(job.clone(), JobEntry::new(found, self.settings.context.now()));
+        self.admit(job);
+    }
+
+    /// Takes over what another writer made of a record.
+    fn take_foreign(&mut self, job: &JobId, record: JobRecord, revision: Revision) {
+        let Some(entry) = self.jobs.get_mut(job) else {
+            return;
+        };
+        entry.revision = revision;
+        if record.mark.starts_with(&self.mark_prefix) || entry.phase == JobPhase::Ending {
+            return;
+        }
+        if record.state.is_final() && !matches!(entry.phase, JobPhase::Leaving(_)) {
+            self.cancel(job, record.state);
+        } else if record.owner != self.settings.domain
+            && !matches!(entry.phase, JobPhase::Leaving(_))
+        {
+            self.disown(job);
+        } else if record.state.is_final() && record.owner == self.settings.domain {
+            // The cancellation came before the new owner was named.
+            self.cancel(job, record.state);
+        } else if entry.record.state != record.state {
+            entry.dirty = true;
+        }
+    }
+
+    fn take_deletion(&mut self, job: &JobId, revision: Revision) {
+        let Some(entry) = self.jobs.get(job).filter(|entry| entry.revision < revision) else {
+            return;
+        };
+        if !matches!(entry.phase, JobPhase::Ending | JobPhase::Leaving(_)) {
+            log::warn!("the record of job {job} was deleted; the job is dropped");
+            self.disown(job);
+        }
+    }
+
+    /// Ends a job as another writer ordered, usually by a cancellation.
+    fn cancel(&mut self, job: &JobId, state: JobState) {
+        let Some(entry) = self.jobs.get_mut(job) else {
+            return;
+        };
+        entry.record.state = state;
+        match entry.phase {
+            JobPhase::Active | JobPhase::Stopping(_) => self.stop(job, StopReason::Cancelled),
+            _ => {
+                self.planner.release(job);
+                self.planner.remove(job);
+                self.end(job);
+            }
+        }
+        self.request_pump();
+    }
+
+    /// Gives up a job that belongs to another domain or to nobody.
+    fn disown(&mut self, job: &JobId) {
+        let Some(entry) = self.jobs.get(job) else {
+            return;
+        };
+        match entry.phase {
+            JobPhase::Active | JobPhase::Stopping(_) => self.stop(job, StopReason::Disowned),
+            _ => {
+                self.planner.release(job);
+                self.forget(job);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/lease.rs
@@ -0,0 +1,155 @@
+//! The lease that selects the active scheduler of a failure domain.
+//!
+//! The holder owns the key `lease/<domain>`, bound to a lease of the store, and raises the counter
+//! `epoch/<domain>`. The key is written first, then the counter, then the key again with the epoch:
+//! the last write fails if the lease lapsed meanwhile, so a process that was paused in between never
+//! uses an epoch above that of the process that took over.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use lacewingrail_model::mark::{MarkIssuer, WriteMark};
+use lacewingrail_model::store::{KeyValueService, LeaseId, Revision, StoreError};
+use lacewingrail_model::{Epoch, InstanceId, keys};
+use lacewingrail_platform::{MarkedRecord, UpdateError, read, update};
+use serde::{Deserialize, Serialize};
+
+/// Time after which the lease lapses unless renewed.
+pub const LEASE_TTL: Duration = Duration::from_secs(4);
+/// Time between renewals.
+pub const RENEW_PERIOD: Duration = Duration::from_secs(1);
+/// Longest time that one renewal may take.
+pub const RENEW_LIMIT: Duration = Duration::from_millis(900);
+/// Longest time that an acquisition may take; half the lease, so that the rest is left to rebuild.
+pub const ACQUIRE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Names the holder of a domain's scheduler lease.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeaseRecord {
+    /// Process.
+    pub holder: InstanceId,
+    /// Epoch; 0 while the holder acquires it.
+    pub epoch: Epoch,
+    /// Mark of the write.
+    pub mark: WriteMark,
+}
+
+/// Counts the acquisitions of a domain's scheduler lease.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EpochRecord {
+    /// Newest epoch.
+    pub epoch: Epoch,
+    /// Mark of the write.
+    pub mark: WriteMark,
+}
+
+impl MarkedRecord for EpochRecord {
+    fn mark(&self) -> &str {
+        &self.mark
+    }
+
+    fn set_mark(&mut self, mark: WriteMark) {
+        self.mark = mark;
+    }
+}
+
+/// Proves that this process acquired the lease.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HeldLease {
+    /// Lease of the store.
+    pub lease: LeaseId,
+    /// Epoch.
+    pub epoch: Epoch,
+}
+
+/// States the outcome of an attempt to acquire the lease.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum AcquireOutcome {
+    /// This process holds the lease.
+    Acquired(HeldLease),
+    /// Another process was faster.
+    Taken,
+}
+
+/// Reads who holds the lease, with the revision of the key.
+///
+/// # Errors
+/// Reports what the store reports.
+pub async fn holder(
+    store: &dyn KeyValueService,
+    domain: &str,
+) -> Result<Option<(LeaseRecord, Revision)>, StoreError> {
+    read(store, &keys::scheduler_lease(domain)).await
+}
+
+/// Tries to acquire the lease of a domain that nobody holds.
+///
+/// # Errors
+/// Reports what the store reports; the lease is then given up or lapses by itself.
+pub async fn acquire(
+    store: &dyn KeyValueService,
+    issuer: &MarkIssuer,
+    domain: &str,
+    instance: &InstanceId,
+) -> Result<AcquireOutcome, StoreError> {
+    let lease = store.grant_lease(LEASE_TTL).await?;
+    let outcome = claim(store, issuer, domain, instance, lease).await;
+    if !matches!(outcome, Ok(AcquireOutcome::Acquired(_))) {
+        // A key whose write is still on its way would otherwise block the domain until it lapses.
+        let _ = store.revoke_lease(lease).await;
+    }
+    outcome
+}
+
+async fn claim(
+    store: &dyn KeyValueService,
+    issuer: &MarkIssuer,
+    domain: &str,
+    instance: &InstanceId,
+    lease: LeaseId,
+) -> Result<AcquireOutcome, StoreError> {
+    let record = |epoch| LeaseRecord { holder: instance.clone(), epoch, mark: issuer.issue() };
+    let Some(revision) = write(store, domain, record(0), 0, lease).await? else {
+        return Ok(AcquireOutcome::Taken);
+    };
+    let raise = |current: Option<EpochRecord>| {
+        let epoch = current.map_or(0, |current| current.epoch) + 1;
+        Ok::<_, Infallible>(EpochRecord { epoch, mark: WriteMark::new() })
+    };
+    let raised = update(store, issuer, &keys::epoch_counter(domain), raise).await;
+    let epoch = match raised {
+        Ok(written) => written.record.epoch,
+        Err(UpdateError::Store(error)) => return Err(error),
+        Err(UpdateError::Refused(never)) => match never {},
+    };
+    match write(store, domain, record(epoch), revision, lease).await {
+        Ok(Some(_)) => Ok(AcquireOutcome::Acquired(HeldLease { lease, epoch })),
+        Ok(None) | Err(StoreError::LeaseLapsed) => Ok(AcquireOutcome::Taken),
+        Err(error) => Err(error),
+    }
+}
+
+/// Writes the lease key; returns its revision, or nothing if another process holds it.
+async fn write(
+    store: &dyn KeyValueService,
+    domain: &str,
+    record: LeaseRecord,
+    expected: Revision,
+    lease: LeaseId,
+) -> Result<Option<Revision>, StoreError> {
+    let key = keys::scheduler_lease(domain);
+    let value = serde_json::to_string(&record)
+        .map_err(|error| StoreError::Malformed(error.to_string()))?;
+    match store.put(&key, value, expected, Some(lease)).await {
+        Ok(revision) => Ok(Some(revision)),
+        Err(StoreError::Conflict { .. }) => Ok(None),
+        Err(StoreError::Unclear(cause)) => {
+            let current: Option<(LeaseRecord, Revision)> = read(store, &key).await?;
+            match current {
+                Some((current, revision)) if current.mark == record.mark => Ok(Some(revision)),
+                _ => Err(StoreError::Unclear(cause)),
+            }
+        }
+        Err(error) => Err(error),
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/metrics.rs
@@ -0,0 +1,109 @@
+//! Metrics of a scheduler process.
+
+use lacewingrail_telemetry::MetricsRegistry;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+
+/// Labels a metric with the failure domain.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct DomainLabel {
+    /// Failure domain.
+    pub domain: String,
+}
+
+/// Holds the metrics of a scheduler process.
+#[derive(Clone, Debug)]
+pub struct SchedulerMetrics {
+    /// Epoch under which this process schedules; 0 when it does not.
+    pub epoch: Family<DomainLabel, Gauge>,
+    /// Gangs started.
+    pub starts: Family<DomainLabel, Counter>,
+    /// Attempts that ended before the gang ran.
+    pub aborts: Family<DomainLabel, Counter>,
+    /// Gangs stopped for others.
+    pub preemptions: Family<DomainLabel, Counter>,
+    /// Jobs handed to another failure domain.
+    pub handovers: Family<DomainLabel, Counter>,
+    /// Accelerator-milliseconds whose result was kept.
+    pub useful: Family<DomainLabel, Counter>,
+    /// Accelerator-milliseconds whose result was lost.
+    pub lost: Family<DomainLabel, Counter>,
+    /// Accelerator-milliseconds in which two attempts of a job ran; must stay 0.
+    pub doubly_spent: Family<DomainLabel, Counter>,
+    /// Members found on workers that belong to no gang.
+    pub orphans: Family<DomainLabel, Counter>,
+    /// Time of a rebuild after a takeover in seconds.
+    pub rebuild: Histogram,
+    /// Time from the decision until the gang runs, in seconds.
+    pub start_time: Histogram,
+    /// Time of one decision in seconds.
+    pub decision_time: Histogram,
+}
+
+impl SchedulerMetrics {
+    /// Registers the metrics.
+    pub fn new(registry: &MetricsRegistry) -> Self {
+        let times = || Histogram::new(exponential_buckets(0.000_25, 2.0, 16));
+        Self {
+            epoch: registry.register(
+                "scheduler_epoch",
+                "Epoch under which this process schedules the domain",
+                Family::default(),
+            ),
+            starts: registry.register("gang_starts", "Gangs started", Family::default()),
+            aborts: registry.register(
+                "gang_aborts",
+                "Attempts that ended before the gang ran",
+                Family::default(),
+            ),
+            preemptions: registry.register(
+                "gang_preemptions",
+                "Gangs stopped for others",
+                Family::default(),
+            ),
+            handovers: registry.register(
+                "job_handovers",
+                "Jobs handed to another failure domain",
+                Family::default(),
+            ),
+            useful: registry.register(
+                "accelerator_useful_milliseconds",
+                "Accelerator time whose result was kept",
+                Family::default(),
+            ),
+            lost: registry.register(
+                "accelerator_lost_milliseconds",
+                "Accelerator time whose result was lost",
+                Family::default(),
+            ),
+            doubly_spent: registry.register(
+                "accelerator_doubly_spent_milliseconds",
+                "Accelerator time in which two attempts of a job ran",
+                Family::default(),
+            ),
+            orphans: registry.register(
+                "orphan_members",
+                "Members found on workers that belong to no gang",
+                Family::default(),
+            ),
+            rebuild: registry.register(
+                "rebuild_seconds",
+                "Time of a rebuild after a takeover",
+                times(),
+            ),
+            start_time: registry.register(
+                "gang_start_seconds",
+                "Time from the decision until the gang runs",
+                times(),
+            ),
+            decision_time: registry.register(
+                "decision_seconds",
+                "Time of one placement decision",
+                times(),
+            ),
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/permission.rs
@@ -0,0 +1,168 @@
+//! The permission to start tasks in a failure domain.
+//!
+//! A start needs evidence, at most 2 s old, that operators have not taken the domain out. The
+//! evidence is a read of the store, or in an outage of the store the word of all other domains that
+//! they do not reach it either. Its age counts from the time at which the read was sent, because the
+//! answer may have waited in a queue.
+
+use std::fmt;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use lacewingrail_membership::Membership;
+use lacewingrail_model::DomainName;
+use lacewingrail_model::invariant::{InvariantName, check};
+
+use crate::ramp::ReturnRamp;
+
+/// Age at which evidence no longer permits a start.
+///
+/// Together with the delay of one message it stays below the 3 s after which no task may start in a
+/// failure domain that was taken out.
+pub const PERMISSION_TTL: Duration = Duration::from_secs(2);
+
+/// Decides whether tasks may start in one failure domain.
+pub struct StartPermission {
+    domain: DomainName,
+    membership: Membership,
+    state: Mutex<PermissionState>,
+}
+
+#[derive(Debug, Default)]
+struct PermissionState {
+    /// When the newest successful read of the domain's state was sent.
+    read: Option<Instant>,
+    /// When the newest failed read was sent.
+    failed: Option<Instant>,
+    /// When the domain was last seen out.
+    out_seen: Option<Instant>,
+    ramp: Option<ReturnRamp>,
+}
+
+/// States why no task may start.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PermissionDenial {
+    /// Operators have taken the domain out.
+    DomainOut,
+    /// The domain was taken in again, and the store has not confirmed it yet.
+    ReturnUnconfirmed,
+    /// The newest evidence is too old.
+    EvidenceOld,
+    /// The rate of starts after a return is used up.
+    Ramp,
+}
+
+impl fmt::Display for PermissionDenial {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::DomainOut => "operators have taken the failure domain out; take it in again",
+            Self::ReturnUnconfirmed => {
+                "the failure domain returns; its state is being read from the store"
+            }
+            Self::EvidenceOld => {
+                "the state of the failure domain cannot be read and this is not known to be an \
+                 outage of the store; check the network of the domain"
+            }
+            Self::Ramp => "the failure domain returns; starts are admitted at a rising rate",
+        })
+    }
+}
+
+impl std::error::Error for PermissionDenial {}
+
+impl StartPermission {
+    /// Creates a permission without evidence.
+    pub fn new(domain: DomainName, membership: Membership) -> Self {
+        Self { domain, membership, state: Mutex::default() }
+    }
+
+    /// Records a read of the domain's state that was sent at `sent`.
+    pub fn note_read(&self, sent: Instant, succeeded: bool) {
+        let mut state = self.lock();
+        let slot = if succeeded { &mut state.read } else { &mut state.failed };
+        *slot = (*slot).max(Some(sent));
+    }
+
+    /// Returns the time for which starts are still permitted.
+    ///
+    /// # Errors
+    /// States why no task may start now.
+    pub fn remaining(&self) -> Result<Duration, PermissionDenial> {
+        let now = Instant::now();
+        let evidence = {
+            let mut state = self.lock();
+            self.observe(&mut state, now)?;
+            self.evidence(&state, now)?
+        };
+        let age = now.saturating_duration_since(evidence);
+        let remaining = PERMISSION_TTL
+            .checked_sub(age)
+            .filter(|left| !left.is_zero())
+            .ok_or(PermissionDenial::EvidenceOld)?;
+        check(InvariantName::DomainOutNoStart, age < PERMISSION_TTL, || {
+            format!("a start in {} rests on evidence {age:?} old", self.domain)
+        });
+        Ok(remaining)
+    }
+
+    /// Returns whether starts are permitted only because the store is out for every domain.
+    pub fn is_outage(&self) -> bool {
+        let now = Instant::now();
+        let read = self.lock().read;
+        let reached =
+            read.is_some_and(|read| now.saturating_duration_since(read) < PERMISSION_TTL);
+        !reached && self.remaining().is_ok()
+    }
+
+    /// Takes one start from the rate that holds after a return of the domain.
+    ///
+    /// # Errors
+    /// States why no task may start now.
+    pub fn admit(&self) -> Result<Duration, PermissionDenial> {
+        let remaining = self.remaining()?;
+        let mut state = self.lock();
+        if let Some(ramp) = &mut state.ramp
+            && !ramp.admit(Instant::now())
+        {
+            return Err(PermissionDenial::Ramp);
+        }
+        Ok(remaining)
+    }
+
+    /// Follows the domain's state; a return counts only once the store has confirmed it.
+    fn observe(&self, state: &mut PermissionState, now: Instant) -> Result<(), PermissionDenial> {
+        if self.membership.is_out(&self.domain) {
+            state.out_seen = Some(now);
+            state.ramp = None;
+            return Err(PermissionDenial::DomainOut);
+        }
+        let Some(out_seen) = state.out_seen else {
+            return Ok(());
+        };
+        if state.read.is_none_or(|read| read <= out_seen) {
+            return Err(PermissionDenial::ReturnUnconfirmed);
+        }
+        state.out_seen = None;
+        state.ramp = Some(ReturnRamp::new(now));
+        Ok(())
+    }
+
+    fn evidence(&self, state: &PermissionState, now: Instant) -> Result<Instant, PermissionDenial> {
+        let fresh = |time: &Instant| now.saturating_duration_since(*time) < PERMISSION_TTL;
+        if let Some(read) = state.read.filter(fresh) {
+            return Ok(read);
+        }
+        // Only a failed read after the last good one says that this process lacks the store; an old
+        // read alone may come from a pause of the process.
+        let failed = state.failed.filter(fresh).is_some_and(|failed| Some(failed) > state.read);
+        let policy = self.membership.current().policy(&self.domain, None, None);
+        if !failed || !policy.starts_during_store_outage {
+            return Err(PermissionDenial::EvidenceOld);
+        }
+        self.membership.outage_evidence().filter(fresh).ok_or(PermissionDenial::EvidenceOld)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PermissionState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/records.rs
@@ -0,0 +1,104 @@
+//! Writes of job records.
+//!
+//! All attempts to write one content carry the same mark. After a lost answer the record is read
+//! again: if it has the mark, the write took effect.
+
+use std::time::Duration;
+
+use lacewingrail_model::job::JobRecord;
+use lacewingrail_model::store::{KeyValueService, Revision, StoreError};
+use lacewingrail_model::timer::TimerService;
+use lacewingrail_platform::read;
+
+/// Attempts to learn the outcome of one write.
+const ATTEMPTS: u32 = 5;
+/// Pause between attempts.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Longest time of one call to the store.
+pub const STORE_LIMIT: Duration = Duration::from_secs(2);
+
+/// States the outcome of a write.
+#[derive(Clone, Debug, PartialEq)]
+pub enum WriteOutcome {
+    /// The record was written.
+    Written(Revision),
+    /// Another writer was faster; its record, or nothing if it deleted the record.
+    Conflict(Option<Box<(JobRecord, Revision)>>),
+    /// Nothing was written, or nothing is known; write again later.
+    Failed(StoreError),
+}
+
+/// Limits a call to the store, whose connections may go silent.
+pub async fn limit<T, F>(call: F) -> Result<T, StoreError>
+where
+    F: Future<Output = Result<T, StoreError>>,
+{
+    let result = tokio::time::timeout(STORE_LIMIT, call).await;
+    result.unwrap_or_else(|_| Err(StoreError::Unclear("no answer in time".to_owned())))
+}
+
+/// Writes a record if its stored revision is the expected one.
+pub async fn write(
+    store: &dyn KeyValueService,
+    timer: &TimerService,
+    key: &str,
+    record: &JobRecord,
+    expected: Revision,
+) -> WriteOutcome {
+    let value = match serde_json::to_string(record) {
+        Ok(value) => value,
+        Err(error) => return WriteOutcome::Failed(StoreError::Malformed(error.to_string())),
+    };
+    let mut last = StoreError::Unavailable("no attempt was made".to_owned());
+    for attempt in 0..ATTEMPTS {
+        if attempt > 0 {
+            timer.wait(PAUSE).await;
+        }
+        match limit(store.put(key, value.clone(), expected, None)).await {
+            Ok(revision) => return WriteOutcome::Written(revision),
+            Err(StoreError::Conflict { .. }) => {}
+            Err(StoreError::Unclear(cause)) => last = StoreError::Unclear(cause),
+            // After an unclear attempt the write may have taken effect, so this is not final.
+            Err(error) if matches!(last, StoreError::Unclear(_)) => {
+                log::debug!("the write of {key} stays unclear: {error}");
+                continue;
+            }
+            Err(error) => return WriteOutcome::Failed(error),
+        }
+        match limit(read::<JobRecord>(store, key)).await {
+            Ok(Some((current, revision))) if current.mark == record.mark => {
+                return WriteOutcome::Written(revision);
+            }
+            Ok(Some((_, revision))) if revision == expected => {}
+            Ok(None) if expected == 0 => {}
+            Ok(current) => return WriteOutcome::Conflict(current.map(Box::new)),
+            Err(StoreError::Malformed(cause)) => {
+                return WriteOutcome::Failed(StoreError::Malformed(cause));
+            }
+            Err(error) => log::debug!("the outcome of the write of {key} is unknown: {error}"),
+        }
+    }
+    WriteOutcome::Failed(last)
+}
+
+/// Deletes a record whatever its revision.
+///
+/// # Errors
+/// Reports that it may still exist.
+pub async fn delete(
+    store: &dyn KeyValueService,
+    key: &str,
+    known: Revision,
+) -> Result<(), StoreError> {
+    let mut expected = known;
+    let mut last = StoreError::Unavailable("no attempt was made".to_owned());
+    for _ in 0..ATTEMPTS {
+        match limit(store.delete(key, expected)).await {
+            Ok(()) | Err(StoreError::Conflict { current: 0 }) => return Ok(()),
+            Err(StoreError::Conflict { current }) => expected = current,
+            Err(StoreError::Unclear(cause)) => last = StoreError::Unclear(cause),
+            Err(error) => return Err(error),
+        }
+    }
+    Err(last)
+}
--- /dev/null
+++ b/crates/scheduler/src/worker_controller/probe.rs
@@ -0,0 +1,58 @@
+//! Trial tasks on quarantined workers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lacewingrail_model::worker::{
+    MemberId, RESERVE_TTL, ReserveRequest, TASK_LEASE_TTL, WorkerError, WorkerSpec,
+};
+use lacewingrail_model::WorkerId;
+
+use super::{ProbeEnded, WorkerController};
+use crate::gang_start::GangStarter;
+
+/// Beginning of the job id of a probe.
+pub const PROBE_PREFIX: &str = "probe~";
+/// Longest time of a probe.
+const PROBE_LIMIT: Duration = Duration::from_secs(3);
+/// Work of a probe in milliseconds.
+const PROBE_WORK_MS: u64 = 1;
+
+impl WorkerController {
+    /// Runs a trial task on a worker.
+    pub(super) fn probe(&self, worker: &WorkerId) {
+        let Some(tracked) = self.workers.get(worker) else {
+            return;
+        };
+        let (spec, starter, me) =
+            (tracked.spec.clone(), self.settings.starter.clone(), self.me.clone());
+        tokio::spawn(async move {
+            let good = tokio::time::timeout(PROBE_LIMIT, run(&starter, &spec)).await;
+            let good = matches!(good, Ok(Ok(())));
+            let _ = me.tell(ProbeEnded { worker: spec.id.clone(), good }).try_send();
+        });
+    }
+}
+
+async fn run(starter: &GangStarter, spec: &Arc<WorkerSpec>) -> Result<(), WorkerError> {
+    let job = format!("{PROBE_PREFIX}{}~{:08x}", spec.id, rand::random::<u32>());
+    let member = MemberId { job, attempt: 1, index: 0 };
+    let request = ReserveRequest {
+        member: member.clone(),
+        gang_members: 1,
+        accelerators: spec.accelerators.min(1),
+        cores: 0,
+        memory_mb: 0,
+        ttl_ms: u64::try_from(RESERVE_TTL.as_millis()).unwrap_or(u64::MAX),
+        command: "true".to_owned(),
+        work_ms: PROBE_WORK_MS,
+    };
+    let (workers, epoch) = (&starter.workers, starter.epoch);
+    workers.reserve(spec, epoch, request).await?;
+    workers.commit(spec, epoch, &member, TASK_LEASE_TTL).await?;
+    // A probe is a task too, so it needs the permission to start.
+    let remaining = starter.permission.remaining().map_err(|_| WorkerError::PermissionExpired)?;
+    let started = workers.start(spec, epoch, &member, remaining).await;
+    let _ = workers.stop(spec, epoch, &member).await;
+    started
+}
