Add the domain planner with shape, count and fifo policies

Cause: the scheduler needs whole-gang placement that keeps every guaranteed shape reclaimable. Change: worker accounts, queue order with ageing, plan of guaranteed shapes with footprints, reclaim by least lost work, reservation with preemptible backfill, defragmentation, suspension by precedence, worker health, explanations and invariant checks. The model gains the invariant name AcceleratorHeldOnce. Conclusion: the scheduler can be written against the interface.

--- a/crates/model/src/invariant.rs
+++ b/crates/model/src/invariant.rs
@@ -12,6 +12,8 @@
 pub enum InvariantName {
     /// A guaranteed shape can always be reclaimed.
     GuaranteeReclaimable,
+    /// No accelerator is held twice.
+    AcceleratorHeldOnce,
     /// No gang runs partially beyond the bound.
     GangWhole,
     /// No task starts in a domain that is out.
--- a/crates/placement/src/amount.rs
+++ b/crates/placement/src/amount.rs
@@ -50,17 +50,34 @@
             && self.memory_mb >= other.memory_mb
     }
 
+    /// Returns the lesser of each resource.
+    pub fn lesser(&self, other: &Self) -> Self {
+        Self {
+            accelerators: self.accelerators.min(other.accelerators),
+            cores: self.cores.min(other.cores),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+        }
+    }
+
+    /// Returns the greater of each resource.
+    pub fn greater(&self, other: &Self) -> Self {
+        Self {
+            accelerators: self.accelerators.max(other.accelerators),
+            cores: self.cores.max(other.cores),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+        }
+    }
+
     /// Returns how many times another amount is contained in this one, at most `limit`.
     pub fn slots(&self, each: &Self, limit: u32) -> u32 {
         let mut count = limit;
-        if each.accelerators > 0 {
-            count = count.min(self.accelerators / each.accelerators);
+        if let Some(slots) = self.accelerators.checked_div(each.accelerators) {
+            count = count.min(slots);
         }
-        if each.cores > 0 {
-            count = count.min(self.cores / each.cores);
+        if let Some(slots) = self.cores.checked_div(each.cores) {
+            count = count.min(slots);
         }
-        if each.memory_mb > 0 {
-            let slots = self.memory_mb / each.memory_mb;
+        if let Some(slots) = self.memory_mb.checked_div(each.memory_mb) {
             count = count.min(u32::try_from(slots).unwrap_or(u32::MAX));
         }
         count
--- /dev/null
+++ b/crates/placement/src/floor.rs
@@ -0,0 +1,260 @@
+//! The workers of the domain and what is held on them.
+//!
+//! Each worker has three accounts: held by gangs, held by gangs that are being stopped, and claimed
+//! by gangs that wait for those. A claim may lie on top of what is being stopped, so both count once
+//! for what is free.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use lacewingrail_model::{RackName, WorkerId};
+
+use crate::amount::{GangDemand, ResourceAmount};
+use crate::entry::WorkerCapacity;
+use crate::gang::{GangPhase, PlacedGang};
+use crate::health::WorkerHealth;
+use crate::packing::RackMap;
+
+/// Speed below which a worker is used only when no place without it exists. A gang goes at the pace
+/// of its slowest member, so that one such member costs a quarter of the whole gang.
+const SLOW_SPEED: f64 = 0.75;
+
+/// Describes one worker with its accounts.
+#[derive(Clone, Debug)]
+pub struct FloorWorker {
+    /// Id.
+    pub id: WorkerId,
+    /// Rack.
+    pub rack: RackName,
+    /// Whole worker.
+    pub capacity: ResourceAmount,
+    /// Most of each resource that the worker was seen with.
+    pub best: ResourceAmount,
+    /// Measured speed, 1 for nominal.
+    pub speed: f64,
+    /// Health.
+    pub health: WorkerHealth,
+    /// Held by gangs that are starting or running.
+    pub held: ResourceAmount,
+    /// Held by gangs that are being stopped.
+    pub stopping: ResourceAmount,
+    /// Claimed by gangs that wait for others to stop.
+    pub claimed: ResourceAmount,
+    /// Slots of the gangs in any of these accounts.
+    pub gangs: Vec<usize>,
+}
+
+impl FloorWorker {
+    /// Returns whether new members may be placed here.
+    pub fn is_usable(&self) -> bool {
+        self.health == WorkerHealth::Healthy
+    }
+
+    /// Returns whether the worker is slow enough to be avoided.
+    pub fn is_slow(&self) -> bool {
+        self.speed < SLOW_SPEED
+    }
+
+    /// Returns the whole worker, or nothing when it may not be used.
+    pub fn usable_capacity(&self) -> ResourceAmount {
+        if self.is_usable() { self.capacity } else { ResourceAmount::default() }
+    }
+
+    /// Returns what is free at once.
+    pub fn free(&self) -> ResourceAmount {
+        let mut free = self.usable_capacity();
+        free.subtract(self.held);
+        free.subtract(ResourceAmount {
+            accelerators: self.stopping.accelerators.max(self.claimed.accelerators),
+            cores: self.stopping.cores.max(self.claimed.cores),
+            memory_mb: self.stopping.memory_mb.max(self.claimed.memory_mb),
+        });
+        free
+    }
+
+    /// Returns what is free once the gangs being stopped have left.
+    pub fn free_later(&self) -> ResourceAmount {
+        let mut free = self.usable_capacity();
+        free.subtract(self.held);
+        free.subtract(self.claimed);
+        free
+    }
+
+    /// Returns whether a member's cores and memory stay within the share of its accelerators.
+    ///
+    /// A guaranteed member may take no more, because the cores left over would not serve the
+    /// accelerators that are guaranteed to others.
+    pub fn is_within_share(&self, demand: &GangDemand) -> bool {
+        let whole = u64::from(self.capacity.accelerators);
+        let part = u64::from(demand.each.accelerators);
+        u64::from(demand.each.cores) * whole <= u64::from(self.capacity.cores) * part
+            && demand.each.memory_mb.saturating_mul(whole)
+                <= self.capacity.memory_mb.saturating_mul(part)
+    }
+
+    fn account(&mut self, phase: GangPhase) -> &mut ResourceAmount {
+        match phase {
+            GangPhase::Claimed => &mut self.claimed,
+            GangPhase::Starting | GangPhase::Running => &mut self.held,
+            GangPhase::Stopping => &mut self.stopping,
+        }
+    }
+}
+
+/// Holds the workers by index.
+#[derive(Clone, Debug, Default)]
+pub struct WorkerFloor {
+    /// Workers.
+    pub workers: Vec<FloorWorker>,
+    /// Racks.
+    pub map: RackMap,
+    /// Nominal racks from settings, if known.
+    pub nominal: BTreeMap<RackName, Vec<u32>>,
+    index: BTreeMap<WorkerId, usize>,
+}
+
+impl WorkerFloor {
+    /// Takes the list of workers.
+    ///
+    /// A worker that is not listed any more is remembered as silent, because its loss may be
+    /// temporary, until a new worker of its rack takes its index.
+    pub fn set_workers(&mut self, capacities: Vec<WorkerCapacity>) {
+        for worker in &mut self.workers {
+            worker.health = WorkerHealth::Silent;
+        }
+        let (known, new): (Vec<_>, Vec<_>) =
+            capacities.into_iter().partition(|capacity| self.index.contains_key(&capacity.id));
+        let mut listed = vec![false; self.workers.len()];
+        for capacity in known {
+            let index = self.index[&capacity.id];
+            listed[index] = true;
+            update(&mut self.workers[index], capacity);
+        }
+        for capacity in new {
+            let vacant = (0..listed.len()).find(|index| {
+                let worker = &self.workers[*index];
+                !listed[*index] && worker.gangs.is_empty() && worker.rack == capacity.rack
+            });
+            let worker = new_worker(&capacity);
+            let index = match vacant {
+                Some(index) => {
+                    listed[index] = true;
+                    self.index.remove(&self.workers[index].id);
+                    self.workers[index] = worker;
+                    index
+                }
+                None => {
+                    self.workers.push(worker);
+                    self.workers.len() - 1
+                }
+            };
+            self.index.insert(capacity.id, index);
+        }
+        self.map = RackMap::new(self.workers.iter().map(|worker| worker.rack.as_str()));
+    }
+
+    /// Returns the index of a worker.
+    pub fn find(&self, worker: &WorkerId) -> Option<usize> {
+        self.index.get(worker).copied()
+    }
+
+    /// Adds a worker that running gangs name and the list does not have yet.
+    pub fn find_or_add(&mut self, worker: &WorkerId) -> usize {
+        if let Some(index) = self.find(worker) {
+            return index;
+        }
+        self.workers.push(new_worker(&WorkerCapacity {
+            id: worker.clone(),
+            rack: format!("unlisted/{worker}"),
+            accelerators: 0,
+            cores: 0,
+            memory_mb: 0,
+            speed: 1.0,
+            health: WorkerHealth::Silent,
+        }));
+        self.index.insert(worker.clone(), self.workers.len() - 1);
+        self.map = RackMap::new(self.workers.iter().map(|worker| worker.rack.as_str()));
+        self.workers.len() - 1
+    }
+
+    /// Enters a gang into the account of its phase.
+    pub fn enter(&mut self, slot: usize, gang: &PlacedGang) {
+        for part in &gang.place {
+            let worker = &mut self.workers[part.worker];
+            worker.account(gang.phase).add(gang.demand.each.times(part.members));
+            worker.gangs.push(slot);
+        }
+    }
+
+    /// Removes a gang from the account of its phase.
+    pub fn leave(&mut self, slot: usize, gang: &PlacedGang) {
+        for part in &gang.place {
+            let worker = &mut self.workers[part.worker];
+            worker.account(gang.phase).subtract(gang.demand.each.times(part.members));
+            worker.gangs.retain(|other| *other != slot);
+        }
+    }
+
+    /// Returns what is free at once on each worker.
+    pub fn free(&self) -> Vec<ResourceAmount> {
+        self.workers.iter().map(FloorWorker::free).collect()
+    }
+
+    /// Returns the whole domain with every worker that is known or nominal, and its racks.
+    ///
+    /// Accelerators count as in the best state that was seen or configured, because a loss may be
+    /// temporary.
+    pub fn nominal_room(&self) -> (RackMap, Vec<ResourceAmount>) {
+        let mut racks: BTreeMap<&str, Vec<ResourceAmount>> = BTreeMap::new();
+        for worker in &self.workers {
+            racks.entry(&worker.rack).or_default().push(worker.best);
+        }
+        for (rack, nominal) in &self.nominal {
+            let known = racks.entry(rack).or_default();
+            known.sort_by_key(|amount| Reverse(amount.accelerators));
+            let mut nominal = nominal.clone();
+            nominal.sort_by_key(|count| Reverse(*count));
+            for (position, count) in nominal.into_iter().enumerate() {
+                match known.get_mut(position) {
+                    Some(amount) => amount.accelerators = amount.accelerators.max(count),
+                    // Cores and memory of a worker that was never seen rule nothing out.
+                    None => known.push(ResourceAmount::unlimited(count)),
+                }
+            }
+        }
+        let names = racks.iter().flat_map(|(rack, amounts)| amounts.iter().map(|_| *rack));
+        let map = RackMap::new(names);
+        (map, racks.into_values().flatten().collect())
+    }
+}
+
+fn new_worker(capacity: &WorkerCapacity) -> FloorWorker {
+    FloorWorker {
+        id: capacity.id.clone(),
+        rack: capacity.rack.clone(),
+        capacity: amount_of(capacity),
+        best: amount_of(capacity),
+        speed: capacity.speed,
+        health: capacity.health,
+        held: ResourceAmount::default(),
+        stopping: ResourceAmount::default(),
+        claimed: ResourceAmount::default(),
+        gangs: Vec::new(),
+    }
+}
+
+fn update(worker: &mut FloorWorker, capacity: WorkerCapacity) {
+    worker.capacity = amount_of(&capacity);
+    worker.best = worker.best.greater(&worker.capacity);
+    worker.rack = capacity.rack;
+    worker.speed = capacity.speed;
+    worker.health = capacity.health;
+}
+
+fn amount_of(capacity: &WorkerCapacity) -> ResourceAmount {
+    ResourceAmount {
+        accelerators: capacity.accelerators,
+        cores: capacity.cores,
+        memory_mb: capacity.memory_mb,
+    }
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -5,5 +5,29 @@
 //! gives the same decisions when it is replayed.
 
 pub mod admission;
-pub mod amount;
-pub mod packing;
+mod amount;
+mod audit;
+mod baseline;
+mod board;
+pub mod entry;
+mod floor;
+mod gang;
+mod guaranteed;
+pub mod health;
+mod packing;
+mod plan;
+pub mod planner;
+mod policy;
+mod queue;
+mod reason;
+mod reclaim;
+mod replan;
+mod shape_policy;
+mod status;
+
+pub use entry::{
+    CustomerShare, DomainCounts, FragmentationFigures, GuaranteeEntry, MemberPlace,
+    PlacementAction, RunningEntry, WaitingEntry, WorkerCapacity,
+};
+pub use health::{HealthTracker, HealthVerdict, WorkerHealth};
+pub use planner::DomainPlanner;
