--- /dev/null
+++ b/crates/admin/src/access.rs
@@ -0,0 +1,134 @@
+//! Who calls, and what the caller may do.
+
+use axum::extract::FromRequestParts;
+use axum::http::request::Parts;
+use axum::http::{HeaderMap, StatusCode, header};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use lacewingrail_model::config::AccessRole;
+use lacewingrail_settings::token_digest;
+
+use crate::SharedState;
+use crate::failure::ApiFailure;
+
+/// Longest token that is hashed, in bytes.
+const MAX_TOKEN_BYTES: usize = 512;
+/// Count that all calls without a known token share.
+const UNKNOWN_CALLERS: &str = "";
+
+/// Holds the role of a caller whose token is known.
+#[derive(Clone, Debug)]
+pub(crate) struct Caller {
+    pub(crate) role: AccessRole,
+}
+
+/// Holds the token of a caller that may write the first tree, before any token is known.
+pub(crate) enum TreeCaller {
+    Known(Caller),
+    /// Digest of the token; no tree is in force.
+    First(String),
+}
+
+impl Caller {
+    pub(crate) fn require_operator(&self, what: &str) -> Result<(), ApiFailure> {
+        match self.role {
+            AccessRole::Operator => Ok(()),
+            _ => Err(ApiFailure::forbidden(what)),
+        }
+    }
+
+    /// Allows operators and readers, who see records of all customers.
+    pub(crate) fn require_reader(&self, what: &str) -> Result<(), ApiFailure> {
+        match self.role {
+            AccessRole::Operator | AccessRole::ReadOnly => Ok(()),
+            AccessRole::Customer { .. } => Err(ApiFailure::forbidden(what)),
+        }
+    }
+
+    /// Allows operators, and customers for their own records.
+    pub(crate) fn require_owner(&self, customer: &str, what: &str) -> Result<(), ApiFailure> {
+        match &self.role {
+            AccessRole::Operator => Ok(()),
+            AccessRole::Customer { customer: own } if own == customer => Ok(()),
+            _ => Err(ApiFailure::forbidden(what)),
+        }
+    }
+
+    /// Returns whether the caller may see records of a customer.
+    pub(crate) fn sees(&self, customer: &str) -> bool {
+        match &self.role {
+            AccessRole::Operator | AccessRole::ReadOnly => true,
+            AccessRole::Customer { customer: own } => own == customer,
+        }
+    }
+}
+
+impl FromRequestParts<SharedState> for Caller {
+    type Rejection = ApiFailure;
+
+    async fn from_request_parts(
+        parts: &mut Parts,
+        state: &SharedState,
+    ) -> Result<Self, ApiFailure> {
+        let digest = read_token(&parts.headers, parts.uri.path()).map(|token| token_digest(&token));
+        admit(state, digest.as_deref())
+    }
+}
+
+impl FromRequestParts<SharedState> for TreeCaller {
+    type Rejection = ApiFailure;
+
+    async fn from_request_parts(
+        parts: &mut Parts,
+        state: &SharedState,
+    ) -> Result<Self, ApiFailure> {
+        let digest = read_token(&parts.headers, parts.uri.path()).map(|token| token_digest(&token));
+        match digest {
+            Some(digest) if state.context.config().version == 0 => {
+                limit(state, UNKNOWN_CALLERS)?;
+                Ok(Self::First(digest))
+            }
+            digest => admit(state, digest.as_deref()).map(Self::Known),
+        }
+    }
+}
+
+fn admit(state: &SharedState, digest: Option<&str>) -> Result<Caller, ApiFailure> {
+    let config = state.context.config();
+    let known = digest.and_then(|digest| Some((digest, config.tokens.get(digest)?)));
+    let Some((digest, role)) = known else {
+        limit(state, UNKNOWN_CALLERS)?;
+        return Err(ApiFailure::unauthorized());
+    };
+    limit(state, digest)?;
+    Ok(Caller { role: role.clone() })
+}
+
+fn limit(state: &SharedState, digest: &str) -> Result<(), ApiFailure> {
+    state.limiter.take(digest).map_err(|wait| {
+        ApiFailure::new(
+            StatusCode::TOO_MANY_REQUESTS,
+            "the token makes too many calls",
+            format!("wait {} ms and call less often", wait.as_millis() + 1),
+        )
+    })
+}
+
+/// Takes a bearer token; the status page also takes it as the password of basic authentication,
+/// because a browser cannot be told to send a bearer token.
+fn read_token(headers: &HeaderMap, path: &str) -> Option<String> {
+    let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, credentials) = value.split_once(' ')?;
+    let credentials = credentials.trim();
+    if credentials.is_empty() || credentials.len() > MAX_TOKEN_BYTES {
+        return None;
+    }
+    if scheme.eq_ignore_ascii_case("bearer") {
+        return Some(credentials.to_owned());
+    }
+    if path != "/" || !scheme.eq_ignore_ascii_case("basic") {
+        return None;
+    }
+    let decoded = String::from_utf8(STANDARD.decode(credentials).ok()?).ok()?;
+    decoded.split_once(':').map(|(_, password)| password.to_owned())
+}
--- /dev/null
+++ b/crates/admin/src/config_routes.rs
@@ -0,0 +1,182 @@
+//! Routes of the settings tree.
+
+use axum::Json;
+use axum::body::Bytes;
+use axum::extract::rejection::BytesRejection;
+use axum::extract::{Path, State};
+use axum::http::{HeaderMap, StatusCode};
+use lacewingrail_model::ConfigVersion;
+use lacewingrail_model::admin::{
+    DomainAnswer, DomainEffects, DomainQuery, DryRunReport, TreeReport, WriteReport,
+};
+use lacewingrail_model::config::AccessRole;
+use lacewingrail_model::keys::CONFIG_TREE;
+use lacewingrail_settings::{EffectivePath, EffectiveValue, StoredTree, diff, effective};
+
+use crate::SharedState;
+use crate::access::{Caller, TreeCaller};
+use crate::failure::ApiFailure;
+use crate::{survey, tree_writer};
+
+/// Header with the version that a new tree replaces.
+const IF_VERSION: &str = "if-version";
+/// Header with the name of the person who makes a change.
+const AUTHOR: &str = "x-author";
+/// Longest name of a person, in characters.
+const MAX_AUTHOR_CHARS: usize = 64;
+
+/// Returns the stored tree, or without the store the tree in force.
+pub(crate) async fn get_tree(
+    State(state): State<SharedState>,
+    caller: Caller,
+) -> Result<Json<TreeReport>, ApiFailure> {
+    caller.require_reader("reading the settings tree")?;
+    let (tree, from_store) = match tree_writer::read(&state).await {
+        Ok(current) => (current.tree, true),
+        Err(failure) => {
+            let payload = state.context.payload().ok_or(failure)?;
+            (Some(StoredTree::decode(&payload.text)?), false)
+        }
+    };
+    let tree = tree.ok_or_else(|| {
+        ApiFailure::not_found("there is no settings tree", "write one with `config init`")
+    })?;
+    Ok(Json(TreeReport {
+        version: tree.version,
+        author: tree.author,
+        written_at: tree.written_at,
+        text: tree.text,
+        from_store,
+    }))
+}
+
+/// Replaces the tree if its version is the one that the header names.
+pub(crate) async fn put_tree(
+    State(state): State<SharedState>,
+    caller: TreeCaller,
+    headers: HeaderMap,
+    body: Result<Bytes, BytesRejection>,
+) -> Result<Json<WriteReport>, ApiFailure> {
+    let first = match &caller {
+        TreeCaller::Known(caller) => {
+            caller.require_operator("changing settings")?;
+            None
+        }
+        TreeCaller::First(digest) => Some(digest.as_str()),
+    };
+    let if_version = read_if_version(&headers)?;
+    let text = read_text(body)?;
+    let author = read_author(&headers);
+    let version = tree_writer::replace(&state, if_version, &text, &author, first).await?;
+    Ok(Json(WriteReport { version }))
+}
+
+/// Reports what a tree would change, and changes nothing.
+pub(crate) async fn dry_run(
+    State(state): State<SharedState>,
+    caller: Caller,
+    body: Result<Bytes, BytesRejection>,
+) -> Result<Json<DryRunReport>, ApiFailure> {
+    caller.require_reader("a dry run of settings")?;
+    let text = read_text(body)?;
+    let current = tree_writer::read(&state).await?;
+    // Building the next tree applies every check, including the size limit.
+    let mark = String::new();
+    match &current.tree {
+        Some(tree) => tree.next(&text, "dry run", mark)?,
+        None => StoredTree::first(&text, "dry run", mark)?,
+    };
+    let before = current.tree.as_ref().map_or("", |tree| tree.text.as_str());
+    let changes = diff::describe(before, &text)?;
+    let query = DomainQuery::DryRun { text };
+    let answers = survey::ask_all(&state, survey::all_domains(&state), &query).await;
+    let domains = answers
+        .into_iter()
+        .map(|(domain, answer)| match answer {
+            DomainAnswer::DryRun(effects) => DomainEffects { domain, effects, error: None },
+            answer => {
+                let error = Some(survey::refusal(&domain, answer));
+                DomainEffects { domain, effects: Vec::new(), error }
+            }
+        })
+        .collect();
+    Ok(Json(DryRunReport { against_version: current.version(), changes, domains }))
+}
+
+/// Returns the effective values of the global level.
+pub(crate) async fn effective_global(
+    state: State<SharedState>,
+    caller: Caller,
+) -> Result<Json<Vec<EffectiveValue>>, ApiFailure> {
+    effective_path(state, caller, Path(String::new())).await
+}
+
+/// Returns the effective values for a path such as `domain/om-north-a/customer/bank`.
+pub(crate) async fn effective_path(
+    State(state): State<SharedState>,
+    caller: Caller,
+    Path(path): Path<String>,
+) -> Result<Json<Vec<EffectiveValue>>, ApiFailure> {
+    let path = EffectivePath::parse(&path).map_err(|error| split(&error.to_string(), false))?;
+    if let AccessRole::Customer { customer } = &caller.role
+        && path.customer.as_ref() != Some(customer)
+    {
+        return Err(ApiFailure::forbidden("settings of others"));
+    }
+    let values = effective(&state.context.config(), &path)
+        .map_err(|error| split(&error.to_string(), true))?;
+    Ok(Json(values))
+}
+
+fn split(text: &str, unknown: bool) -> ApiFailure {
+    let (reason, mend) = text.split_once("; ").unwrap_or((text, "check the path"));
+    if unknown {
+        ApiFailure::not_found(reason, mend)
+    } else {
+        ApiFailure::bad_request(reason, mend)
+    }
+}
+
+fn read_if_version(headers: &HeaderMap) -> Result<ConfigVersion, ApiFailure> {
+    let Some(value) = headers.get(IF_VERSION) else {
+        return Err(ApiFailure::new(
+            StatusCode::PRECONDITION_REQUIRED,
+            "the header if-version is missing",
+            "send the version that the new tree is based on, 0 for the first tree",
+        ));
+    };
+    value.to_str().ok().and_then(|text| text.trim().parse().ok()).ok_or_else(|| {
+        ApiFailure::bad_request("the header if-version is not a version", "send a whole number")
+    })
+}
+
+/// Reads who makes a change; the name is a hint for people and grants nothing.
+pub(crate) fn read_author(headers: &HeaderMap) -> String {
+    let name = headers.get(AUTHOR).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let name: String = name
+        .chars()
+        .filter(|letter| letter.is_ascii_alphanumeric() || " .-_@".contains(*letter))
+        .take(MAX_AUTHOR_CHARS)
+        .collect();
+    if name.is_empty() { "operator".to_owned() } else { name }
+}
+
+/// Reads a body that axum may have refused, most often for its size.
+pub(crate) fn read_body(body: Result<Bytes, BytesRejection>) -> Result<Bytes, ApiFailure> {
+    body.map_err(|rejection| {
+        ApiFailure::new(
+            rejection.status(),
+            format!("the body cannot be read ({})", rejection.body_text()),
+            "send a smaller body",
+        )
+    })
+}
+
+fn read_text(body: Result<Bytes, BytesRejection>) -> Result<String, ApiFailure> {
+    String::from_utf8(read_body(body)?.to_vec()).map_err(|_| {
+        ApiFailure::bad_request(
+            format!("the body for {CONFIG_TREE} is not UTF-8 text"),
+            "send the tree as YAML in UTF-8",
+        )
+    })
+}
--- /dev/null
+++ b/crates/admin/src/domain_routes.rs
@@ -0,0 +1,204 @@
+//! Routes of failure domains, workers, guarantees and the whole status.
+
+use std::time::Duration;
+
+use axum::Json;
+use axum::extract::{Path, State};
+use axum::http::HeaderMap;
+use lacewingrail_model::DomainName;
+use lacewingrail_model::admin::{
+    DomainAnswer, DomainChange, DomainQuery, DomainReport, GuaranteeStatus, Listing, StatusReport,
+    WaitingJob, WorkerStatus,
+};
+use lacewingrail_model::clock::unix_millis;
+use lacewingrail_model::timer::TimerService;
+use tokio::time::Instant;
+
+use crate::access::Caller;
+use crate::config_routes::read_author;
+use crate::context::VetoOutcome;
+use crate::failure::ApiFailure;
+use crate::{SharedState, survey, tree_writer};
+
+/// Time after the write of a take-out after which no start permission from before it is valid.
+const OUT_LIMIT: Duration = Duration::from_secs(3);
+
+/// Lists failure domains with their state.
+pub(crate) async fn domains(
+    State(state): State<SharedState>,
+    caller: Caller,
+) -> Result<Json<Vec<DomainReport>>, ApiFailure> {
+    caller.require_reader("the list of failure domains")?;
+    Ok(Json(read_domains(&state).await))
+}
+
+/// Takes a failure domain out; answers when no start can follow.
+pub(crate) async fn take_out(
+    State(state): State<SharedState>,
+    caller: Caller,
+    Path(domain): Path<DomainName>,
+    headers: HeaderMap,
+) -> Result<Json<DomainChange>, ApiFailure> {
+    caller.require_operator("taking out a failure domain")?;
+    let (version, changed) =
+        tree_writer::set_out(&state, &domain, true, &read_author(&headers)).await?;
+    let written_at = Instant::now();
+    let mut steps = vec![written_step(version, changed)];
+    let left = OUT_LIMIT.saturating_sub(written_at.elapsed());
+    let outcome = tokio::time::timeout(left, state.context.veto(&domain, version)).await;
+    match outcome.unwrap_or(VetoOutcome::PermissionExpired) {
+        VetoOutcome::ConfirmedBy(instance) => steps.push(format!("confirmed by {instance}")),
+        VetoOutcome::PermissionExpired => {
+            // A context that gives up early must not shorten the wait for the permissions.
+            let left = OUT_LIMIT.saturating_sub(written_at.elapsed());
+            TimerService::new().wait(left).await;
+            steps.push("permission expired".to_owned());
+        }
+    }
+    log::info!("failure domain {domain} is out: {}", steps.join(", "));
+    Ok(Json(DomainChange { domain, out: true, version, steps }))
+}
+
+/// Brings a failure domain back.
+pub(crate) async fn bring_back(
+    State(state): State<SharedState>,
+    caller: Caller,
+    Path(domain): Path<DomainName>,
+    headers: HeaderMap,
+) -> Result<Json<DomainChange>, ApiFailure> {
+    caller.require_operator("bringing back a failure domain")?;
+    let (version, changed) =
+        tree_writer::set_out(&state, &domain, false, &read_author(&headers)).await?;
+    log::info!("failure domain {domain} is in service with settings version {version}");
+    let steps = vec![written_step(version, changed)];
+    Ok(Json(DomainChange { domain, out: false, version, steps }))
+}
+
+/// Lists workers with what runs on them.
+pub(crate) async fn workers(
+    State(state): State<SharedState>,
+    caller: Caller,
+) -> Result<Json<Listing<WorkerStatus>>, ApiFailure> {
+    caller.require_reader("the list of workers")?;
+    Ok(Json(read_workers(&state).await))
+}
+
+/// Lists guarantees; customers see their own.
+pub(crate) async fn guarantees(
+    State(state): State<SharedState>,
+    caller: Caller,
+) -> Result<Json<Listing<GuaranteeStatus>>, ApiFailure> {
+    let mut listing = read_guarantees(&state).await;
+    listing.items.retain(|guarantee| caller.sees(&guarantee.customer));
+    Ok(Json(listing))
+}
+
+/// Reports the whole system.
+pub(crate) async fn status(
+    State(state): State<SharedState>,
+    caller: Caller,
+) -> Result<Json<StatusReport>, ApiFailure> {
+    caller.require_reader("the status")?;
+    Ok(Json(read_status(&state).await))
+}
+
+/// Gathers the whole status; what cannot be read is named in the report.
+pub(crate) async fn read_status(state: &SharedState) -> StatusReport {
+    let (stored, domains, workers, guarantees, queue) = tokio::join!(
+        tree_writer::read(state),
+        read_domains(state),
+        read_workers(state),
+        read_guarantees(state),
+        read_queue(state),
+    );
+    let (stored_version, store_error) = match stored {
+        Ok(current) => (current.version(), None),
+        Err(failure) => (0, Some(failure.error().reason.clone())),
+    };
+    let mut errors: Vec<String> = [workers.errors, guarantees.errors, queue.errors].concat();
+    errors.sort();
+    errors.dedup();
+    StatusReport {
+        instance: state.context.instance(),
+        time: unix_millis(),
+        not_ready: state.context.not_ready(),
+        config_version: state.context.config().version,
+        stored_version,
+        store_error,
+        domains,
+        workers: workers.items,
+        guarantees: guarantees.items,
+        queue: queue.items,
+        processes: state.context.processes(),
+        errors,
+    }
+}
+
+async fn read_domains(state: &SharedState) -> Vec<DomainReport> {
+    let config = state.context.config();
+    let answers = survey::ask_all(state, survey::all_domains(state), &DomainQuery::Status).await;
+    answers
+        .into_iter()
+        .filter_map(|(domain, answer)| {
+            let settings = config.domains.get(&domain)?;
+            let (status, error) = match answer {
+                DomainAnswer::Status(status) => (Some(status), None),
+                answer => (None, Some(survey::refusal(&domain, answer))),
+            };
+            Some(DomainReport {
+                region: settings.region.clone(),
+                out: settings.out,
+                out_since: settings.out_since,
+                domain,
+                status,
+                error,
+            })
+        })
+        .collect()
+}
+
+async fn read_workers(state: &SharedState) -> Listing<WorkerStatus> {
+    collect(state, DomainQuery::Workers, |answer| match answer {
+        DomainAnswer::Workers(items) => Ok(items),
+        answer => Err(Box::new(answer)),
+    })
+    .await
+}
+
+async fn read_guarantees(state: &SharedState) -> Listing<GuaranteeStatus> {
+    collect(state, DomainQuery::Guarantees, |answer| match answer {
+        DomainAnswer::Guarantees(items) => Ok(items),
+        answer => Err(Box::new(answer)),
+    })
+    .await
+}
+
+async fn read_queue(state: &SharedState) -> Listing<WaitingJob> {
+    collect(state, DomainQuery::Queue, |answer| match answer {
+        DomainAnswer::Queue(items) => Ok(items),
+        answer => Err(Box::new(answer)),
+    })
+    .await
+}
+
+async fn collect<T, F>(state: &SharedState, query: DomainQuery, select: F) -> Listing<T>
+where
+    F: Fn(DomainAnswer) -> Result<Vec<T>, Box<DomainAnswer>>,
+{
+    let mut listing = Listing { items: Vec::new(), errors: Vec::new() };
+    for (domain, answer) in survey::ask_all(state, survey::all_domains(state), &query).await {
+        match select(answer) {
+            Ok(items) => listing.items.extend(items),
+            Err(answer) => listing.errors.push(survey::refusal(&domain, *answer)),
+        }
+    }
+    listing
+}
+
+fn written_step(version: u64, changed: bool) -> String {
+    if changed {
+        format!("written as version {version}")
+    } else {
+        format!("already so in version {version}")
+    }
+}
--- /dev/null
+++ b/crates/admin/src/job_routes.rs
@@ -0,0 +1,173 @@
+//! Routes of jobs.
+
+use axum::Json;
+use axum::body::Bytes;
+use axum::extract::rejection::{BytesRejection, QueryRejection};
+use axum::extract::{Path, Query, State};
+use axum::http::{HeaderMap, StatusCode};
+use lacewingrail_model::admin::{DomainAnswer, DomainQuery, JobReason};
+use lacewingrail_model::job::{JobRecord, JobSpec, JobState, WorkClass};
+use lacewingrail_model::{CustomerName, DomainName, JobId};
+use serde::Deserialize;
+
+use crate::access::Caller;
+use crate::config_routes::read_body;
+use crate::failure::ApiFailure;
+use crate::job_store::{self, FoundJob};
+use crate::{SharedState, submission, survey};
+
+/// Header with the key that makes a repeated submission return the first job.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Records of one answer when the caller names no limit.
+const DEFAULT_LIMIT: usize = 200;
+/// Most records of one answer.
+const MAX_LIMIT: usize = 2_000;
+
+/// Selects jobs of a list.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(crate) struct JobFilter {
+    customer: Option<CustomerName>,
+    domain: Option<DomainName>,
+    state: Option<String>,
+    class: Option<WorkClass>,
+    /// Includes the histories of jobs that ended.
+    history: bool,
+    limit: Option<usize>,
+}
+
+/// Submits a job; the status is 201 for a new job and 200 for a repeated submission.
+pub(crate) async fn submit(
+    State(state): State<SharedState>,
+    caller: Caller,
+    headers: HeaderMap,
+    body: Result<Bytes, BytesRejection>,
+) -> Result<(StatusCode, Json<JobRecord>), ApiFailure> {
+    let body = read_body(body)?;
+    let mut spec: JobSpec = serde_json::from_slice(&body).map_err(|error| {
+        ApiFailure::bad_request(
+            format!("the body is not a job ({error})"),
+            "send a JSON object with customer, shape, class and declared_ms",
+        )
+    })?;
+    caller.require_owner(&spec.customer, "submitting jobs for this customer")?;
+    if let Some(key) = headers.get(IDEMPOTENCY_KEY)
+        && spec.idempotency_key.is_none()
+    {
+        let key = key.to_str().map_err(|_| {
+            ApiFailure::bad_request("the idempotency key is not text", "send ASCII characters")
+        })?;
+        spec.idempotency_key = Some(key.to_owned());
+    }
+    let (record, created) = submission::submit(&state, spec).await?;
+    if created {
+        log::info!("job {} of {} is queued in {}", record.id, record.spec.customer, record.owner);
+    }
+    let status = if created { StatusCode::CREATED } else { StatusCode::OK };
+    Ok((status, Json(record)))
+}
+
+/// Lists jobs, newest first; customers see their own.
+pub(crate) async fn list(
+    State(state): State<SharedState>,
+    caller: Caller,
+    filter: Result<Query<JobFilter>, QueryRejection>,
+) -> Result<Json<Vec<JobRecord>>, ApiFailure> {
+    let Query(filter) = filter.map_err(|rejection| {
+        ApiFailure::bad_request(
+            format!("the filter cannot be read ({})", rejection.body_text()),
+            "use customer, domain, state, class, history and limit",
+        )
+    })?;
+    if let Some(domain) = &filter.domain
+        && !state.context.config().domains.contains_key(domain)
+    {
+        return Err(ApiFailure::not_found(
+            "the failure domain does not exist",
+            "list the failure domains",
+        ));
+    }
+    let mut records = job_store::list(&state, filter.domain.as_ref(), filter.history).await?;
+    records.retain(|record| caller.sees(&record.spec.customer) && filter.matches(record));
+    records
+        .sort_by(|left, right| (right.submitted_at, &right.id).cmp(&(left.submitted_at, &left.id)));
+    records.truncate(filter.limit.unwrap_or(DEFAULT_LIMIT).min(MAX_LIMIT));
+    Ok(Json(records))
+}
+
+/// Returns one job.
+pub(crate) async fn inspect(
+    State(state): State<SharedState>,
+    caller: Caller,
+    Path(id): Path<JobId>,
+) -> Result<Json<JobRecord>, ApiFailure> {
+    Ok(Json(find_seen(&state, &caller, &id).await?.record))
+}
+
+/// Cancels a job.
+pub(crate) async fn cancel(
+    State(state): State<SharedState>,
+    caller: Caller,
+    Path(id): Path<JobId>,
+) -> Result<Json<JobRecord>, ApiFailure> {
+    let found = find_seen(&state, &caller, &id).await?;
+    caller.require_owner(&found.record.spec.customer, "cancelling this job")?;
+    let record = job_store::cancel(&state, found).await?;
+    log::info!("job {id} is cancelled");
+    Ok(Json(record))
+}
+
+/// Explains the state of a job.
+pub(crate) async fn why(
+    State(state): State<SharedState>,
+    caller: Caller,
+    Path(id): Path<JobId>,
+) -> Result<Json<JobReason>, ApiFailure> {
+    let record = find_seen(&state, &caller, &id).await?.record;
+    let reason = match &record.state {
+        JobState::Queued => {
+            let query = DomainQuery::Why { job: id.clone() };
+            match survey::ask(&state, &record.owner, query).await {
+                DomainAnswer::Why(reason) => reason,
+                answer => format!(
+                    "the job waits in {}; the reason is unknown: {}",
+                    record.owner,
+                    survey::refusal(&record.owner, answer)
+                ),
+            }
+        }
+        JobState::Running => format!("attempt {} runs in {}", record.attempt, record.owner),
+        JobState::Finished => "the job ended with success".to_owned(),
+        JobState::Failed { reason } => reason.clone(),
+        JobState::Cancelled => "the job was cancelled".to_owned(),
+    };
+    Ok(Json(JobReason { job: id, reason }))
+}
+
+/// Finds a job that the caller may see; others look as if they did not exist.
+async fn find_seen(
+    state: &SharedState,
+    caller: &Caller,
+    id: &JobId,
+) -> Result<FoundJob, ApiFailure> {
+    let found = job_store::find(state, id).await?;
+    found
+        .filter(|found| caller.sees(&found.record.spec.customer))
+        .ok_or_else(|| job_store::unknown_job(id))
+}
+
+impl JobFilter {
+    fn matches(&self, record: &JobRecord) -> bool {
+        let state = match record.state {
+            JobState::Queued => "queued",
+            JobState::Running => "running",
+            JobState::Finished => "finished",
+            JobState::Failed { .. } => "failed",
+            JobState::Cancelled => "cancelled",
+        };
+        self.customer.as_ref().is_none_or(|customer| *customer == record.spec.customer)
+            && self.domain.as_ref().is_none_or(|domain| *domain == record.owner)
+            && self.state.as_ref().is_none_or(|wanted| wanted == state)
+            && self.class.is_none_or(|class| class == record.spec.class)
+    }
+}
--- /dev/null
+++ b/crates/admin/src/job_store.rs
@@ -0,0 +1,218 @@
+//! Job records in the key-value service.
+//!
+//! A record lies under the failure domain that owns the job and moves when the owner changes, so a
+//! search looks at all domains and then at the histories of finished jobs.
+
+use std::time::Duration;
+
+use lacewingrail_model::clock::unix_millis;
+use lacewingrail_model::job::{JobRecord, JobState};
+use lacewingrail_model::store::{Revision, StoreEntry, StoreError};
+use lacewingrail_model::timer::TimerService;
+use lacewingrail_model::{DomainName, JobId, keys};
+
+use crate::SharedState;
+use crate::failure::ApiFailure;
+
+/// Attempts that one change makes.
+const ATTEMPTS: u32 = 8;
+/// Wait after an unclear answer or a lost race, which doubles with each attempt.
+const RETRY_WAIT: Duration = Duration::from_millis(20);
+
+/// Holds a record with the revision of its key; 0 for a record of a history.
+pub(crate) struct FoundJob {
+    pub(crate) record: JobRecord,
+    revision: Revision,
+}
+
+/// Searches a job by its id.
+pub(crate) async fn find(state: &SharedState, id: &JobId) -> Result<Option<FoundJob>, ApiFailure> {
+    if !is_job_id(id) {
+        return Ok(None);
+    }
+    let store = state.context.store();
+    for domain in state.context.config().domains.keys() {
+        if let Some(entry) = store.get(&keys::job(domain, id)).await? {
+            return parse_entry(&entry).map(Some);
+        }
+    }
+    find_moving(state, id).await
+}
+
+/// Searches a job at one revision of the store, which a job on its way between two owners cannot
+/// slip through, and then the histories, which a job enters before its record is deleted.
+pub(crate) async fn find_moving(
+    state: &SharedState,
+    id: &JobId,
+) -> Result<Option<FoundJob>, ApiFailure> {
+    let suffix = format!("/{id}");
+    let entries = state.context.store().list(keys::JOBS).await?;
+    if let Some(entry) = entries.iter().find(|entry| entry.key.ends_with(&suffix)) {
+        return parse_entry(entry).map(Some);
+    }
+    let ended = list_histories(state, keys::HISTORIES).await?;
+    let record = ended.into_iter().find(|record| record.id == *id);
+    Ok(record.map(|record| FoundJob { record, revision: 0 }))
+}
+
+/// Lists the records of one failure domain, or of all.
+pub(crate) async fn list(
+    state: &SharedState,
+    domain: Option<&DomainName>,
+    ended: bool,
+) -> Result<Vec<JobRecord>, ApiFailure> {
+    let prefix = domain.map_or_else(|| keys::JOBS.to_owned(), keys::jobs_of);
+    let entries = state.context.store().list(&prefix).await?;
+    let mut records = Vec::with_capacity(entries.len());
+    for entry in &entries {
+        match parse_entry(entry) {
+            Ok(found) => records.push(found.record),
+            // One damaged record must not hide all others.
+            Err(failure) => log::error!("{}", failure.error().reason),
+        }
+    }
+    if ended {
+        let prefix = match domain {
+            Some(domain) => format!("{}{domain}/", keys::HISTORIES),
+            None => keys::HISTORIES.to_owned(),
+        };
+        let known: std::collections::BTreeSet<JobId> =
+            records.iter().map(|record| record.id.clone()).collect();
+        let ended = list_histories(state, &prefix).await?;
+        records.extend(ended.into_iter().filter(|record| !known.contains(&record.id)));
+    }
+    Ok(records)
+}
+
+/// Creates a record under an id that no other job has.
+pub(crate) async fn create(state: &SharedState, record: &JobRecord) -> Result<(), ApiFailure> {
+    let key = keys::job(&record.owner, &record.id);
+    let value = encode(record)?;
+    let store = state.context.store();
+    let mut unclear = false;
+    for attempt in 0..ATTEMPTS {
+        match store.put(&key, value.clone(), 0, None).await {
+            Ok(_) => return Ok(()),
+            // Only this job has the id, so a key that exists is the effect of an earlier attempt.
+            Err(StoreError::Conflict { .. }) => return Ok(()),
+            Err(StoreError::Unclear(_)) => unclear = true,
+            Err(StoreError::Unavailable(_)) if unclear => {}
+            Err(error) => return Err(error.into()),
+        }
+        wait(attempt).await;
+        // The scheduler may have taken the job up and even moved it, so its mark may be another.
+        if let Ok(Some(_)) = find(state, &record.id).await {
+            return Ok(());
+        }
+    }
+    Err(ApiFailure::unclear(
+        format!("it is unknown whether job {} was written", record.id),
+        "submit it again with the same idempotency key",
+    ))
+}
+
+/// Marks a job as cancelled by compare-and-swap; its scheduler then stops what runs.
+pub(crate) async fn cancel(state: &SharedState, found: FoundJob) -> Result<JobRecord, ApiFailure> {
+    let id = found.record.id.clone();
+    let store = state.context.store();
+    let mark = state.context.issue_mark();
+    let mut current = Some(found);
+    let mut unclear = false;
+    for attempt in 0..ATTEMPTS {
+        let found = match current.take() {
+            Some(found) => found,
+            None => match find(state, &id).await {
+                Ok(Some(found)) => found,
+                Ok(None) => return Err(unknown_job(&id)),
+                Err(_) if unclear => {
+                    wait(attempt).await;
+                    continue;
+                }
+                Err(failure) => return Err(failure),
+            },
+        };
+        let FoundJob { mut record, revision } = found;
+        if record.state == JobState::Cancelled {
+            return Ok(record);
+        }
+        if record.state.is_final() {
+            return Err(ApiFailure::new(
+                axum::http::StatusCode::CONFLICT,
+                format!("job {id} has already ended"),
+                "nothing is left to cancel",
+            ));
+        }
+        record.state = JobState::Cancelled;
+        record.ended_at = Some(unix_millis());
+        record.mark.clone_from(&mark);
+        let key = keys::job(&record.owner, &id);
+        match store.put(&key, encode(&record)?, revision, None).await {
+            Ok(_) => return Ok(record),
+            Err(StoreError::Conflict { .. }) => {}
+            Err(StoreError::Unclear(_)) => unclear = true,
+            Err(StoreError::Unavailable(_)) if unclear => {}
+            Err(error) => return Err(error.into()),
+        }
+        wait(attempt).await;
+    }
+    Err(ApiFailure::unclear(
+        format!("it is unknown whether job {id} was cancelled"),
+        "show the job and cancel it again",
+    ))
+}
+
+/// Reports a job that does not exist or that the caller may not see.
+pub(crate) fn unknown_job(id: &str) -> ApiFailure {
+    ApiFailure::not_found(
+        format!("job \"{}\" does not exist", shorten(id)),
+        "list the jobs; a job that ended long ago is forgotten",
+    )
+}
+
+/// Returns whether a text may be part of a job's key.
+pub(crate) fn is_job_id(text: &str) -> bool {
+    const MAX_ID_BYTES: usize = 64;
+    !text.is_empty()
+        && text.len() <= MAX_ID_BYTES
+        && text.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'-')
+}
+
+/// Histories hold the records of one day as a list.
+async fn list_histories(state: &SharedState, prefix: &str) -> Result<Vec<JobRecord>, ApiFailure> {
+    let entries = state.context.store().list(prefix).await?;
+    let mut records = Vec::new();
+    for entry in entries {
+        match serde_json::from_str::<HistoryValue>(&entry.value) {
+            Ok(HistoryValue::List(list) | HistoryValue::Record { jobs: list }) => {
+                records.extend(list);
+            }
+            Err(error) => log::error!("{} is malformed ({error}); restore it", entry.key),
+        }
+    }
+    Ok(records)
+}
+
+#[derive(serde::Deserialize)]
+#[serde(untagged)]
+enum HistoryValue {
+    List(Vec<JobRecord>),
+    Record { jobs: Vec<JobRecord> },
+}
+
+fn parse_entry(entry: &StoreEntry) -> Result<FoundJob, ApiFailure> {
+    let record = serde_json::from_str(&entry.value)
+        .map_err(|error| StoreError::Malformed(format!("{}: {error}", entry.key)))?;
+    Ok(FoundJob { record, revision: entry.revision })
+}
+
+fn encode(record: &JobRecord) -> Result<String, ApiFailure> {
+    Ok(serde_json::to_string(record).map_err(|error| StoreError::Malformed(error.to_string()))?)
+}
+
+fn shorten(text: &str) -> String {
+    text.chars().filter(|letter| !letter.is_control()).take(64).collect()
+}
+
+pub(crate) async fn wait(attempt: u32) {
+    TimerService::new().wait(RETRY_WAIT * (1 << attempt.min(4))).await;
+}
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -1,1 +1,100 @@
 //! The administration API and the status page.
+//!
+//! Every scheduler process serves [`router`]. Any of them answers: settings and job records are in
+//! the key-value service, and what only the active scheduler of a failure domain knows is asked
+//! through [`AdminContext`]. A write is one compare-and-swap, so that operators who race each other
+//! through different processes cannot both succeed on the same version.
+
+mod access;
+mod config_routes;
+mod context;
+mod domain_routes;
+mod failure;
+mod job_routes;
+mod job_store;
+mod page;
+mod rate;
+mod submission;
+mod survey;
+mod tree_writer;
+
+use std::sync::Arc;
+
+use axum::Router;
+use axum::extract::{DefaultBodyLimit, State};
+use axum::http::StatusCode;
+use axum::response::IntoResponse;
+use axum::routing::{get, post, put};
+
+pub use context::{AdminContext, VetoOutcome, process_status};
+pub use rate::{CALL_BURST, CALLS_PER_SECOND};
+pub use submission::SubmissionRecord;
+
+use crate::failure::ApiFailure;
+use crate::rate::RateLimiter;
+use crate::submission::SubmissionPurge;
+
+/// Largest settings tree that a call may carry, in bytes; the tree itself is checked more closely.
+const MAX_TREE_BODY_BYTES: usize = 1_000_000;
+/// Largest other body, in bytes; a job record is about 1 KB.
+const MAX_BODY_BYTES: usize = 64 * 1024;
+
+/// Holds what all routes share.
+pub(crate) struct AdminState {
+    pub(crate) context: Arc<dyn AdminContext>,
+    pub(crate) limiter: RateLimiter,
+    pub(crate) purge: SubmissionPurge,
+}
+
+/// Shared state of the routes.
+pub(crate) type SharedState = Arc<AdminState>;
+
+/// Builds all routes of the administration API; `metrics` serves `/metrics`.
+pub fn router(context: Arc<dyn AdminContext>, metrics: Router) -> Router {
+    let state = Arc::new(AdminState {
+        context,
+        limiter: RateLimiter::default(),
+        purge: SubmissionPurge::default(),
+    });
+    let trees = Router::new()
+        .route("/v1/config", put(config_routes::put_tree).get(config_routes::get_tree))
+        .route("/v1/config/dry-run", post(config_routes::dry_run))
+        .layer(DefaultBodyLimit::max(MAX_TREE_BODY_BYTES));
+    let others = Router::new()
+        .route("/v1/config/effective", get(config_routes::effective_global))
+        .route("/v1/config/effective/{*path}", get(config_routes::effective_path))
+        .route("/v1/jobs", post(job_routes::submit).get(job_routes::list))
+        .route("/v1/jobs/{id}", get(job_routes::inspect).delete(job_routes::cancel))
+        .route("/v1/jobs/{id}/why", get(job_routes::why))
+        .route("/v1/domains", get(domain_routes::domains))
+        .route("/v1/domains/{domain}/out", post(domain_routes::take_out))
+        .route("/v1/domains/{domain}/in", post(domain_routes::bring_back))
+        .route("/v1/workers", get(domain_routes::workers))
+        .route("/v1/guarantees", get(domain_routes::guarantees))
+        .route("/v1/status", get(domain_routes::status))
+        .route("/", get(page::serve))
+        .route("/healthz", get(healthz))
+        .route("/readyz", get(readyz))
+        .fallback(unknown_route)
+        .layer(DefaultBodyLimit::max(MAX_BODY_BYTES));
+    trees.merge(others).with_state(state).merge(metrics)
+}
+
+async fn healthz() -> &'static str {
+    "ok\n"
+}
+
+async fn readyz(State(state): State<SharedState>) -> axum::response::Response {
+    match state.context.not_ready() {
+        None => "ready\n".into_response(),
+        Some(reason) => (StatusCode::SERVICE_UNAVAILABLE, format!("{reason}\n")).into_response(),
+    }
+}
+
+async fn unknown_route() -> ApiFailure {
+    ApiFailure::new(
+        StatusCode::NOT_FOUND,
+        "the route does not exist",
+        "see docs/administration.md for all routes",
+    )
+}
--- /dev/null
+++ b/crates/admin/src/survey.rs
@@ -0,0 +1,58 @@
+//! Questions to the active schedulers of all failure domains at once.
+
+use std::time::Duration;
+
+use lacewingrail_model::DomainName;
+use lacewingrail_model::admin::{DomainAnswer, DomainQuery};
+use tokio::task::JoinSet;
+
+use crate::SharedState;
+
+/// Longest wait for the answer of one failure domain.
+const ASK_LIMIT: Duration = Duration::from_secs(2);
+
+/// Asks one failure domain; a silent one counts as a refusal.
+pub(crate) async fn ask(
+    state: &SharedState,
+    domain: &DomainName,
+    query: DomainQuery,
+) -> DomainAnswer {
+    match tokio::time::timeout(ASK_LIMIT, state.context.ask(domain, query)).await {
+        Ok(answer) => answer,
+        Err(_) => DomainAnswer::Refused(format!(
+            "the scheduler of {domain} did not answer within 2 s; check its processes"
+        )),
+    }
+}
+
+/// Asks several failure domains at once and returns their answers in order of name.
+pub(crate) async fn ask_all(
+    state: &SharedState,
+    domains: Vec<DomainName>,
+    query: &DomainQuery,
+) -> Vec<(DomainName, DomainAnswer)> {
+    let mut tasks = JoinSet::new();
+    for domain in domains {
+        let (state, query) = (state.clone(), query.clone());
+        tasks.spawn(async move {
+            let answer = ask(&state, &domain, query).await;
+            (domain, answer)
+        });
+    }
+    let mut answers = tasks.join_all().await;
+    answers.sort_by(|left, right| left.0.cmp(&right.0));
+    answers
+}
+
+/// Returns the names of all failure domains.
+pub(crate) fn all_domains(state: &SharedState) -> Vec<DomainName> {
+    state.context.config().domains.keys().cloned().collect()
+}
+
+/// Returns the cause of an answer that does not fit its question.
+pub(crate) fn refusal(domain: &str, answer: DomainAnswer) -> String {
+    match answer {
+        DomainAnswer::Refused(cause) => format!("{domain}: {cause}"),
+        _ => format!("{domain}: the answer does not fit the question; check the versions"),
+    }
+}
--- a/crates/model/src/admin.rs
+++ b/crates/model/src/admin.rs
@@ -5,9 +5,13 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::clock::UnixMillis;
 use crate::job::JobRecord;
 use crate::shape::GangShape;
-use crate::{ConfigVersion, CustomerName, DomainName, Epoch, JobId, RackName, WorkerId};
+use crate::{
+    ConfigVersion, CustomerName, DomainName, Epoch, InstanceId, JobId, RackName, RegionName,
+    WorkerId,
+};
 
 /// Asks the active scheduler of a failure domain.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -151,3 +155,160 @@
     /// Limit, shape or guarantee in the way, in one sentence.
     pub reason: String,
 }
+
+/// Reports a refused or failed call of the administration API.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ApiError {
+    /// Fault.
+    pub reason: String,
+    /// Remedy.
+    pub mend: String,
+    /// Current settings version, where a change lost a race.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub current_version: Option<ConfigVersion>,
+    /// Faults of a settings tree, each with its place and remedy.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub faults: Vec<String>,
+}
+
+/// Reports the stored settings tree.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TreeReport {
+    /// Version.
+    pub version: ConfigVersion,
+    /// Who changed the tree.
+    pub author: String,
+    /// Time of the change.
+    pub written_at: UnixMillis,
+    /// Text in YAML.
+    pub text: String,
+    /// Whether the tree was read from the key-value service and not from the memory of the process.
+    pub from_store: bool,
+}
+
+/// Reports an accepted settings tree.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WriteReport {
+    /// Version.
+    pub version: ConfigVersion,
+}
+
+/// Reports what a settings tree would change.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DryRunReport {
+    /// Version of the tree that it was compared with; 0 for none.
+    pub against_version: ConfigVersion,
+    /// Changed settings, one line each.
+    pub changes: Vec<String>,
+    /// Effects in each failure domain.
+    pub domains: Vec<DomainEffects>,
+}
+
+/// Reports what a settings tree would do in a failure domain.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DomainEffects {
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Effects, one sentence each.
+    pub effects: Vec<String>,
+    /// Why the effects are unknown, if they are.
+    pub error: Option<String>,
+}
+
+/// Reports a failure domain that was taken out or brought back.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DomainChange {
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Whether the domain is out now.
+    pub out: bool,
+    /// Settings version that holds the state.
+    pub version: ConfigVersion,
+    /// Steps in order: `written`, then `confirmed by <scheduler>` or `permission expired`.
+    pub steps: Vec<String>,
+}
+
+/// Reports a failure domain as settings and its active scheduler describe it.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct DomainReport {
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Region.
+    pub region: RegionName,
+    /// Whether operators have taken the domain out.
+    pub out: bool,
+    /// Settings version that wrote `out` last.
+    pub out_since: ConfigVersion,
+    /// State, where the active scheduler answered.
+    pub status: Option<DomainStatus>,
+    /// Why the state is unknown, if it is.
+    pub error: Option<String>,
+}
+
+/// Lists records of several failure domains with the domains that did not answer.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Listing<T> {
+    /// Records.
+    pub items: Vec<T>,
+    /// Failure domains that did not answer, with the cause.
+    pub errors: Vec<String>,
+}
+
+/// Explains the state of a job.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct JobReason {
+    /// Job.
+    pub job: JobId,
+    /// Limit, shape or guarantee in the way, in one sentence.
+    pub reason: String,
+}
+
+/// Describes a process of the system.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct ProcessStatus {
+    /// Id of the process.
+    pub instance: InstanceId,
+    /// Role: `entry`, `scheduler`, or empty while unknown.
+    pub role: String,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Address for messages of processes, as `ip:port`.
+    pub address: String,
+    /// Settings version that the process follows.
+    pub config_version: ConfigVersion,
+    /// Seconds since it was last heard, if ever.
+    pub silent_s: Option<f64>,
+    /// Whether it counts as alive.
+    pub alive: bool,
+    /// Whether it is shutting down.
+    pub leaving: bool,
+}
+
+/// Reports the whole system as one scheduler process sees it.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct StatusReport {
+    /// Process that answers.
+    pub instance: InstanceId,
+    /// Wall clock of that process.
+    pub time: UnixMillis,
+    /// Why the process is not ready, if it is not.
+    pub not_ready: Option<String>,
+    /// Settings version that the process follows.
+    pub config_version: ConfigVersion,
+    /// Settings version in the key-value service; 0 when there is no tree or no contact.
+    pub stored_version: ConfigVersion,
+    /// Why the key-value service could not be read, if it could not.
+    pub store_error: Option<String>,
+    /// Failure domains.
+    pub domains: Vec<DomainReport>,
+    /// Workers.
+    pub workers: Vec<WorkerStatus>,
+    /// Guarantees.
+    pub guarantees: Vec<GuaranteeStatus>,
+    /// Waiting jobs.
+    pub queue: Vec<WaitingJob>,
+    /// Processes.
+    pub processes: Vec<ProcessStatus>,
+    /// Questions that failure domains did not answer.
+    pub errors: Vec<String>,
+}
--- a/crates/model/src/keys.rs
+++ b/crates/model/src/keys.rs
@@ -4,6 +4,10 @@
 
 /// Key of the settings tree.
 pub const CONFIG_TREE: &str = "config/tree";
+/// Prefix of the first submissions under each idempotency key.
+pub const SUBMISSIONS: &str = "submissions/";
+/// Prefix of all histories of finished jobs.
+pub const HISTORIES: &str = "history/";
 /// Prefix of all job records.
 pub const JOBS: &str = "jobs/";
 
@@ -27,6 +31,11 @@
     format!("{JOBS}{domain}/{id}")
 }
 
+/// Returns the key of the first submission of a customer under an idempotency key.
+pub fn submission(customer: &str, key_hash: u64) -> String {
+    format!("{SUBMISSIONS}{customer}/{key_hash:016x}")
+}
+
 /// Returns the key of the finished jobs of a failure domain on a day since the Unix epoch.
 pub fn history(domain: &DomainName, day: u64) -> String {
     format!("history/{domain}/{day}")
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -6,12 +6,10 @@
 use lacewingrail_model::shape::{GangShape, MAX_GANG_MEMBERS};
 use lacewingrail_placement::admission;
 
+use crate::capacity::MAX_MEMBER_ACCELERATORS;
 use crate::reader::FaultList;
 use crate::tree::{CustomerSettings, DomainSettings, SettingsTree};
 
-/// Most accelerators of one member, from the workers that the design assumes.
-const MAX_MEMBER_ACCELERATORS: u32 = 8;
-
 /// Checks a tree whose single values have been read.
 pub(crate) fn check_tree(tree: &SettingsTree, faults: &mut FaultList) {
     check_domain_names(tree, faults);
--- a/crates/settings/src/edit.rs
+++ b/crates/settings/src/edit.rs
@@ -106,8 +106,6 @@
 
 fn rewrite(text: &str, path: &[&str], out: bool) -> Result<String, SettingsErrors> {
     let mut value = reader::read_text(text, FILE)?;
-    // Aliases and merge keys are resolved first, so that the change reaches this domain only.
-    let _ = value.apply_merge();
     let domain = path.iter().try_fold(&mut value, |value, name| value.get_mut(*name));
     if let Some(domain) = domain {
         if domain.is_null() {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,7 +6,9 @@
 //! [`StoredTree::view`] builds the [`ConfigView`](lacewingrail_model::config::ConfigView) that
 //! decisions read. [`ProcessSettings`] holds what one process must know before it can reach the tree.
 
+pub mod capacity;
 mod check;
+pub mod diff;
 pub mod edit;
 pub mod effective;
 pub mod error;
