Add the worker fleet stand-in with ground truth and verdicts

Cause: placement, gangs and fencing are to be checked from outside against what workers really did.

Change: WorkerFleet serves many workers on one listener, each under its own path, with reservations, leases, the start barrier, epoch fencing, faults by worker, rack or domain, and a capped record of every holding. `audit` finds double runs, partial gangs, late starts and overcommitted accelerators. A start is also refused when its end on the worker's clock has passed.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,8 +10,12 @@
 pub mod journal;
 pub mod server;
 pub mod store_server;
+pub mod worker_fleet;
 
 pub use instance_server::{InstanceChange, InstanceListServer};
 pub use journal::{BoundedJournal, JournalPage};
 pub use server::ServerHandle;
 pub use store_server::StoreServer;
+pub use worker_fleet::faults::{WorkerFaults, WorkerSelection};
+pub use worker_fleet::holding::{EndReason, HoldingRecord};
+pub use worker_fleet::{FleetLayout, FleetSettings, WorkerFleet, audit};
--- /dev/null
+++ b/crates/standins/src/worker_fleet.rs
@@ -0,0 +1,226 @@
+//! Stand-in of many workers in one process, on one listener.
+//!
+//! Each worker answers under its own path, `http://ip:port/w/<worker id>`, which is its address in
+//! the instance list. Work passes by time. Records of all holdings are kept as ground truth.
+
+pub mod audit;
+pub mod faults;
+pub mod holding;
+pub mod machine;
+
+mod routes;
+mod task;
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use lacewingrail_model::WorkerId;
+use lacewingrail_model::clock::{UnixMillis, unix_millis};
+use lacewingrail_model::worker::WorkerSpec;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+
+use crate::journal::JournalPage;
+use crate::server::{ConnectionGate, ServerHandle};
+use crate::worker_fleet::faults::{WorkerFaults, WorkerSelection};
+use crate::worker_fleet::holding::HoldingRecord;
+use crate::worker_fleet::machine::{WorkerCounts, WorkerMachine};
+
+pub use task::{FAIL_AFTER, FAIL_START, USAGE};
+
+/// Sets what all workers of a fleet share.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FleetSettings {
+    /// Time by which reports of usage and progress lag, in milliseconds.
+    pub lag_ms: u64,
+    /// Share by which the speeds of workers deviate from nominal, from 0 to below 1.
+    pub speed_spread: f64,
+    /// Seed of the speeds.
+    pub seed: u64,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        Self { lag_ms: 1_000, speed_spread: 0.0, seed: 0 }
+    }
+}
+
+/// Describes equal workers of one failure domain.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetLayout {
+    /// Failure domain; also the prefix of the workers' ids.
+    pub domain: String,
+    /// Number of workers.
+    pub workers: u32,
+    /// Workers of a rack; the last rack may have fewer.
+    pub per_rack: u32,
+    /// Accelerators of each worker.
+    pub accelerators: u32,
+    /// Processor cores of each worker.
+    pub cores: u32,
+    /// Memory of each worker in megabytes.
+    pub memory_mb: u64,
+}
+
+impl FleetLayout {
+    /// Returns the descriptions of the workers, still without addresses.
+    pub fn specs(&self) -> Vec<WorkerSpec> {
+        (0..self.workers)
+            .map(|number| WorkerSpec {
+                id: format!("{}-w{number:03}", self.domain),
+                domain: self.domain.clone(),
+                rack: format!("{}-r{:02}", self.domain, number / self.per_rack.max(1)),
+                accelerators: self.accelerators,
+                cores: self.cores,
+                memory_mb: self.memory_mb,
+                address: String::new(),
+            })
+            .collect()
+    }
+}
+
+/// Serves many workers over HTTP.
+#[derive(Debug)]
+pub struct WorkerFleet {
+    shared: Arc<SharedFleet>,
+    handle: ServerHandle,
+}
+
+impl WorkerFleet {
+    /// Serves workers on an address such as `127.0.0.1:0` and sets their addresses.
+    pub async fn spawn(
+        address: &str,
+        mut specs: Vec<WorkerSpec>,
+        settings: FleetSettings,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let bound = listener.local_addr()?;
+        let mut random = ChaCha8Rng::seed_from_u64(settings.seed);
+        let spread = settings.speed_spread.clamp(0.0, 0.99);
+        let workers = specs.iter_mut().map(|spec| {
+            spec.address = format!("http://{bound}/w/{}", spec.id);
+            let speed = 1.0 + spread * (2.0 * random.random::<f64>() - 1.0);
+            let machine = WorkerMachine::new(spec.clone(), speed, settings.lag_ms);
+            (spec.id.clone(), Mutex::new(machine))
+        });
+        let shared = Arc::new(SharedFleet { workers: workers.collect(), clock: FleetClock::new() });
+        let router = routes::router(Arc::clone(&shared));
+        let gate = Arc::new(ConnectionGate::new(usize::MAX));
+        let handle = ServerHandle::serve(listener, router, gate)?;
+        Ok(Self { shared, handle })
+    }
+
+    /// Returns the server's handle.
+    pub fn handle(&self) -> &ServerHandle {
+        &self.handle
+    }
+
+    /// Returns the base URL of the fleet.
+    pub fn url(&self) -> String {
+        self.handle.url()
+    }
+
+    /// Returns the descriptions of all workers with their addresses.
+    pub fn specs(&self) -> Vec<WorkerSpec> {
+        self.shared.specs()
+    }
+
+    /// Returns the fleet's clock, in which the records are kept.
+    pub fn now_ms(&self) -> UnixMillis {
+        self.shared.clock.now_ms()
+    }
+
+    /// Returns the records of all workers.
+    pub fn journal(&self) -> JournalPage<HoldingRecord> {
+        self.shared.journal(&WorkerSelection::default())
+    }
+
+    /// Returns the counts of refusals of one worker.
+    pub fn counts(&self, worker: &str) -> Option<WorkerCounts> {
+        Some(self.shared.lock(worker)?.counts())
+    }
+
+    /// Replaces the faults of the selected workers and returns their number.
+    pub fn set_faults(&self, selection: &WorkerSelection, faults: WorkerFaults) -> usize {
+        self.shared.set_faults(selection, faults)
+    }
+
+    /// Restarts the selected workers and returns their number.
+    pub fn restart(&self, selection: &WorkerSelection, forget_epoch: bool) -> usize {
+        self.shared.restart(selection, forget_epoch)
+    }
+}
+
+/// Holds the workers of a fleet.
+#[derive(Debug)]
+struct SharedFleet {
+    workers: BTreeMap<WorkerId, Mutex<WorkerMachine>>,
+    clock: FleetClock,
+}
+
+impl SharedFleet {
+    fn lock(&self, worker: &str) -> Option<MutexGuard<'_, WorkerMachine>> {
+        self.workers.get(worker).map(lock)
+    }
+
+    fn selected(&self, selection: &WorkerSelection) -> Vec<MutexGuard<'_, WorkerMachine>> {
+        self.workers
+            .values()
+            .map(lock)
+            .filter(|machine| selection.matches(machine.spec()))
+            .collect()
+    }
+
+    fn specs(&self) -> Vec<WorkerSpec> {
+        self.workers.values().map(|worker| lock(worker).spec().clone()).collect()
+    }
+
+    fn journal(&self, selection: &WorkerSelection) -> JournalPage<HoldingRecord> {
+        let mut whole = JournalPage { entries: Vec::new(), dropped: 0 };
+        for mut machine in self.selected(selection) {
+            let page = machine.journal(self.clock.now_ms());
+            whole.entries.extend(page.entries);
+            whole.dropped += page.dropped;
+        }
+        whole
+    }
+
+    fn set_faults(&self, selection: &WorkerSelection, faults: WorkerFaults) -> usize {
+        let mut machines = self.selected(selection);
+        let now_ms = self.clock.now_ms();
+        machines.iter_mut().for_each(|machine| machine.set_faults(faults, now_ms));
+        machines.len()
+    }
+
+    fn restart(&self, selection: &WorkerSelection, forget_epoch: bool) -> usize {
+        let mut machines = self.selected(selection);
+        let now_ms = self.clock.now_ms();
+        machines.iter_mut().for_each(|machine| machine.restart(forget_epoch, now_ms));
+        machines.len()
+    }
+}
+
+/// Counts Unix milliseconds by the monotonic clock, so that the records never go backwards.
+#[derive(Debug)]
+struct FleetClock {
+    unix_ms: UnixMillis,
+    started: Instant,
+}
+
+impl FleetClock {
+    fn new() -> Self {
+        Self { unix_ms: unix_millis(), started: Instant::now() }
+    }
+
+    fn now_ms(&self) -> UnixMillis {
+        let elapsed = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        self.unix_ms.saturating_add(elapsed)
+    }
+}
+
+fn lock(worker: &Mutex<WorkerMachine>) -> MutexGuard<'_, WorkerMachine> {
+    worker.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/standins/src/worker_fleet/audit.rs
@@ -0,0 +1,153 @@
+//! Verdicts over the records of all workers.
+//!
+//! The records of several fleets may be joined, because their clocks are the machine's. Each function
+//! returns one sentence for each breach, so that a test asserts that there is none.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use lacewingrail_model::clock::UnixMillis;
+use lacewingrail_model::worker::WorkerSpec;
+
+use crate::worker_fleet::holding::{EndReason, HoldingRecord};
+
+/// Finds members that ran on two workers at once and jobs with two attempts running at once.
+pub fn find_double_runs(records: &[HoldingRecord], now_ms: UnixMillis) -> Vec<String> {
+    let mut jobs: BTreeMap<&str, Vec<&HoldingRecord>> = BTreeMap::new();
+    for record in records.iter().filter(|record| record.started_ms.is_some()) {
+        jobs.entry(&record.member.job).or_default().push(record);
+    }
+    let mut breaches = Vec::new();
+    for runs in jobs.values() {
+        for (index, first) in runs.iter().enumerate() {
+            let rivals = runs[index + 1..].iter().filter(|second| {
+                first.member.attempt != second.member.attempt || first.member == second.member
+            });
+            breaches.extend(rivals.filter(|second| overlap(first, second, now_ms)).map(|second| {
+                format!(
+                    "{} on {} and {} on {} ran at once",
+                    first.member, first.worker, second.member, second.worker
+                )
+            }));
+        }
+    }
+    breaches
+}
+
+/// Finds attempts that ran with some members but not all for longer than `bound` without a break.
+///
+/// A member that finished its work does not count as missing.
+pub fn find_partial_gangs(
+    records: &[HoldingRecord],
+    now_ms: UnixMillis,
+    bound: Duration,
+) -> Vec<String> {
+    let bound_ms = u64::try_from(bound.as_millis()).unwrap_or(u64::MAX);
+    let partial = partial_runs(records, now_ms);
+    let over = partial.into_iter().filter(|(_, longest_ms)| *longest_ms > bound_ms);
+    over.map(|((job, attempt), longest_ms)| {
+        format!("{job}/{attempt} ran partially for {longest_ms} ms, over {bound_ms} ms")
+    })
+    .collect()
+}
+
+/// Returns the longest partial run in milliseconds of each job and attempt that ran.
+pub fn partial_runs(
+    records: &[HoldingRecord],
+    now_ms: UnixMillis,
+) -> BTreeMap<(String, u32), UnixMillis> {
+    let mut attempts: BTreeMap<(String, u32), Vec<&HoldingRecord>> = BTreeMap::new();
+    for record in records.iter().filter(|record| record.started_ms.is_some()) {
+        let attempt = (record.member.job.clone(), record.member.attempt);
+        attempts.entry(attempt).or_default().push(record);
+    }
+    attempts.into_iter().map(|(attempt, runs)| (attempt, longest_partial(&runs, now_ms))).collect()
+}
+
+/// Finds tasks that started in a failure domain later than `limit` after it was taken out.
+///
+/// `back_in_ms` ends the time during which the domain is out.
+pub fn find_late_starts(
+    records: &[HoldingRecord],
+    domain: &str,
+    out_ms: UnixMillis,
+    limit: Duration,
+    back_in_ms: UnixMillis,
+) -> Vec<String> {
+    let limit_ms = out_ms + u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
+    let late = records.iter().filter(|record| {
+        record.domain == domain
+            && record.started_ms.is_some_and(|at_ms| at_ms > limit_ms && at_ms < back_in_ms)
+    });
+    late.map(|record| {
+        let after_ms = record.started_ms.unwrap_or_default() - out_ms;
+        format!("{} started on {} {after_ms} ms after the take-out", record.member, record.worker)
+    })
+    .collect()
+}
+
+/// Finds workers on which more accelerators were held at once than they have.
+pub fn find_overcommits(
+    records: &[HoldingRecord],
+    workers: &[WorkerSpec],
+    now_ms: UnixMillis,
+) -> Vec<String> {
+    let mut breaches = Vec::new();
+    for spec in workers {
+        let held = records.iter().filter(|record| record.worker == spec.id);
+        let mut changes: Vec<(UnixMillis, i64)> = held
+            .flat_map(|record| {
+                let accelerators = i64::from(record.accelerators);
+                let ended_ms = record.ended_ms.unwrap_or(now_ms);
+                [(record.reserved_ms, accelerators), (ended_ms, -accelerators)]
+            })
+            .collect();
+        // Orders an end before a reservation of the same millisecond.
+        changes.sort_unstable();
+        let mut used = 0;
+        for (at_ms, change) in changes {
+            used += change;
+            if used > i64::from(spec.accelerators) {
+                breaches.push(format!("{} held {used} accelerators at {at_ms}", spec.id));
+            }
+        }
+    }
+    breaches
+}
+
+fn overlap(first: &HoldingRecord, second: &HoldingRecord, now_ms: UnixMillis) -> bool {
+    let (Some(first), Some(second)) = (first.run(now_ms), second.run(now_ms)) else {
+        return false;
+    };
+    first.0 < second.1 && second.0 < first.1
+}
+
+fn longest_partial(runs: &[&HoldingRecord], now_ms: UnixMillis) -> UnixMillis {
+    let members = runs.iter().map(|record| record.gang_members).max().unwrap_or_default();
+    // Changes of the running and the finished members.
+    let mut changes: Vec<(UnixMillis, i64, i64)> = runs
+        .iter()
+        .filter_map(|record| Some((record, record.run(now_ms)?)))
+        .flat_map(|(record, (started_ms, ended_ms))| {
+            let finished = i64::from(record.reason == Some(EndReason::Finished));
+            [(started_ms, 1, 0), (ended_ms, -1, finished)]
+        })
+        .collect();
+    changes.sort_unstable();
+    let (mut running, mut finished, mut longest) = (0, 0, 0);
+    let mut since: Option<UnixMillis> = None;
+    for (at_ms, started, done) in changes {
+        running += started;
+        finished += done;
+        let partial = running > 0 && running + finished < i64::from(members);
+        match since {
+            None if partial => since = Some(at_ms),
+            Some(from_ms) if !partial => {
+                longest = longest.max(at_ms - from_ms);
+                since = None;
+            }
+            _ => {}
+        }
+    }
+    longest
+}
--- /dev/null
+++ b/crates/standins/src/worker_fleet/machine.rs
@@ -0,0 +1,364 @@
+//! State of one worker, without time of its own.
+//!
+//! Every operation gets the worker's clock in milliseconds and first settles what happened since the
+//! last one: reservations and leases that lapsed and work that was done. Their times are computed,
+//! so the record is exact however rarely the worker is asked.
+
+use std::collections::BTreeMap;
+
+use lacewingrail_model::Epoch;
+use lacewingrail_model::worker::{
+    MemberId, MemberPhase, RenewItem, ReserveRequest, TASK_LEASE_TTL, WorkerError, WorkerReport,
+    WorkerSpec,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::journal::{BoundedJournal, JournalPage};
+use crate::worker_fleet::faults::WorkerFaults;
+use crate::worker_fleet::holding::{EndReason, HoldingRecord};
+use crate::worker_fleet::task::HeldTask;
+
+/// Time for which ended tasks are reported.
+const ENDED_KEPT_MS: u64 = 60_000;
+/// Tasks that a worker keeps, ended ones included.
+const TASKS: usize = 1_024;
+/// Ended holdings that a worker records.
+const RECORDS: usize = 4_096;
+/// Longest time for which a reservation lasts.
+const LONGEST_RESERVATION_MS: u64 = 60_000;
+
+/// Counts refusals of a worker, for assertions that a guard was exercised.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WorkerCounts {
+    /// Calls refused because of a lower epoch.
+    pub stale_epochs: u64,
+    /// Starts refused because their permission had run out.
+    pub expired_permissions: u64,
+    /// Reservations refused for lack of resources.
+    pub refused_reservations: u64,
+    /// Starts that failed.
+    pub failed_starts: u64,
+    /// Restarts.
+    pub restarts: u64,
+}
+
+/// Holds the state of one worker.
+#[derive(Debug)]
+pub struct WorkerMachine {
+    spec: WorkerSpec,
+    nominal_speed: f64,
+    lag_ms: u64,
+    epoch: Epoch,
+    incarnation: u64,
+    tasks: BTreeMap<MemberId, HeldTask>,
+    faults: WorkerFaults,
+    journal: BoundedJournal<HoldingRecord>,
+    counts: WorkerCounts,
+}
+
+impl WorkerMachine {
+    /// Creates an idle worker whose reports of usage and progress lag by `lag_ms`.
+    pub fn new(spec: WorkerSpec, speed: f64, lag_ms: u64) -> Self {
+        Self {
+            spec,
+            nominal_speed: speed.max(f64::MIN_POSITIVE),
+            lag_ms,
+            epoch: 0,
+            incarnation: 1,
+            tasks: BTreeMap::new(),
+            faults: WorkerFaults::default(),
+            journal: BoundedJournal::new(RECORDS),
+            counts: WorkerCounts::default(),
+        }
+    }
+
+    /// Returns the worker's description.
+    pub fn spec(&self) -> &WorkerSpec {
+        &self.spec
+    }
+
+    /// Returns the faults in effect.
+    pub fn faults(&self) -> &WorkerFaults {
+        &self.faults
+    }
+
+    /// Returns the counts of refusals.
+    pub fn counts(&self) -> WorkerCounts {
+        self.counts
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&mut self, faults: WorkerFaults, now_ms: u64) {
+        self.settle(now_ms);
+        let revived = self.faults.dead && !faults.dead;
+        if faults.dead && !self.faults.dead {
+            self.lose_tasks(now_ms);
+        }
+        self.faults = faults;
+        let speed = self.speed();
+        self.tasks.values_mut().for_each(|task| task.set_speed(speed, now_ms));
+        self.fail_unhealthy(now_ms);
+        if revived {
+            self.restart(false, now_ms);
+        }
+    }
+
+    /// Restarts the worker, which loses its tasks and, if `forget_epoch`, its epoch.
+    pub fn restart(&mut self, forget_epoch: bool, now_ms: u64) {
+        self.settle(now_ms);
+        self.lose_tasks(now_ms);
+        self.faults.dead = false;
+        self.incarnation += 1;
+        self.counts.restarts += 1;
+        if forget_epoch {
+            self.epoch = 0;
+        }
+    }
+
+    /// Consumes one lost answer, if the faults hold one.
+    pub fn loses_answer(&mut self) -> bool {
+        let loses = self.faults.lost_answers > 0;
+        self.faults.lost_answers = self.faults.lost_answers.saturating_sub(1);
+        loses
+    }
+
+    /// Reports the worker with all its tasks.
+    pub fn report(&mut self, epoch: Epoch, now_ms: u64) -> Result<WorkerReport, WorkerError> {
+        self.enter(epoch, now_ms)?;
+        Ok(WorkerReport {
+            worker: self.spec.id.clone(),
+            epoch: self.epoch,
+            incarnation: self.incarnation,
+            healthy_accelerators: self.healthy(),
+            tasks: self.tasks.values().map(|task| task.report(now_ms, self.lag_ms)).collect(),
+        })
+    }
+
+    /// Holds resources for a member.
+    pub fn reserve(
+        &mut self,
+        epoch: Epoch,
+        request: ReserveRequest,
+        now_ms: u64,
+    ) -> Result<(), WorkerError> {
+        self.enter(epoch, now_ms)?;
+        if let Some(task) = self.tasks.get(&request.member) {
+            return if task.is_held() { Ok(()) } else { Err(WorkerError::UnknownMember) };
+        }
+        if let Some(reason) = self.shortage(&request) {
+            self.counts.refused_reservations += 1;
+            return Err(WorkerError::NoCapacity { reason });
+        }
+        let ttl_ms = request.ttl_ms.min(LONGEST_RESERVATION_MS);
+        let task = HeldTask::new(request, epoch, now_ms, now_ms + ttl_ms);
+        self.tasks.insert(task.member().clone(), task);
+        Ok(())
+    }
+
+    /// Turns a reservation into a lease.
+    pub fn commit(
+        &mut self,
+        epoch: Epoch,
+        member: &MemberId,
+        ttl_ms: u64,
+        now_ms: u64,
+    ) -> Result<(), WorkerError> {
+        self.enter(epoch, now_ms)?;
+        match self.tasks.get_mut(member) {
+            Some(task) if task.phase() == MemberPhase::Reserved => {
+                task.commit(now_ms, now_ms + lease_ms(ttl_ms));
+                Ok(())
+            }
+            Some(task) if task.is_held() => Ok(()),
+            _ => Err(WorkerError::UnknownMember),
+        }
+    }
+
+    /// Starts a committed member; `not_after` is the remaining time and the end on this clock.
+    pub fn start(
+        &mut self,
+        epoch: Epoch,
+        member: &MemberId,
+        not_after: (u64, Option<u64>),
+        now_ms: u64,
+    ) -> Result<(), WorkerError> {
+        self.enter(epoch, now_ms)?;
+        let speed = self.speed();
+        let task = self.tasks.get_mut(member).ok_or(WorkerError::UnknownMember)?;
+        match task.phase() {
+            MemberPhase::Running | MemberPhase::Finished => return Ok(()),
+            MemberPhase::Failed => {
+                let reason = task.failure().unwrap_or_default();
+                return Err(WorkerError::StartFailed { reason });
+            }
+            MemberPhase::Reserved | MemberPhase::Stopped => return Err(WorkerError::UnknownMember),
+            MemberPhase::Committed => {}
+        }
+        let (remaining_ms, clock_ms) = not_after;
+        if remaining_ms == 0 || clock_ms.is_some_and(|end| end < now_ms) {
+            self.counts.expired_permissions += 1;
+            return Err(WorkerError::PermissionExpired);
+        }
+        if self.faults.fail_starts || task.fails_start() {
+            let reason = "the task ended while it started".to_owned();
+            task.fail(EndReason::StartFailed, &reason, now_ms);
+            self.counts.failed_starts += 1;
+            return Err(WorkerError::StartFailed { reason });
+        }
+        task.start(speed, now_ms);
+        Ok(())
+    }
+
+    /// Renews leases and reports.
+    pub fn renew(
+        &mut self,
+        epoch: Epoch,
+        items: &[RenewItem],
+        now_ms: u64,
+    ) -> Result<WorkerReport, WorkerError> {
+        self.enter(epoch, now_ms)?;
+        for item in items {
+            if let Some(task) = self.tasks.get_mut(&item.member) {
+                task.renew(now_ms + lease_ms(item.ttl_ms));
+            }
+        }
+        self.report(epoch, now_ms)
+    }
+
+    /// Keeps the work done so far and returns it.
+    pub fn checkpoint(
+        &mut self,
+        epoch: Epoch,
+        member: &MemberId,
+        now_ms: u64,
+    ) -> Result<u64, WorkerError> {
+        self.enter(epoch, now_ms)?;
+        let task = self.running(member)?;
+        Ok(task.checkpoint(now_ms))
+    }
+
+    /// Limits a running member to a share of its speed.
+    pub fn throttle(
+        &mut self,
+        epoch: Epoch,
+        member: &MemberId,
+        share: f64,
+        now_ms: u64,
+    ) -> Result<(), WorkerError> {
+        self.enter(epoch, now_ms)?;
+        let task = self.running(member)?;
+        task.throttle(share.clamp(0.0, 1.0), now_ms);
+        Ok(())
+    }
+
+    /// Stops a member or frees its reservation.
+    pub fn stop(
+        &mut self,
+        epoch: Epoch,
+        member: &MemberId,
+        now_ms: u64,
+    ) -> Result<(), WorkerError> {
+        self.enter(epoch, now_ms)?;
+        if let Some(task) = self.tasks.get_mut(member).filter(|task| task.is_held()) {
+            task.end(EndReason::Stopped, now_ms);
+        }
+        Ok(())
+    }
+
+    /// Settles up to `now_ms` and returns the record of all holdings, ended and lasting.
+    pub fn journal(&mut self, now_ms: u64) -> JournalPage<HoldingRecord> {
+        self.settle(now_ms);
+        let mut page = self.journal.page();
+        let lasting = self.tasks.values().filter(|task| !task.is_recorded());
+        page.entries.extend(lasting.map(|task| task.record(&self.spec, now_ms)));
+        page
+    }
+
+    /// Ends what lapsed or finished, records it, and forgets what ended long ago.
+    pub fn settle(&mut self, now_ms: u64) {
+        for task in self.tasks.values_mut() {
+            task.settle(now_ms);
+            if !task.is_held() && !task.is_recorded() {
+                self.journal.push(task.record(&self.spec, now_ms));
+                task.set_recorded();
+            }
+        }
+        self.tasks
+            .retain(|_, task| task.ended_ms().is_none_or(|ended| ended + ENDED_KEPT_MS > now_ms));
+    }
+
+    /// Settles and raises the epoch, or refuses a lower one.
+    fn enter(&mut self, epoch: Epoch, now_ms: u64) -> Result<(), WorkerError> {
+        self.settle(now_ms);
+        if epoch < self.epoch {
+            self.counts.stale_epochs += 1;
+            return Err(WorkerError::StaleEpoch { seen: self.epoch });
+        }
+        self.epoch = epoch;
+        Ok(())
+    }
+
+    fn running(&mut self, member: &MemberId) -> Result<&mut HeldTask, WorkerError> {
+        self.tasks
+            .get_mut(member)
+            .filter(|task| task.phase() == MemberPhase::Running)
+            .ok_or(WorkerError::UnknownMember)
+    }
+
+    fn shortage(&self, request: &ReserveRequest) -> Option<String> {
+        let sum = |select: fn(&ReserveRequest) -> u64| {
+            let held = self.tasks.values().filter(|task| task.is_held());
+            held.map(|task| select(task.request())).fold(select(request), u64::saturating_add)
+        };
+        let limits = [
+            ("accelerators", sum(|held| u64::from(held.accelerators)), u64::from(self.healthy())),
+            ("cores", sum(|held| u64::from(held.cores)), u64::from(self.spec.cores)),
+            ("memory in MB", sum(|held| held.memory_mb), self.spec.memory_mb),
+            ("tasks", self.tasks.len() as u64 + 1, TASKS as u64),
+        ];
+        let short = limits.into_iter().find(|(_, needed, limit)| needed > limit);
+        short.map(|(name, needed, limit)| format!("{needed} {name} of {limit} would be in use"))
+    }
+
+    fn healthy(&self) -> u32 {
+        self.spec.accelerators.saturating_sub(self.faults.unhealthy)
+    }
+
+    fn speed(&self) -> f64 {
+        self.nominal_speed * self.faults.speed.max(0.0)
+    }
+
+    /// Fails the newest holdings until the healthy accelerators suffice.
+    fn fail_unhealthy(&mut self, now_ms: u64) {
+        let healthy = self.healthy();
+        loop {
+            let held = || self.tasks.values().filter(|task| task.is_held());
+            let used: u32 = held().map(|task| task.request().accelerators).sum();
+            if used <= healthy {
+                return;
+            }
+            let newest = held()
+                .filter(|task| task.request().accelerators > 0)
+                .max_by_key(|task| task.reserved_ms())
+                .map(|task| task.member().clone());
+            let Some(task) = newest.and_then(|member| self.tasks.get_mut(&member)) else {
+                return;
+            };
+            task.fail(EndReason::AcceleratorFailed, "an accelerator is out of order", now_ms);
+        }
+    }
+
+    /// Ends and forgets all tasks, as the end of the worker's process does.
+    fn lose_tasks(&mut self, now_ms: u64) {
+        for task in self.tasks.values_mut().filter(|task| task.is_held()) {
+            task.end(EndReason::WorkerLost, now_ms);
+        }
+        self.settle(now_ms);
+        self.tasks.clear();
+    }
+}
+
+/// Bounds a lease by the task lease TTL.
+fn lease_ms(ttl_ms: u64) -> u64 {
+    ttl_ms.min(u64::try_from(TASK_LEASE_TTL.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/standins/src/worker_fleet/routes.rs
@@ -0,0 +1,271 @@
+//! HTTP routes of a fleet: the worker protocol of each worker, and the control of all.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::extract::{Path, Query, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use lacewingrail_model::Epoch;
+use lacewingrail_model::worker::{WorkerError, WorkerSpec};
+use lacewingrail_platform::protocol::{
+    CheckpointAnswer, CommitBody, MemberBody, RenewBody, ReserveBody, StartBody, ThrottleBody,
+    WORKER_CLOCK_HEADER,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::journal::JournalPage;
+use crate::server::broken_answer;
+use crate::worker_fleet::SharedFleet;
+use crate::worker_fleet::faults::{WorkerFaults, WorkerSelection};
+use crate::worker_fleet::holding::HoldingRecord;
+use crate::worker_fleet::machine::WorkerMachine;
+
+/// Time for which a dead or silent worker holds a call; callers give up much earlier.
+const SILENCE: Duration = Duration::from_secs(60);
+
+type Fleet = State<Arc<SharedFleet>>;
+
+/// Sets the faults of the selected workers.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct FaultsBody {
+    #[serde(default)]
+    selection: WorkerSelection,
+    faults: WorkerFaults,
+}
+
+/// Restarts the selected workers.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct RestartBody {
+    #[serde(default)]
+    selection: WorkerSelection,
+    #[serde(default)]
+    forget_epoch: bool,
+}
+
+#[derive(Deserialize)]
+struct EpochQuery {
+    epoch: Epoch,
+}
+
+#[derive(Deserialize)]
+struct ForgetBody {
+    #[serde(default)]
+    forget_epoch: bool,
+}
+
+pub(super) fn router(fleet: Arc<SharedFleet>) -> Router {
+    let worker = Router::new()
+        .route("/v1/tasks", get(tasks))
+        .route("/v1/reserve", post(reserve))
+        .route("/v1/commit", post(commit))
+        .route("/v1/start", post(start))
+        .route("/v1/renew", post(renew))
+        .route("/v1/checkpoint", post(checkpoint))
+        .route("/v1/throttle", post(throttle))
+        .route("/v1/stop", post(stop))
+        .route("/v1/release", post(stop))
+        .route("/v1/faults", post(set_worker_faults))
+        .route("/v1/restart", post(restart_worker))
+        .route("/v1/counts", get(counts))
+        .route("/v1/journal", get(worker_journal));
+    Router::new()
+        .nest("/w/{worker}", worker)
+        .route("/v1/workers", get(workers))
+        .route("/v1/journal", get(journal))
+        .route("/v1/faults", post(set_faults))
+        .route("/v1/restart", post(restart))
+        .with_state(fleet)
+}
+
+async fn tasks(
+    State(fleet): Fleet,
+    Path(id): Path<String>,
+    Query(query): Query<EpochQuery>,
+) -> Response {
+    serve(&fleet, &id, |machine, now_ms| machine.report(query.epoch, now_ms)).await
+}
+
+async fn reserve(
+    State(fleet): Fleet,
+    Path(id): Path<String>,
+    Json(body): Json<ReserveBody>,
+) -> Response {
+    serve(&fleet, &id, |machine, now_ms| machine.reserve(body.epoch, body.request, now_ms)).await
+}
+
+async fn commit(
+    State(fleet): Fleet,
+    Path(id): Path<String>,
+    Json(body): Json<CommitBody>,
+) -> Response {
+    serve(&fleet, &id, |machine, now_ms| {
+        machine.commit(body.epoch, &body.member, body.ttl_ms, now_ms)
+    })
+    .await
+}
+
+async fn start(
+    State(fleet): Fleet,
+    Path(id): Path<String>,
+    Json(body): Json<StartBody>,
+) -> Response {
+    let not_after = (body.not_after_ms, body.not_after_clock_ms);
+    serve(&fleet, &id, |machine, now_ms| machine.start(body.epoch, &body.member, not_after, now_ms))
+        .await
+}
+
+async fn renew(
+    State(fleet): Fleet,
+    Path(id): Path<String>,
+    Json(body): Json<RenewBody>,
+) -> Response {
+    serve(&fleet, &id, |machine, now_ms| machine.renew(body.epoch, &body.items, now_ms)).await
+}
+
+async fn checkpoint(
+    State(fleet): Fleet,
+    Path(id): Path<String>,
+    Json(body): Json<MemberBody>,
+) -> Response {
+    serve(&fleet, &id, |machine, now_ms| {
+        let kept = machine.checkpoint(body.epoch, &body.member, now_ms);
+        kept.map(|checkpoint_ms| CheckpointAnswer { checkpoint_ms })
+    })
+    .await
+}
+
+async fn throttle(
+    State(fleet): Fleet,
+    Path(id): Path<String>,
+    Json(body): Json<ThrottleBody>,
+) -> Response {
+    serve(&fleet, &id, |machine, now_ms| {
+        machine.throttle(body.epoch, &body.member, body.share, now_ms)
+    })
+    .await
+}
+
+async fn stop(
+    State(fleet): Fleet,
+    Path(id): Path<String>,
+    Json(body): Json<MemberBody>,
+) -> Response {
+    serve(&fleet, &id, |machine, now_ms| machine.stop(body.epoch, &body.member, now_ms)).await
+}
+
+async fn set_worker_faults(
+    State(fleet): Fleet,
+    Path(id): Path<String>,
+    Json(faults): Json<WorkerFaults>,
+) -> Response {
+    changed(fleet.set_faults(&WorkerSelection::worker(id), faults))
+}
+
+async fn restart_worker(
+    State(fleet): Fleet,
+    Path(id): Path<String>,
+    Json(body): Json<ForgetBody>,
+) -> Response {
+    changed(fleet.restart(&WorkerSelection::worker(id), body.forget_epoch))
+}
+
+async fn counts(State(fleet): Fleet, Path(id): Path<String>) -> Response {
+    let Some(machine) = fleet.lock(&id) else {
+        return StatusCode::NOT_FOUND.into_response();
+    };
+    Json(machine.counts()).into_response()
+}
+
+async fn worker_journal(
+    State(fleet): Fleet,
+    Path(id): Path<String>,
+) -> Json<JournalPage<HoldingRecord>> {
+    Json(fleet.journal(&WorkerSelection::worker(id)))
+}
+
+async fn workers(State(fleet): Fleet) -> Json<Vec<WorkerSpec>> {
+    Json(fleet.specs())
+}
+
+async fn journal(
+    State(fleet): Fleet,
+    Query(selection): Query<WorkerSelection>,
+) -> Json<JournalPage<HoldingRecord>> {
+    Json(fleet.journal(&selection))
+}
+
+async fn set_faults(State(fleet): Fleet, Json(body): Json<FaultsBody>) -> Response {
+    changed(fleet.set_faults(&body.selection, body.faults))
+}
+
+async fn restart(State(fleet): Fleet, Json(body): Json<RestartBody>) -> Response {
+    changed(fleet.restart(&body.selection, body.forget_epoch))
+}
+
+/// Answers a change with the number of workers that it met, or 404 for none.
+fn changed(workers: usize) -> Response {
+    let status = if workers == 0 { StatusCode::NOT_FOUND } else { StatusCode::OK };
+    (status, Json(serde_json::json!({ "workers": workers }))).into_response()
+}
+
+/// Runs one call of the worker protocol under the worker's faults.
+async fn serve<T, F>(fleet: &SharedFleet, id: &str, operate: F) -> Response
+where
+    F: FnOnce(&mut WorkerMachine, u64) -> Result<T, WorkerError>,
+    T: Serialize,
+{
+    let Some(faults) = fleet.lock(id).map(|machine| *machine.faults()) else {
+        return StatusCode::NOT_FOUND.into_response();
+    };
+    let half = Duration::from_millis(faults.delay_ms) / 2;
+    if !half.is_zero() {
+        tokio::time::sleep(half).await;
+    }
+    let Some((outcome, clock_ms)) = run(fleet, id, operate) else {
+        // The worker is dead or silent, or its answer is to be lost.
+        if fleet.lock(id).is_some_and(|machine| is_mute(machine.faults())) {
+            tokio::time::sleep(SILENCE).await;
+        }
+        return broken_answer();
+    };
+    if !half.is_zero() {
+        tokio::time::sleep(half).await;
+    }
+    let clock = [(WORKER_CLOCK_HEADER, clock_ms.to_string())];
+    match outcome {
+        Ok(value) => (clock, Json(value)).into_response(),
+        Err(error) => (status(&error), clock, Json(error)).into_response(),
+    }
+}
+
+/// Runs an operation; returns its outcome and the worker's clock, or nothing for no answer.
+fn run<T, F>(fleet: &SharedFleet, id: &str, operate: F) -> Option<(Result<T, WorkerError>, u64)>
+where
+    F: FnOnce(&mut WorkerMachine, u64) -> Result<T, WorkerError>,
+{
+    let mut machine = fleet.lock(id)?;
+    if is_mute(machine.faults()) {
+        return None;
+    }
+    let now_ms = fleet.clock.now_ms();
+    let outcome = operate(&mut machine, now_ms);
+    (!machine.loses_answer()).then_some((outcome, now_ms))
+}
+
+fn is_mute(faults: &WorkerFaults) -> bool {
+    faults.dead || faults.silent
+}
+
+fn status(error: &WorkerError) -> StatusCode {
+    match error {
+        WorkerError::UnknownMember => StatusCode::NOT_FOUND,
+        WorkerError::StartFailed { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+        WorkerError::Unreachable { .. } | WorkerError::Unclear { .. } => {
+            StatusCode::INTERNAL_SERVER_ERROR
+        }
+        _ => StatusCode::CONFLICT,
+    }
+}
--- /dev/null
+++ b/crates/standins/src/worker_fleet/task.rs
@@ -0,0 +1,267 @@
+//! One member on a worker: its phase, its lease and its work.
+
+use lacewingrail_model::Epoch;
+use lacewingrail_model::hash::digest;
+use lacewingrail_model::worker::{MemberId, MemberPhase, ReserveRequest, TaskReport, WorkerSpec};
+
+use crate::worker_fleet::holding::{EndReason, HoldingRecord};
+
+/// Command prefix of a task that always fails to start.
+pub const FAIL_START: &str = "fail-start";
+/// Command prefix of a task that fails after a number of milliseconds of run time.
+pub const FAIL_AFTER: &str = "fail-after ";
+/// Command prefix of a task that uses a share of its accelerators, such as `usage 0.4`.
+pub const USAGE: &str = "usage ";
+
+/// Holds one member.
+#[derive(Debug)]
+pub(super) struct HeldTask {
+    request: ReserveRequest,
+    epoch: Epoch,
+    phase: MemberPhase,
+    reserved_ms: u64,
+    committed_ms: Option<u64>,
+    started_ms: Option<u64>,
+    ended_ms: Option<u64>,
+    /// End of the reservation or of the lease.
+    deadline_ms: u64,
+    reason: Option<EndReason>,
+    failure: Option<String>,
+    recorded: bool,
+    /// Work done at `measured_ms`; from there it grows by `speed * share`.
+    done: f64,
+    measured_ms: u64,
+    speed: f64,
+    share: f64,
+    checkpoint_ms: u64,
+}
+
+impl HeldTask {
+    pub fn new(request: ReserveRequest, epoch: Epoch, now_ms: u64, deadline_ms: u64) -> Self {
+        Self {
+            request,
+            epoch,
+            phase: MemberPhase::Reserved,
+            reserved_ms: now_ms,
+            committed_ms: None,
+            started_ms: None,
+            ended_ms: None,
+            deadline_ms,
+            reason: None,
+            failure: None,
+            recorded: false,
+            done: 0.0,
+            measured_ms: now_ms,
+            speed: 0.0,
+            share: 1.0,
+            checkpoint_ms: 0,
+        }
+    }
+
+    pub fn member(&self) -> &MemberId {
+        &self.request.member
+    }
+
+    pub fn request(&self) -> &ReserveRequest {
+        &self.request
+    }
+
+    pub fn phase(&self) -> MemberPhase {
+        self.phase
+    }
+
+    pub fn reserved_ms(&self) -> u64 {
+        self.reserved_ms
+    }
+
+    pub fn ended_ms(&self) -> Option<u64> {
+        self.ended_ms
+    }
+
+    pub fn failure(&self) -> Option<String> {
+        self.failure.clone()
+    }
+
+    /// Returns whether the member holds its resources.
+    pub fn is_held(&self) -> bool {
+        matches!(self.phase, MemberPhase::Reserved | MemberPhase::Committed | MemberPhase::Running)
+    }
+
+    pub fn is_recorded(&self) -> bool {
+        self.recorded
+    }
+
+    pub fn set_recorded(&mut self) {
+        self.recorded = true;
+    }
+
+    pub fn fails_start(&self) -> bool {
+        self.request.command.starts_with(FAIL_START)
+    }
+
+    pub fn commit(&mut self, now_ms: u64, deadline_ms: u64) {
+        self.phase = MemberPhase::Committed;
+        self.committed_ms = Some(now_ms);
+        self.deadline_ms = deadline_ms;
+    }
+
+    pub fn start(&mut self, speed: f64, now_ms: u64) {
+        self.phase = MemberPhase::Running;
+        self.started_ms = Some(now_ms);
+        self.measured_ms = now_ms;
+        self.speed = speed;
+    }
+
+    /// Extends the lease; a renewal that arrives late never shortens it.
+    pub fn renew(&mut self, deadline_ms: u64) {
+        if matches!(self.phase, MemberPhase::Committed | MemberPhase::Running) {
+            self.deadline_ms = self.deadline_ms.max(deadline_ms);
+        }
+    }
+
+    pub fn checkpoint(&mut self, now_ms: u64) -> u64 {
+        self.checkpoint_ms = whole(self.done_at(now_ms));
+        self.checkpoint_ms
+    }
+
+    pub fn throttle(&mut self, share: f64, now_ms: u64) {
+        self.measure(now_ms);
+        self.share = share;
+    }
+
+    pub fn set_speed(&mut self, speed: f64, now_ms: u64) {
+        self.measure(now_ms);
+        self.speed = speed;
+    }
+
+    pub fn end(&mut self, reason: EndReason, at_ms: u64) {
+        self.measure(at_ms);
+        self.phase = match reason {
+            EndReason::Finished => MemberPhase::Finished,
+            EndReason::StartFailed | EndReason::TaskFailed | EndReason::AcceleratorFailed => {
+                MemberPhase::Failed
+            }
+            _ => MemberPhase::Stopped,
+        };
+        self.reason = Some(reason);
+        self.ended_ms = Some(at_ms);
+    }
+
+    pub fn fail(&mut self, reason: EndReason, cause: &str, at_ms: u64) {
+        self.end(reason, at_ms);
+        self.failure = Some(cause.into());
+    }
+
+    /// Ends the member at the earliest of its lapse, its failure and the end of its work.
+    pub fn settle(&mut self, now_ms: u64) {
+        if !self.is_held() {
+            return;
+        }
+        let lapse = match self.phase {
+            MemberPhase::Reserved => EndReason::ReservationLapsed,
+            _ => EndReason::LeaseLapsed,
+        };
+        let mut ends = vec![(self.deadline_ms, lapse)];
+        if self.phase == MemberPhase::Running {
+            ends.extend(self.finish_ms().map(|at_ms| (at_ms, EndReason::Finished)));
+            ends.extend(self.failure_ms().map(|at_ms| (at_ms, EndReason::TaskFailed)));
+        }
+        let Some((at_ms, reason)) = ends.into_iter().min().filter(|(at_ms, _)| *at_ms <= now_ms)
+        else {
+            return;
+        };
+        if reason == EndReason::TaskFailed {
+            self.fail(reason, "the task failed as its command asks", at_ms);
+        } else {
+            self.end(reason, at_ms);
+        }
+        if reason == EndReason::Finished {
+            self.done = work(&self.request);
+        }
+    }
+
+    pub fn report(&self, now_ms: u64, lag_ms: u64) -> TaskReport {
+        let seen_ms = now_ms.saturating_sub(lag_ms);
+        let progress = match self.phase {
+            MemberPhase::Running => {
+                let back = self.speed * self.share * now_ms.saturating_sub(seen_ms) as f64;
+                (self.done_at(now_ms) - back).max(0.0)
+            }
+            _ => self.done,
+        };
+        let measured = self.phase == MemberPhase::Running
+            && self.started_ms.is_some_and(|started| started <= seen_ms);
+        TaskReport {
+            member: self.request.member.clone(),
+            gang_members: self.request.gang_members,
+            phase: self.phase,
+            accelerators: self.request.accelerators,
+            progress_ms: whole(progress),
+            checkpoint_ms: self.checkpoint_ms,
+            usage: if measured { self.usage() * self.share } else { 0.0 },
+            failure: self.failure.clone(),
+        }
+    }
+
+    pub fn record(&self, spec: &WorkerSpec, now_ms: u64) -> HoldingRecord {
+        let progress = if self.is_held() { self.done_at(now_ms) } else { self.done };
+        HoldingRecord {
+            worker: spec.id.clone(),
+            domain: spec.domain.clone(),
+            rack: spec.rack.clone(),
+            member: self.request.member.clone(),
+            gang_members: self.request.gang_members,
+            accelerators: self.request.accelerators,
+            epoch: self.epoch,
+            reserved_ms: self.reserved_ms,
+            committed_ms: self.committed_ms,
+            started_ms: self.started_ms,
+            ended_ms: self.ended_ms,
+            reason: self.reason,
+            progress_ms: whole(progress),
+            checkpoint_ms: self.checkpoint_ms,
+        }
+    }
+
+    fn measure(&mut self, now_ms: u64) {
+        self.done = self.done_at(now_ms);
+        self.measured_ms = now_ms;
+    }
+
+    fn done_at(&self, now_ms: u64) -> f64 {
+        if self.phase != MemberPhase::Running {
+            return self.done;
+        }
+        let elapsed = now_ms.saturating_sub(self.measured_ms) as f64;
+        (self.done + elapsed * self.speed * self.share).min(work(&self.request))
+    }
+
+    fn finish_ms(&self) -> Option<u64> {
+        let rate = self.speed * self.share;
+        let left = (work(&self.request) - self.done).max(0.0);
+        (rate > 0.0).then(|| self.measured_ms.saturating_add((left / rate).ceil() as u64))
+    }
+
+    fn failure_ms(&self) -> Option<u64> {
+        let after = self.request.command.strip_prefix(FAIL_AFTER)?.trim().parse::<u64>().ok()?;
+        Some(self.started_ms?.saturating_add(after))
+    }
+
+    /// Returns the real use of the accelerators: as commanded, or from 0.5 to 1 by member.
+    fn usage(&self) -> f64 {
+        let commanded = self.request.command.strip_prefix(USAGE);
+        if let Some(usage) = commanded.and_then(|usage| usage.trim().parse::<f64>().ok()) {
+            return usage.clamp(0.0, 1.0);
+        }
+        let spread = digest(self.request.member.to_string().as_bytes()) % 1_000;
+        0.5 + spread as f64 / 2_000.0
+    }
+}
+
+fn work(request: &ReserveRequest) -> f64 {
+    request.work_ms as f64
+}
+
+fn whole(milliseconds: f64) -> u64 {
+    milliseconds.max(0.0).floor() as u64
+}
