--- /dev/null
+++ b/crates/scheduler/src/admin_context.rs
@@ -0,0 +1,161 @@
+//! Connects the administration API to the process.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use lacewingrail_admin::{AdminContext, VetoOutcome, process_status};
+use lacewingrail_model::admin::{DomainAnswer, DomainQuery, ProcessStatus};
+use lacewingrail_model::config::ConfigView;
+use lacewingrail_model::mark::{MarkIssuer, WriteMark};
+use lacewingrail_model::message::{ConfigPayload, PeerRequest, PeerResponse};
+use lacewingrail_model::store::KeyValueService;
+use lacewingrail_model::{ConfigVersion, DomainName, InstanceId};
+use lacewingrail_membership::SchedulerHook;
+use tokio::time::Instant;
+
+use crate::context::ProcessContext;
+use crate::hook::TenureHook;
+use crate::lease;
+
+/// Longest time of a forwarded question.
+const FORWARD_LIMIT: Duration = Duration::from_millis(1_800);
+/// Time after the write of a take-out at which every start permission from before has expired.
+const VETO_LIMIT: Duration = Duration::from_secs(3);
+/// Longest time of one veto call.
+const VETO_CALL: Duration = Duration::from_millis(500);
+/// Pause before a veto is repeated.
+const VETO_RETRY: Duration = Duration::from_millis(100);
+
+/// Serves the administration API of one process.
+pub struct ProcessAdmin {
+    /// Process.
+    pub context: Arc<ProcessContext>,
+    /// Tenures of the process.
+    pub hook: Arc<TenureHook>,
+    /// Issuer of the marks of this process's administration writes.
+    pub issuer: MarkIssuer,
+}
+
+#[async_trait]
+impl AdminContext for ProcessAdmin {
+    fn instance(&self) -> InstanceId {
+        self.context.membership.settings().instance.clone()
+    }
+
+    fn config(&self) -> Arc<ConfigView> {
+        self.context.membership.current()
+    }
+
+    fn payload(&self) -> Option<ConfigPayload> {
+        self.context.membership.payload()
+    }
+
+    async fn publish(&self, payload: ConfigPayload) {
+        self.context.membership.publish(payload).await;
+    }
+
+    fn store(&self) -> Arc<dyn KeyValueService> {
+        self.context.store.clone()
+    }
+
+    fn issue_mark(&self) -> WriteMark {
+        self.issuer.issue()
+    }
+
+    async fn ask(&self, domain: &DomainName, query: DomainQuery) -> DomainAnswer {
+        if let Some(answer) = self.hook.ask(domain, query.clone()).await {
+            return answer;
+        }
+        let refused = |cause: String| DomainAnswer::Refused(cause);
+        let Some(seen) = self.context.membership.scheduler_of(domain) else {
+            return refused(format!("no active scheduler of {domain} is known; try again later"));
+        };
+        let request = match serde_json::to_string(&query) {
+            Ok(request) => request,
+            Err(error) => return refused(format!("the query cannot be encoded: {error}")),
+        };
+        let request = PeerRequest::AdminForward { domain: domain.clone(), request };
+        match self.context.membership.call(&seen.address, request, FORWARD_LIMIT).await {
+            Ok(PeerResponse::Admin { status: 200, body }) => serde_json::from_str(&body)
+                .unwrap_or_else(|error| refused(format!("the answer cannot be read: {error}"))),
+            Ok(PeerResponse::Admin { body, .. }) => refused(body),
+            Ok(PeerResponse::Refused { reason }) => refused(reason),
+            Ok(_) => refused("the active scheduler gave an unexpected answer".to_owned()),
+            Err(error) => {
+                refused(format!("the active scheduler of {domain} does not answer: {error}"))
+            }
+        }
+    }
+
+    async fn veto(&self, domain: &DomainName, version: ConfigVersion) -> VetoOutcome {
+        let deadline = Instant::now() + VETO_LIMIT;
+        let membership = &self.context.membership;
+        let request = PeerRequest::DomainVeto { domain: domain.clone(), version };
+        loop {
+            if self.hook.veto(domain, version).await && self.holds(domain).await {
+                return VetoOutcome::ConfirmedBy(membership.settings().instance.clone());
+            }
+            let mut addresses: Vec<String> =
+                membership.scheduler_of(domain).map(|seen| seen.address).into_iter().collect();
+            let peers = membership.peers();
+            let others = peers.iter().filter(|peer| peer.domain == *domain && peer.alive);
+            addresses.extend(others.map(|peer| peer.address.clone()));
+            addresses.dedup();
+            let calls = addresses.iter().map(|address| async {
+                membership.call(address, request.clone(), VETO_CALL).await
+            });
+            let responses = futures::future::join_all(calls).await;
+            let confirmed = responses
+                .iter()
+                .any(|response| matches!(response, Ok(PeerResponse::VetoConfirmed { active: true })));
+            if confirmed && let Some(holder) = self.holder(domain).await {
+                return VetoOutcome::ConfirmedBy(holder);
+            }
+            if Instant::now() + VETO_RETRY >= deadline {
+                self.context.timer.wait(deadline - Instant::now()).await;
+                return VetoOutcome::PermissionExpired;
+            }
+            self.context.timer.wait(VETO_RETRY).await;
+        }
+    }
+
+    fn processes(&self) -> Vec<ProcessStatus> {
+        let membership = &self.context.membership;
+        let settings = membership.settings();
+        let own = ProcessStatus {
+            instance: settings.instance.clone(),
+            role: "scheduler".to_owned(),
+            domain: settings.domain.clone(),
+            address: settings.address.clone(),
+            config_version: membership.current().version,
+            silent_s: Some(0.0),
+            alive: true,
+            leaving: false,
+        };
+        let peers = membership.peers().into_iter().map(process_status);
+        std::iter::once(own).chain(peers).collect()
+    }
+
+    fn not_ready(&self) -> Option<String> {
+        let ready = self.context.membership.ready();
+        (!ready).then(|| "the settings are not known yet or the process is leaving".to_owned())
+    }
+}
+
+impl ProcessAdmin {
+    /// Returns who holds the scheduler lease of a domain now.
+    ///
+    /// A confirmation counts only from the process that the store names, since a former holder may
+    /// not know yet that it was replaced.
+    async fn holder(&self, domain: &DomainName) -> Option<InstanceId> {
+        let read = lease::holder(&*self.context.store, domain);
+        let holder = tokio::time::timeout(lease::RENEW_LIMIT, read).await.ok()?.ok()?;
+        holder.map(|(record, _)| record.holder)
+    }
+
+    async fn holds(&self, domain: &DomainName) -> bool {
+        self.holder(domain).await.as_ref() == Some(&self.context.membership.settings().instance)
+    }
+}
+
--- /dev/null
+++ b/crates/scheduler/src/hook.rs
@@ -0,0 +1,77 @@
+//! Answers what only the active scheduler of a failure domain knows.
+
+use std::sync::{Arc, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use lacewingrail_membership::SchedulerHook;
+use lacewingrail_model::admin::{DomainAnswer, DomainQuery};
+use lacewingrail_model::{ConfigVersion, DomainName};
+
+use crate::context::ProcessContext;
+use crate::job_controller::{AskDomain, SettingsChanged};
+use crate::lease_controller::{TenureEntry, TenureTable};
+
+/// Longest time for an answer of the job controller.
+const ASK_LIMIT: Duration = Duration::from_millis(1_500);
+/// HTTP status of an answer.
+const OK: u16 = 200;
+/// HTTP status of a request that this process cannot answer.
+const MISDIRECTED: u16 = 421;
+/// HTTP status of a request that cannot be read.
+const BAD_REQUEST: u16 = 400;
+
+/// Answers peers from the tenures of this process.
+pub struct TenureHook {
+    /// Process.
+    pub context: Arc<ProcessContext>,
+    /// Tenures of the process.
+    pub table: TenureTable,
+}
+
+impl TenureHook {
+    /// Returns the tenure of a domain, if this process has one.
+    pub fn tenure(&self, domain: &DomainName) -> Option<TenureEntry> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner).get(domain).cloned()
+    }
+
+    /// Asks the own job controller.
+    pub async fn ask(&self, domain: &DomainName, query: DomainQuery) -> Option<DomainAnswer> {
+        let jobs = self.tenure(domain)?.jobs?;
+        let answer = jobs.ask(AskDomain(query));
+        tokio::time::timeout(ASK_LIMIT, async move { answer.await.ok() }).await.ok()?
+    }
+}
+
+#[async_trait]
+impl SchedulerHook for TenureHook {
+    async fn veto(&self, domain: &DomainName, version: ConfigVersion) -> bool {
+        self.context.membership.note_veto(domain, version);
+        let Some(tenure) = self.tenure(domain) else {
+            return false;
+        };
+        // From here on the permission refuses every start, also those already decided. A start call
+        // that is on its way carries the rest of its permission.
+        let denied = tenure.permission.remaining().is_err();
+        if let Some(jobs) = &tenure.jobs {
+            let _ = jobs.tell(SettingsChanged).try_send();
+        }
+        denied
+    }
+
+    async fn answer(&self, domain: &DomainName, request: &str) -> (u16, String) {
+        let query: DomainQuery = match serde_json::from_str(request) {
+            Ok(query) => query,
+            Err(error) => return (BAD_REQUEST, format!("the query cannot be read: {error}")),
+        };
+        match self.ask(domain, query).await {
+            Some(answer) => match serde_json::to_string(&answer) {
+                Ok(body) => (OK, body),
+                Err(error) => (BAD_REQUEST, format!("the answer cannot be encoded: {error}")),
+            },
+            None => {
+                (MISDIRECTED, format!("this process does not schedule {domain}; ask another"))
+            }
+        }
+    }
+}
--- a/crates/scheduler/src/permission.rs
+++ b/crates/scheduler/src/permission.rs
@@ -6,6 +6,7 @@
 //! answer may have waited in a queue.
 
 use std::fmt;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -26,6 +27,7 @@
     domain: DomainName,
     membership: Membership,
     state: Mutex<PermissionState>,
+    revoked: AtomicBool,
 }
 
 #[derive(Debug, Default)]
@@ -50,6 +52,8 @@
     EvidenceOld,
     /// The rate of starts after a return is used up.
     Ramp,
+    /// This process is not the active scheduler.
+    Revoked,
 }
 
 impl fmt::Display for PermissionDenial {
@@ -63,6 +67,7 @@
                 "the state of the failure domain cannot be read and this is not known to be an \
                  outage of the store; check the network of the domain"
             }
+            Self::Revoked => "this process is not the active scheduler; ask the one that is",
             Self::Ramp => "the failure domain returns; starts are admitted at a rising rate",
         })
     }
@@ -73,7 +78,12 @@
 impl StartPermission {
     /// Creates a permission without evidence.
     pub fn new(domain: DomainName, membership: Membership) -> Self {
-        Self { domain, membership, state: Mutex::default() }
+        Self { domain, membership, state: Mutex::default(), revoked: AtomicBool::new(false) }
+    }
+
+    /// Forbids all further starts, because this process is not the active scheduler any more.
+    pub fn revoke(&self) {
+        self.revoked.store(true, Ordering::Release);
     }
 
     /// Records a read of the domain's state that was sent at `sent`.
@@ -88,6 +98,9 @@
     /// # Errors
     /// States why no task may start now.
     pub fn remaining(&self) -> Result<Duration, PermissionDenial> {
+        if self.revoked.load(Ordering::Acquire) {
+            return Err(PermissionDenial::Revoked);
+        }
         let now = Instant::now();
         let evidence = {
             let mut state = self.lock();
--- /dev/null
+++ b/crates/scheduler/src/process.rs
@@ -0,0 +1,312 @@
+//! One scheduler process, also as a part of a larger one.
+//!
+//! Nothing here is global, so that tests and the single-process demonstration run several schedulers
+//! in one process. The logger and the span pipeline are installed by the binary.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use axum::Router;
+use kameo::actor::{ActorRef, Spawn};
+use kameo::mailbox;
+use lacewingrail_membership::config::TreeDecoder;
+use lacewingrail_membership::{Membership, MembershipSettings};
+use lacewingrail_model::DomainName;
+use lacewingrail_model::instance::{InstanceList, InstanceRole};
+use lacewingrail_model::keys;
+use lacewingrail_model::mark::{MarkIssuer, fresh_instance};
+use lacewingrail_model::store::KeyValueService;
+use lacewingrail_model::timer::TimerService;
+use lacewingrail_model::worker::WorkerService;
+use lacewingrail_settings::{ProcessSettings, StoredTree};
+use lacewingrail_telemetry::MetricsRegistry;
+use lacewingrail_wire::PeerServer;
+use tokio::net::TcpListener;
+use tokio::task::{AbortHandle, JoinHandle};
+
+use crate::admin_context::ProcessAdmin;
+use crate::context::ProcessContext;
+use crate::hook::TenureHook;
+use crate::lease_controller::{LeaseController, LeaseSettings, LeaseTick, Retire, TenureTable};
+use crate::metrics::SchedulerMetrics;
+
+/// Time between renewals of a held lease and between attempts to take a free one.
+const LEASE_PERIOD: Duration = crate::lease::RENEW_PERIOD;
+/// Time that one watch of the own domain's lease waits.
+const LEASE_WATCH: Duration = Duration::from_secs(5);
+/// Pause after a failed watch.
+const WATCH_RETRY: Duration = Duration::from_secs(1);
+/// Time that peers get to notice that the process leaves.
+const LEAVE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Runs one scheduler process; dropping it ends it as a crash would.
+pub struct SchedulerProcess {
+    context: Arc<ProcessContext>,
+    hook: Arc<TenureHook>,
+    registry: MetricsRegistry,
+    leases: Arc<tokio::sync::Mutex<BTreeMap<DomainName, ActorRef<LeaseController>>>>,
+    peer_address: SocketAddr,
+    admin_address: Option<SocketAddr>,
+    tasks: Vec<AbortHandle>,
+    _server: PeerServer,
+}
+
+/// States why a process did not start.
+#[derive(Debug)]
+pub struct StartError(
+    /// Cause and remedy.
+    pub String,
+);
+
+impl std::fmt::Display for StartError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for StartError {}
+
+impl SchedulerProcess {
+    /// Starts a process on the addresses of its settings.
+    ///
+    /// # Errors
+    /// Reports an address that cannot be listened on.
+    pub async fn start(
+        settings: ProcessSettings,
+        store: Arc<dyn KeyValueService>,
+        workers: Arc<dyn WorkerService>,
+        list: Arc<dyn InstanceList>,
+        timer: TimerService,
+    ) -> Result<Self, StartError> {
+        // The listener of the peers must exist before the membership can name its address.
+        let relay = Arc::new(HandlerRelay::default());
+        let server = PeerServer::bind(settings.listen.peers, relay.clone()).await;
+        let server = server.map_err(|error| {
+            StartError(format!("cannot listen for peers: {error}; change listen.peers"))
+        })?;
+        let membership = Membership::new(
+            MembershipSettings {
+                instance: fresh_instance(&settings.name),
+                role: InstanceRole::Scheduler,
+                domain: settings.domain.clone(),
+                address: server.address().to_string(),
+                peers: settings.peers.iter().map(SocketAddr::to_string).collect(),
+            },
+            store.clone(),
+            Some(list.clone()),
+            decoder(),
+            timer.clone(),
+        );
+        let _ = relay.0.set(membership.handler());
+        let registry = MetricsRegistry::new();
+        let context = Arc::new(ProcessContext {
+            membership: membership.clone(),
+            store,
+            workers,
+            list,
+            timer,
+            metrics: SchedulerMetrics::new(&registry),
+            started: Instant::now(),
+        });
+        let table = TenureTable::default();
+        let hook = Arc::new(TenureHook { context: context.clone(), table });
+        membership.set_hook(hook.clone());
+        membership.start();
+        let leases = Arc::default();
+        let mut process = Self {
+            context,
+            hook,
+            registry,
+            leases,
+            peer_address: server.address(),
+            admin_address: None,
+            tasks: Vec::new(),
+            _server: server,
+        };
+        process.spawn_leases();
+        if let Some(address) = settings.listen.admin {
+            process.serve(address).await?;
+        }
+        Ok(process)
+    }
+
+    /// Returns the address on which peers reach the process.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Returns the address of the administration API.
+    pub fn admin_address(&self) -> Option<SocketAddr> {
+        self.admin_address
+    }
+
+    /// Returns the process's view of its peers and of the configuration.
+    pub fn membership(&self) -> &Membership {
+        &self.context.membership
+    }
+
+    /// Returns the metrics of the process.
+    pub fn registry(&self) -> &MetricsRegistry {
+        &self.registry
+    }
+
+    /// Returns the metrics that the controllers count.
+    pub fn metrics(&self) -> &SchedulerMetrics {
+        &self.context.metrics
+    }
+
+    /// Returns the domains that this process schedules, with their epochs.
+    pub fn tenures(&self) -> BTreeMap<DomainName, u64> {
+        let table = self.hook.table.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        table.iter().map(|(domain, entry)| (domain.clone(), entry.epoch)).collect()
+    }
+
+    /// Returns the administration interface of the process.
+    pub fn admin(&self) -> Arc<ProcessAdmin> {
+        let instance = &self.context.membership.settings().instance;
+        Arc::new(ProcessAdmin {
+            context: self.context.clone(),
+            hook: self.hook.clone(),
+            issuer: MarkIssuer::new(format!("{instance}/admin-{:08x}", rand::random::<u32>())),
+        })
+    }
+
+    /// Gives up all leases, so that successors need not wait, and ends the process.
+    pub async fn shut_down(self) {
+        self.context.membership.set_leaving();
+        let leases: Vec<_> = self.leases.lock().await.values().cloned().collect();
+        let retire = leases.iter().map(|lease| async { lease.ask(Retire).await });
+        let _ = tokio::time::timeout(LEAVE_LIMIT, futures::future::join_all(retire)).await;
+    }
+
+    /// Runs one lease controller for each domain of the own region.
+    fn spawn_leases(&mut self) {
+        let (context, table) = (self.context.clone(), self.hook.table.clone());
+        let leases = self.leases.clone();
+        let issuer = Arc::new(MarkIssuer::new(context.membership.settings().instance.clone()));
+        let mut config = context.membership.config();
+        self.keep(tokio::spawn(async move {
+            loop {
+                let view = config.borrow_and_update().clone();
+                let own = &context.membership.settings().domain;
+                let region = view.domains.get(own).map(|domain| domain.region.clone());
+                let domains = view.domains.iter().filter(|(_, domain)| {
+                    Some(&domain.region) == region.as_ref()
+                });
+                for (domain, _) in domains {
+                    let mut leases = leases.lock().await;
+                    if leases.contains_key(domain) {
+                        continue;
+                    }
+                    let settings = LeaseSettings {
+                        context: context.clone(),
+                        domain: domain.clone(),
+                        issuer: issuer.clone(),
+                        table: table.clone(),
+                    };
+                    let lease =
+                        LeaseController::spawn_with_mailbox(settings, mailbox::unbounded());
+                    leases.insert(domain.clone(), lease.clone());
+                    tokio::spawn(tick(context.clone(), lease.clone()));
+                    if domain == own {
+                        tokio::spawn(watch_lease(context.clone(), domain.clone(), lease));
+                    }
+                }
+                if config.changed().await.is_err() {
+                    return;
+                }
+            }
+        }));
+    }
+
+    async fn serve(&mut self, address: SocketAddr) -> Result<(), StartError> {
+        let failed = |error: std::io::Error| {
+            StartError(format!("cannot listen on {address}: {error}; change listen.admin"))
+        };
+        let listener = TcpListener::bind(address).await.map_err(failed)?;
+        self.admin_address = Some(listener.local_addr().map_err(failed)?);
+        let router: Router = lacewingrail_admin::router(self.admin(), self.registry.router());
+        self.keep(tokio::spawn(async move {
+            if let Err(error) = axum::serve(listener, router).await {
+                log::error!("the administration API ended: {error}");
+            }
+        }));
+        Ok(())
+    }
+
+    fn keep(&mut self, task: JoinHandle<()>) {
+        self.tasks.push(task.abort_handle());
+    }
+}
+
+impl Drop for SchedulerProcess {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(AbortHandle::abort);
+        if let Ok(leases) = self.leases.try_lock() {
+            leases.values().for_each(ActorRef::kill);
+        }
+    }
+}
+
+/// Passes peer requests on once the membership exists.
+#[derive(Default)]
+struct HandlerRelay(std::sync::OnceLock<Arc<dyn lacewingrail_wire::PeerHandler>>);
+
+#[async_trait::async_trait]
+impl lacewingrail_wire::PeerHandler for HandlerRelay {
+    async fn handle(
+        &self,
+        frame: lacewingrail_model::message::PeerFrame,
+    ) -> lacewingrail_model::message::PeerResponse {
+        match self.0.get() {
+            Some(handler) => handler.handle(frame).await,
+            None => lacewingrail_model::message::PeerResponse::Refused {
+                reason: "the process is starting; try again".to_owned(),
+            },
+        }
+    }
+}
+
+/// Returns the decoder of stored settings trees.
+pub fn decoder() -> TreeDecoder {
+    Arc::new(|text| {
+        let stored = StoredTree::decode(text).map_err(|error| error.to_string())?;
+        stored.view().map_err(|error| error.to_string())
+    })
+}
+
+async fn tick(context: Arc<ProcessContext>, lease: ActorRef<LeaseController>) {
+    let mut ticks = context.timer.subscribe_spread(LEASE_PERIOD);
+    loop {
+        ticks.tick().await;
+        if lease.tell(LeaseTick).try_send().is_err() {
+            return;
+        }
+    }
+}
+
+/// Lets the controller act as soon as the lease of its domain is given up.
+async fn watch_lease(
+    context: Arc<ProcessContext>,
+    domain: DomainName,
+    lease: ActorRef<LeaseController>,
+) {
+    let key = keys::scheduler_lease(&domain);
+    let mut revision = 0;
+    while lease.is_alive() {
+        let call = context.store.watch(&key, revision, LEASE_WATCH);
+        match tokio::time::timeout(LEASE_WATCH + WATCH_RETRY, call).await {
+            Ok(Ok(batch)) => {
+                revision = batch.revision;
+                let freed = batch.events.iter().any(|event| event.value.is_none());
+                if freed && lease.tell(LeaseTick).try_send().is_err() {
+                    return;
+                }
+            }
+            Ok(Err(_)) => context.timer.wait(WATCH_RETRY).await,
+            Err(_) => log::warn!("the watch of {key} went silent; it is renewed"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/tenure.rs
@@ -0,0 +1,425 @@
+//! The time for which this process is the active scheduler of a failure domain.
+//!
+//! A tenure begins with a rebuild: every worker is asked for its tasks under the new epoch, which
+//! fences the former scheduler, and the job records are listed. Then the controllers run until the
+//! tenure is dropped.
+
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
+
+use futures::{StreamExt, stream};
+use kameo::actor::{ActorRef, Spawn};
+use kameo::mailbox;
+use lacewingrail_model::job::JobRecord;
+use lacewingrail_model::mark::MarkIssuer;
+use lacewingrail_model::store::Revision;
+use lacewingrail_model::worker::{RENEW_PERIOD, WorkerError, WorkerSpec};
+use lacewingrail_model::{DomainName, Epoch, keys};
+use lacewingrail_placement::WorkerCapacity;
+use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, JoinHandle};
+
+use crate::context::ProcessContext;
+use crate::gang_controller::{
+    AdoptGang, GangController, GangEvent, GangSettings, RenewTick, SetWorkers, StopOrphan,
+};
+use crate::gang_start::GangStarter;
+use crate::job_controller::{
+    EndsRecorded, JobController, JobFaulty, JobSettings, JobTick, SetCapacities, SettingsChanged,
+    StoreChanged, issuer_name,
+};
+use crate::permission::StartPermission;
+use crate::rebuild::{self, WorkerAnswer};
+use crate::records;
+use crate::worker_controller::{LIST_PERIOD, ListTick, WorkerController, WorkerSettings};
+use crate::{evidence, history};
+
+/// Workers asked at a time.
+const REBUILD_WIDTH: usize = 64;
+/// Longest time of one call to a worker during the rebuild.
+const REPORT_LIMIT: Duration = Duration::from_millis(500);
+/// Calls to a worker during the rebuild.
+const REPORT_ATTEMPTS: u32 = 2;
+/// Pause before the rebuild tries again to read the workers or the records.
+const REBUILD_RETRY: Duration = Duration::from_millis(250);
+/// Time between looks at waiting jobs.
+const JOB_PERIOD: Duration = Duration::from_millis(500);
+/// Time that one watch of the records waits.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Time after which a watch that did not return counts as silent.
+const WATCH_LIMIT: Duration = Duration::from_secs(12);
+
+/// Takes the higher epoch that a worker has seen.
+pub type StaleSink = Arc<dyn Fn(Epoch) + Send + Sync>;
+
+/// Says how a tenure begins.
+pub struct TenureSettings {
+    /// Process.
+    pub context: Arc<ProcessContext>,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Epoch.
+    pub epoch: Epoch,
+    /// Whether only renewals and stops are allowed, because the store is out and the former
+    /// scheduler is gone.
+    pub renew_only: bool,
+    /// Whether this process was in contact with the store for so long that no gang can have been
+    /// started without its record saying so.
+    pub trust_queued: bool,
+    /// Receiver of higher epochs.
+    pub stale: StaleSink,
+}
+
+/// Runs the controllers of one tenure; dropping it ends them.
+pub struct Tenure {
+    /// Epoch.
+    pub epoch: Epoch,
+    /// Whether only renewals and stops are allowed.
+    pub renew_only: bool,
+    /// Permission to start.
+    pub permission: Arc<StartPermission>,
+    /// Gang controller.
+    pub gangs: ActorRef<GangController>,
+    /// Job controller; nothing in renew-only mode.
+    pub jobs: Option<ActorRef<JobController>>,
+    workers: Option<ActorRef<WorkerController>>,
+    tasks: TaskSet,
+}
+
+/// Aborts its tasks when dropped.
+#[derive(Default)]
+struct TaskSet(Vec<AbortHandle>);
+
+struct Found {
+    answers: Vec<WorkerAnswer>,
+    records: Option<Vec<(JobRecord, Revision)>>,
+    revision: Revision,
+}
+
+impl Tenure {
+    /// Rebuilds the state of the domain and starts the controllers.
+    ///
+    /// # Errors
+    /// Returns the higher epoch that a worker has seen.
+    pub async fn begin(settings: TenureSettings) -> Result<Self, Epoch> {
+        let begun = Instant::now();
+        let context = settings.context.clone();
+        let permission = StartPermission::new(settings.domain.clone(), context.membership.clone());
+        let permission = Arc::new(permission);
+        let mut tasks = TaskSet::default();
+        if settings.renew_only {
+            permission.revoke();
+        } else {
+            tasks.add(tokio::spawn(evidence::run(context.clone(), permission.clone())));
+        }
+        let found = find(&settings).await?;
+        let tenure = Self::start(settings, permission, found, tasks);
+        context.metrics.rebuild.observe(begun.elapsed().as_secs_f64());
+        log::info!("the rebuild took {:?}", begun.elapsed());
+        Ok(tenure)
+    }
+
+    /// Forbids starts at once; calls already sent are fenced by the next epoch.
+    pub fn revoke(&self) {
+        self.permission.revoke();
+    }
+
+    fn start(
+        settings: TenureSettings,
+        permission: Arc<StartPermission>,
+        found: Found,
+        mut tasks: TaskSet,
+    ) -> Self {
+        let TenureSettings { context, domain, epoch, renew_only, trust_queued, stale } = settings;
+        let starter = GangStarter {
+            workers: context.workers.clone(),
+            permission: permission.clone(),
+            timer: context.timer.clone(),
+            epoch,
+        };
+        let plan = rebuild::assess(&domain, found.records, &found.answers, trust_queued);
+        log::info!(
+            "failure domain {domain}, epoch {epoch}: {} workers, {} gangs adopted, {} jobs wait",
+            found.answers.len(),
+            plan.adopted.len(),
+            plan.waiting.len()
+        );
+        let receiver: Arc<OnceLock<ActorRef<JobController>>> = Arc::default();
+        let sink = {
+            let receiver = receiver.clone();
+            Arc::new(move |event: GangEvent| {
+                if let GangEvent::Stale { seen } = event {
+                    stale(seen);
+                } else if let Some(jobs) = receiver.get() {
+                    let _ = jobs.tell(event).try_send();
+                }
+            })
+        };
+        let gangs = GangController::spawn_with_mailbox(
+            GangSettings {
+                context: context.clone(),
+                domain: domain.clone(),
+                starter: starter.clone(),
+                renew_only,
+                sink,
+            },
+            mailbox::unbounded(),
+        );
+        let specs = found.answers.iter().map(|answer| answer.spec.clone()).collect();
+        let _ = gangs.tell(SetWorkers(specs)).try_send();
+        tasks.tick(&context, RENEW_PERIOD, &gangs, || RenewTick);
+        if renew_only {
+            for gang in plan.adopted {
+                let (plan, reports) = (gang.plan, gang.reports);
+                let _ = gangs.tell(AdoptGang { plan, reports, resume: false }).try_send();
+            }
+            for (worker, member) in plan.orphans {
+                let _ = gangs.tell(StopOrphan(worker, member)).try_send();
+            }
+            return Self { epoch, renew_only, permission, gangs, jobs: None, workers: None, tasks };
+        }
+        let workers = WorkerController::spawn_with_mailbox(
+            WorkerSettings {
+                context: context.clone(),
+                domain: domain.clone(),
+                starter,
+                gangs: gangs.clone(),
+                capacities: capacity_sink(receiver.clone()),
+                faulty: faulty_sink(receiver.clone()),
+                found: found
+                    .answers
+                    .into_iter()
+                    .map(|answer| (answer.spec, answer.report))
+                    .collect(),
+            },
+            mailbox::unbounded(),
+        );
+        let instance = &context.membership.settings().instance;
+        let issuer = Arc::new(MarkIssuer::new(issuer_name(instance, &domain, epoch)));
+        let (ends, ended) = mpsc::unbounded_channel();
+        let jobs = JobController::spawn_with_mailbox(
+            JobSettings {
+                context: context.clone(),
+                domain: domain.clone(),
+                epoch,
+                permission: permission.clone(),
+                gangs: gangs.clone(),
+                workers: workers.clone(),
+                issuer: issuer.clone(),
+                ends,
+                plan,
+            },
+            mailbox::unbounded(),
+        );
+        let _ = receiver.set(jobs.clone());
+        let _ = workers.tell(ListTick).try_send();
+        tasks.tick(&context, LIST_PERIOD, &workers, || ListTick);
+        tasks.tick(&context, JOB_PERIOD, &jobs, || JobTick);
+        tasks.add(tokio::spawn(watch_settings(context.clone(), jobs.clone())));
+        tasks.add(tokio::spawn(watch_jobs(
+            context.clone(),
+            domain.clone(),
+            found.revision,
+            jobs.clone(),
+        )));
+        let done = {
+            let jobs = jobs.clone();
+            Arc::new(move |ended| drop(jobs.tell(EndsRecorded(ended)).try_send()))
+        };
+        tasks.add(tokio::spawn(history::run(context, domain, issuer, ended, done)));
+        let (jobs, workers) = (Some(jobs), Some(workers));
+        Self { epoch, renew_only, permission, gangs, jobs, workers, tasks }
+    }
+}
+
+impl Drop for Tenure {
+    fn drop(&mut self) {
+        self.permission.revoke();
+        self.gangs.kill();
+        if let Some(jobs) = &self.jobs {
+            jobs.kill();
+        }
+        if let Some(workers) = &self.workers {
+            workers.kill();
+        }
+        self.tasks.0.iter().for_each(AbortHandle::abort);
+    }
+}
+
+impl Drop for TaskSet {
+    fn drop(&mut self) {
+        self.0.iter().for_each(AbortHandle::abort);
+    }
+}
+
+impl TaskSet {
+    fn add(&mut self, task: JoinHandle<()>) {
+        self.0.push(task.abort_handle());
+    }
+
+    /// Sends a message to an actor at each tick of a period.
+    fn tick<A, M, F>(
+        &mut self,
+        context: &ProcessContext,
+        period: Duration,
+        actor: &ActorRef<A>,
+        make: F,
+    ) where
+        A: kameo::Actor + kameo::message::Message<M>,
+        F: Fn() -> M + Send + 'static,
+        M: Send + 'static,
+    {
+        let mut ticks = context.timer.subscribe_spread(period);
+        let actor = actor.clone();
+        self.add(tokio::spawn(async move {
+            loop {
+                ticks.tick().await;
+                if actor.tell(make()).try_send().is_err() {
+                    return;
+                }
+            }
+        }));
+    }
+}
+
+fn capacity_sink(
+    receiver: Arc<OnceLock<ActorRef<JobController>>>,
+) -> crate::worker_controller::CapacitySink {
+    Arc::new(move |capacities: Vec<WorkerCapacity>, specs: Vec<Arc<WorkerSpec>>| {
+        if let Some(jobs) = receiver.get() {
+            let _ = jobs.tell(SetCapacities(capacities, specs)).try_send();
+        }
+    })
+}
+
+fn faulty_sink(
+    receiver: Arc<OnceLock<ActorRef<JobController>>>,
+) -> crate::worker_controller::FaultySink {
+    Arc::new(move |job, reason| {
+        if let Some(jobs) = receiver.get() {
+            let _ = jobs.tell(JobFaulty { job, reason }).try_send();
+        }
+    })
+}
+
+/// Asks all workers for their tasks and lists the job records.
+async fn find(settings: &TenureSettings) -> Result<Found, Epoch> {
+    let (context, domain) = (&settings.context, &settings.domain);
+    let specs = loop {
+        match tokio::time::timeout(REPORT_LIMIT * 2, context.list.workers()).await {
+            Ok(Ok(specs)) => break specs,
+            Ok(Err(error)) => log::warn!("{error}"),
+            Err(_) => log::warn!("the list of workers did not arrive in time"),
+        }
+        context.timer.wait(REBUILD_RETRY).await;
+    };
+    let specs = specs.into_iter().filter(|spec| spec.domain == *domain).map(Arc::new);
+    let calls: Vec<_> = specs.map(|spec| ask(context, settings.epoch, spec)).collect();
+    let answers = stream::iter(calls).buffer_unordered(REBUILD_WIDTH).collect::<Vec<_>>();
+    let records = async {
+        match settings.renew_only {
+            true => (None, 0),
+            false => list(context, domain).await,
+        }
+    };
+    let (answers, (records, revision)) = tokio::join!(answers, records);
+    let mut found = Vec::with_capacity(answers.len());
+    for answer in answers {
+        found.push(answer?);
+    }
+    found.sort_by(|one, other| one.spec.id.cmp(&other.spec.id));
+    Ok(Found { answers: found, records, revision })
+}
+
+async fn ask(
+    context: &ProcessContext,
+    epoch: Epoch,
+    spec: Arc<WorkerSpec>,
+) -> Result<WorkerAnswer, Epoch> {
+    let mut sent = Instant::now();
+    for _ in 0..REPORT_ATTEMPTS {
+        sent = Instant::now();
+        let call = context.workers.report(&spec, epoch);
+        match tokio::time::timeout(REPORT_LIMIT, call).await {
+            Ok(Ok(report)) => return Ok(WorkerAnswer { spec, sent, report: Some(report) }),
+            Ok(Err(WorkerError::StaleEpoch { seen })) => return Err(seen),
+            Ok(Err(_)) | Err(_) => {}
+        }
+    }
+    log::warn!("worker {} does not answer the rebuild", spec.id);
+    Ok(WorkerAnswer { spec, sent, report: None })
+}
+
+async fn list(
+    context: &ProcessContext,
+    domain: &DomainName,
+) -> (Option<Vec<(JobRecord, Revision)>>, Revision) {
+    let prefix = keys::jobs_of(domain);
+    let entries = loop {
+        match records::limit(context.store.list(&prefix)).await {
+            Ok(entries) => break entries,
+            Err(error) => log::warn!("the job records of {domain} cannot be listed: {error}"),
+        }
+        context.timer.wait(REBUILD_RETRY).await;
+    };
+    let revision = entries.iter().map(|entry| entry.revision).max().unwrap_or(0);
+    let parse = |entry: &lacewingrail_model::store::StoreEntry| {
+        match serde_json::from_str::<JobRecord>(&entry.value) {
+            Ok(record) => Some((record, entry.revision)),
+            Err(error) => {
+                log::error!("{} is malformed ({error}); delete it", entry.key);
+                None
+            }
+        }
+    };
+    (Some(entries.iter().filter_map(parse).collect()), revision)
+}
+
+async fn watch_settings(context: Arc<ProcessContext>, jobs: ActorRef<JobController>) {
+    let mut config = context.membership.config();
+    let mut vetoes = context.membership.vetoes();
+    loop {
+        if jobs.tell(SettingsChanged).try_send().is_err() {
+            return;
+        }
+        let changed = tokio::select! {
+            changed = config.changed() => changed,
+            changed = vetoes.changed() => changed,
+        };
+        if changed.is_err() {
+            return;
+        }
+    }
+}
+
+async fn watch_jobs(
+    context: Arc<ProcessContext>,
+    domain: DomainName,
+    mut revision: Revision,
+    jobs: ActorRef<JobController>,
+) {
+    let prefix = keys::jobs_of(&domain);
+    loop {
+        let call = context.store.watch(&prefix, revision, WATCH_WAIT);
+        let batch = match tokio::time::timeout(WATCH_LIMIT, call).await {
+            Ok(Ok(batch)) => batch,
+            Ok(Err(error)) => {
+                log::debug!("the watch of {prefix} failed: {error}");
+                context.timer.wait(REBUILD_RETRY).await;
+                continue;
+            }
+            Err(_) => {
+                log::warn!("the watch of {prefix} went silent; it is renewed");
+                continue;
+            }
+        };
+        revision = batch.revision;
+        let (events, reset) = (batch.events, batch.reset);
+        if (reset || !events.is_empty())
+            && jobs.tell(StoreChanged { events, reset }).try_send().is_err()
+        {
+            return;
+        }
+    }
+}
+
--- a/crates/scheduler/src/worker_controller.rs
+++ b/crates/scheduler/src/worker_controller.rs
@@ -65,7 +65,8 @@
     me: ActorRef<Self>,
     workers: BTreeMap<WorkerId, TrackedWorker>,
     health: HealthTracker,
-    sent: Vec<WorkerCapacity>,
+    /// Capacities handed on last; nothing before the first list tick.
+    sent: Option<Vec<WorkerCapacity>>,
 }
 
 struct TrackedWorker {
@@ -133,9 +134,7 @@
         });
         let workers = workers.collect();
         let health = HealthTracker::new();
-        let mut controller = Self { settings, me, workers, health, sent: Vec::new() };
-        controller.publish();
-        Ok(controller)
+        Ok(Self { settings, me, workers, health, sent: None })
     }
 }
 
@@ -268,10 +267,10 @@
     fn publish(&mut self) {
         let capacities: Vec<WorkerCapacity> =
             self.workers.values().map(|worker| worker.capacity(&self.health)).collect();
-        if !differs(&capacities, &self.sent) {
+        if self.sent.as_ref().is_some_and(|sent| !differs(&capacities, sent)) {
             return;
         }
-        self.sent.clone_from(&capacities);
+        self.sent = Some(capacities.clone());
         let specs = self.workers.values().map(|worker| worker.spec.clone()).collect();
         (self.settings.capacities)(capacities, specs);
     }
