--- /dev/null
+++ b/crates/admin/tests/api/harness.rs
@@ -0,0 +1,223 @@
+//! A scheduler process in miniature, and calls to its API.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use axum::Router;
+use axum::body::Body;
+use axum::http::Request;
+use lacewingrail_admin::{AdminContext, VetoOutcome, router};
+use lacewingrail_model::admin::{DomainAnswer, DomainQuery, DomainStatus, ProcessStatus};
+use lacewingrail_model::config::ConfigView;
+use lacewingrail_model::keys::CONFIG_TREE;
+use lacewingrail_model::mark::{MarkIssuer, WriteMark};
+use lacewingrail_model::message::ConfigPayload;
+use lacewingrail_model::store::KeyValueService;
+use lacewingrail_model::{ConfigVersion, DomainName, InstanceId};
+use lacewingrail_platform::MemoryStore;
+use lacewingrail_settings::{StoredTree, token_digest};
+use serde_json::Value;
+use tower::ServiceExt;
+
+pub const OPERATOR: &str = "operator-token";
+pub const READER: &str = "reader-token";
+pub const BANK: &str = "bank-token";
+pub const SHOP: &str = "shop-token";
+
+pub struct TestContext {
+    pub store: MemoryStore,
+    pub answers: Mutex<BTreeMap<DomainName, Vec<DomainAnswer>>>,
+    pub veto: Mutex<Option<VetoOutcome>>,
+    payload: Mutex<Option<ConfigPayload>>,
+    view: Mutex<Arc<ConfigView>>,
+    issuer: MarkIssuer,
+}
+
+pub struct Answer {
+    pub status: u16,
+    pub text: String,
+}
+
+impl Answer {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.text).unwrap_or_else(|_| panic!("not JSON: {}", self.text))
+    }
+}
+
+/// Returns a tree with two domains and two customers.
+pub fn tree() -> String {
+    let digest = token_digest;
+    format!(
+        "\
+# Kept comment.
+regions:
+  north:
+    domains:
+      a:
+        racks: {{ r1: {{ workers: 4, accelerators: 8 }} }}
+      b:
+        racks: {{ r1: {{ workers: 2, accelerators: 8 }} }}
+customers:
+  bank:
+    quota: 32
+    guarantees:
+      - {{ domain: b, shape: {{ members: 2, accelerators: 8, adjacency: rack }} }}
+    tokens: [\"{}\"]
+  shop:
+    quota: 8
+    tokens: [\"{}\"]
+access:
+  operators: [\"{}\"]
+  readers: [\"{}\"]
+",
+        digest(BANK),
+        digest(SHOP),
+        digest(OPERATOR),
+        digest(READER)
+    )
+}
+
+impl TestContext {
+    /// Creates a context without a tree.
+    pub fn empty() -> Arc<Self> {
+        Arc::new(Self {
+            store: MemoryStore::new(),
+            answers: Mutex::default(),
+            veto: Mutex::new(Some(VetoOutcome::ConfirmedBy("scheduler-a".to_owned()))),
+            payload: Mutex::default(),
+            view: Mutex::default(),
+            issuer: MarkIssuer::new("test".to_owned()),
+        })
+    }
+
+    /// Creates a context whose store and memory hold [`tree`] as version 1.
+    pub async fn with_tree() -> Arc<Self> {
+        let context = Self::empty();
+        let stored = StoredTree::first(&tree(), "ada", "m#0".to_owned()).expect("valid tree");
+        let text = stored.encode().expect("encode");
+        context.store.put(CONFIG_TREE, text.clone(), 0, None).await.expect("put");
+        context.publish(ConfigPayload { version: 1, text }).await;
+        context
+    }
+
+    pub fn answer(&self, domain: &str, answer: DomainAnswer) {
+        self.answers.lock().expect("lock").entry(domain.to_owned()).or_default().push(answer);
+    }
+
+    pub fn set_free(&self, domain: &str, free: u32) {
+        let status = DomainStatus { accelerators_free: free, ..DomainStatus::default() };
+        self.answer(domain, DomainAnswer::Status(status));
+    }
+
+    pub async fn stored(&self) -> StoredTree {
+        let entry = self.store.get(CONFIG_TREE).await.expect("get").expect("tree");
+        StoredTree::decode(&entry.value).expect("decode")
+    }
+
+    pub async fn call(
+        self: &Arc<Self>,
+        token: &str,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Body>,
+    ) -> Answer {
+        call(&self.router(), token, method, path, headers, body).await
+    }
+
+    pub async fn get(self: &Arc<Self>, token: &str, path: &str) -> Answer {
+        self.call(token, "GET", path, &[], "").await
+    }
+
+    pub fn router(self: &Arc<Self>) -> Router {
+        router(self.clone(), Router::new())
+    }
+}
+
+/// Calls one router, whose rate limits last from call to call.
+pub async fn call(
+    router: &Router,
+    token: &str,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Body>,
+) -> Answer {
+    let mut request = Request::builder().method(method).uri(path);
+    if !token.is_empty() {
+        request = request.header("authorization", format!("Bearer {token}"));
+    }
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(body.into()).expect("request");
+    let response = router.clone().oneshot(request).await.expect("infallible");
+    let status = response.status().as_u16();
+    let body = axum::body::to_bytes(response.into_body(), 1 << 24).await.expect("body");
+    Answer { status, text: String::from_utf8(body.to_vec()).expect("UTF-8") }
+}
+
+#[async_trait]
+impl AdminContext for TestContext {
+    fn instance(&self) -> InstanceId {
+        "test".to_owned()
+    }
+
+    fn config(&self) -> Arc<ConfigView> {
+        self.view.lock().expect("lock").clone()
+    }
+
+    fn payload(&self) -> Option<ConfigPayload> {
+        self.payload.lock().expect("lock").clone()
+    }
+
+    async fn publish(&self, payload: ConfigPayload) {
+        let view = StoredTree::decode(&payload.text).and_then(|tree| tree.view()).expect("view");
+        *self.view.lock().expect("lock") = Arc::new(view);
+        *self.payload.lock().expect("lock") = Some(payload);
+    }
+
+    fn store(&self) -> Arc<dyn KeyValueService> {
+        Arc::new(self.store.clone())
+    }
+
+    fn issue_mark(&self) -> WriteMark {
+        self.issuer.issue()
+    }
+
+    async fn ask(&self, domain: &DomainName, query: DomainQuery) -> DomainAnswer {
+        let answers = self.answers.lock().expect("lock");
+        let fits = |answer: &&DomainAnswer| {
+            matches!(
+                (&query, answer),
+                (DomainQuery::Status, DomainAnswer::Status(_))
+                    | (DomainQuery::Guarantees, DomainAnswer::Guarantees(_))
+                    | (DomainQuery::Why { .. }, DomainAnswer::Why(_))
+                    | (DomainQuery::DryRun { .. }, DomainAnswer::DryRun(_))
+            )
+        };
+        let found = answers.get(domain).and_then(|answers| answers.iter().find(fits));
+        found.cloned().unwrap_or_else(|| DomainAnswer::Refused("no scheduler is active".to_owned()))
+    }
+
+    async fn veto(&self, _: &DomainName, _: ConfigVersion) -> VetoOutcome {
+        let outcome = self.veto.lock().expect("lock").clone();
+        match outcome {
+            Some(outcome) => outcome,
+            None => {
+                tokio::time::sleep(Duration::from_secs(3_600)).await;
+                VetoOutcome::PermissionExpired
+            }
+        }
+    }
+
+    fn processes(&self) -> Vec<ProcessStatus> {
+        vec![ProcessStatus { instance: "<b>entry</b>".to_owned(), ..ProcessStatus::default() }]
+    }
+
+    fn not_ready(&self) -> Option<String> {
+        (self.config().version == 0).then(|| "no settings are known".to_owned())
+    }
+}
--- /dev/null
+++ b/crates/admin/tests/api/jobs.rs
@@ -0,0 +1,220 @@
+//! Submission, search and cancellation of jobs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lacewingrail_admin::SubmissionRecord;
+use lacewingrail_model::admin::DomainAnswer;
+use lacewingrail_model::job::{JobRecord, JobState};
+use lacewingrail_model::keys;
+use lacewingrail_model::store::{KeyValueService, StoreError};
+use lacewingrail_platform::StoreFaults;
+use serde_json::{Value, json};
+use tokio::task::JoinSet;
+
+use crate::harness::{Answer, BANK, OPERATOR, READER, TestContext};
+
+fn job(members: u32, key: Option<&str>) -> Value {
+    json!({
+        "customer": "bank", "class": "normal", "declared_ms": 1000, "idempotency_key": key,
+        "shape": { "members": members, "accelerators": 8, "adjacency": "rack" },
+    })
+}
+
+async fn submit(context: &Arc<TestContext>, job: &Value) -> Answer {
+    context.call(BANK, "POST", "/v1/jobs", &[], job.to_string()).await
+}
+
+async fn records(context: &TestContext) -> Vec<JobRecord> {
+    let entries = context.store.list(keys::JOBS).await.expect("list");
+    entries.iter().map(|entry| serde_json::from_str(&entry.value).expect("record")).collect()
+}
+
+/// Guards against a repeated submission that runs the job twice, also after lost answers.
+#[tokio::test(start_paused = true)]
+async fn repeated_submission_returns_the_first_job() {
+    for lost in 0..5 {
+        for lost_requests in 0..3 {
+            let context = TestContext::with_tree().await;
+            context.store.set_faults(StoreFaults {
+                lost_answers: lost,
+                lost_requests,
+                ..StoreFaults::default()
+            });
+            let first = submit(&context, &job(1, Some("k1"))).await;
+            let again = submit(&context, &job(1, Some("k1"))).await;
+            assert_eq!((first.status, again.status), (201, 200), "{} {}", first.text, again.text);
+            assert_eq!(first.json()["id"], again.json()["id"]);
+            assert_eq!(
+                records(&context).await.len(),
+                1,
+                "{lost} lost, {lost_requests} lost requests"
+            );
+            let other = submit(&context, &job(2, Some("k1"))).await;
+            assert_eq!(other.status, 422, "{}", other.text);
+        }
+    }
+}
+
+/// Guards against clients that race with the same key through several processes.
+#[tokio::test(start_paused = true)]
+async fn racing_submissions_create_one_job() {
+    let context = TestContext::with_tree().await;
+    context.store.set_faults(StoreFaults::slow(Duration::from_millis(10)));
+    let mut tasks = JoinSet::new();
+    for _ in 0..16 {
+        let context = context.clone();
+        tasks
+            .spawn(async move { submit(&context, &job(1, Some("k1"))).await.json()["id"].clone() });
+    }
+    let ids = tasks.join_all().await;
+    assert!(ids.iter().all(|id| *id == ids[0] && id.is_string()), "{ids:?}");
+    assert_eq!(records(&context).await.len(), 1);
+}
+
+/// Guards against a process that dies between the claim of the key and the record, and against a
+/// finished job that a late repetition runs again.
+#[tokio::test]
+async fn interrupted_submission_is_resumed_once() {
+    let context = TestContext::with_tree().await;
+    let first = submit(&context, &job(1, Some("k1"))).await.json();
+    let id = first["id"].as_str().expect("id").to_owned();
+    let entries = context.store.list(keys::SUBMISSIONS).await.expect("list");
+    let entry = entries.first().expect("claim");
+    let mut claim: SubmissionRecord = serde_json::from_str(&entry.value).expect("claim");
+    assert!(claim.created);
+    claim.created = false;
+    let value = serde_json::to_string(&claim).expect("encode");
+    context.store.put(&entry.key, value, entry.revision, None).await.expect("put");
+    let record = context.store.list(keys::JOBS).await.expect("list").remove(0);
+    context.store.delete(&record.key, record.revision).await.expect("delete");
+    let again = submit(&context, &job(1, Some("k1"))).await;
+    assert_eq!((again.status, &again.json()["id"]), (201, &first["id"]));
+
+    // The scheduler finishes the job and moves it to its history.
+    let entry = context.store.list(keys::JOBS).await.expect("list").remove(0);
+    let mut record: JobRecord = serde_json::from_str(&entry.value).expect("record");
+    record.state = JobState::Finished;
+    let history = serde_json::to_string(&[&record]).expect("encode");
+    let key = keys::history(&record.owner, 1);
+    context.store.put(&key, history, 0, None).await.expect("put");
+    context.store.delete(&entry.key, entry.revision).await.expect("delete");
+    let again = submit(&context, &job(1, Some("k1"))).await;
+    assert_eq!((again.status, &again.json()["state"]["state"]), (200, &"finished".into()));
+    assert_eq!(records(&context).await.len(), 0);
+    let listed = context.get(READER, "/v1/jobs?history=true").await.json();
+    assert_eq!(listed[0]["id"], id);
+}
+
+/// Guards against a job that waits for ever although it can never run.
+#[tokio::test]
+async fn impossible_jobs_are_refused_with_a_reason() {
+    let context = TestContext::with_tree().await;
+    let cases = [
+        ("/shape/members", json!(5), "quota"),
+        ("/shape/members", json!(0), "members"),
+        ("/shape/accelerators", json!(9), "accelerators"),
+        ("/customer", json!("nobody"), "not in the settings"),
+        ("/domains", json!(["z"]), "does not exist"),
+        ("/domains", json!(["b"]), "large enough"),
+        ("/shape/adjacency", json!("worker"), "large enough"),
+    ];
+    for (pointer, value, word) in cases {
+        let mut spec = job(3, None);
+        spec["domains"] = json!([]);
+        *spec.pointer_mut(pointer).expect("field") = value.clone();
+        let answer = context.call(OPERATOR, "POST", "/v1/jobs", &[], spec.to_string()).await;
+        assert_eq!(answer.status, 422, "{pointer} {value}: {}", answer.text);
+        assert!(answer.text.contains(word), "{pointer} {value}: {}", answer.text);
+    }
+    assert!(records(&context).await.is_empty());
+    // A domain that is out is a temporary loss.
+    context.call(OPERATOR, "POST", "/v1/domains/a/out", &[], "").await;
+    assert_eq!(submit(&context, &job(3, None)).await.status, 201);
+}
+
+/// Guards against an owner that is out, full, or without the customer's guarantee.
+#[tokio::test]
+async fn owner_is_chosen_by_service_guarantee_and_room() {
+    let context = TestContext::with_tree().await;
+    context.set_free("a", 32);
+    context.set_free("b", 2);
+    assert_eq!(submit(&context, &job(1, None)).await.json()["owner"], "a", "most free");
+    assert_eq!(submit(&context, &job(2, None)).await.json()["owner"], "b", "guarantee");
+    context.call(OPERATOR, "POST", "/v1/domains/b/out", &[], "").await;
+    assert_eq!(submit(&context, &job(2, None)).await.json()["owner"], "a", "in service");
+    context.answers.lock().expect("lock").remove("a");
+    assert_eq!(submit(&context, &job(2, None)).await.json()["owner"], "a", "silent but in service");
+}
+
+/// Guards against a cancellation that overwrites the scheduler's newer record, or an ended job.
+#[tokio::test(start_paused = true)]
+async fn cancellation_yields_to_newer_records() {
+    let context = TestContext::with_tree().await;
+    let id = submit(&context, &job(1, None)).await.json()["id"].as_str().expect("id").to_owned();
+    let path = format!("/v1/jobs/{id}");
+    context.store.set_faults(StoreFaults {
+        lost_answers: 1,
+        ..StoreFaults::slow(Duration::from_millis(10))
+    });
+    // The scheduler writes attempts of the job at the same time.
+    let scheduler = async {
+        let mut attempts = 0;
+        loop {
+            let entry = context.store.list(keys::JOBS).await.expect("list").remove(0);
+            let mut record: JobRecord = serde_json::from_str(&entry.value).expect("record");
+            if record.state == JobState::Cancelled {
+                return (attempts, record.attempt);
+            }
+            record.attempt = attempts + 1;
+            let value = serde_json::to_string(&record).expect("encode");
+            let put = context.store.put(&entry.key, value, entry.revision, None).await;
+            attempts += u32::from(matches!(put, Ok(_) | Err(StoreError::Unclear(_))));
+            tokio::time::sleep(Duration::from_millis(35)).await;
+        }
+    };
+    let (answer, (written, kept)) =
+        tokio::join!(context.call(BANK, "DELETE", &path, &[], ""), scheduler);
+    assert!(written > 0 && written == kept, "{written} attempts were written, {kept} kept");
+    context.store.set_faults(StoreFaults::default());
+    assert_eq!((answer.status, &answer.json()["state"]["state"]), (200, &"cancelled".into()));
+    assert_eq!(context.call(BANK, "DELETE", &path, &[], "").await.status, 200, "repeatable");
+
+    let entry = context.store.list(keys::JOBS).await.expect("list").remove(0);
+    let mut record: JobRecord = serde_json::from_str(&entry.value).expect("record");
+    record.state = JobState::Finished;
+    let value = serde_json::to_string(&record).expect("encode");
+    context.store.put(&entry.key, value, entry.revision, None).await.expect("put");
+    assert_eq!(context.call(BANK, "DELETE", &path, &[], "").await.status, 409);
+    assert_eq!(records(&context).await[0].state, JobState::Finished);
+    assert_eq!(context.call(BANK, "DELETE", "/v1/jobs/none", &[], "").await.status, 404);
+}
+
+/// Guards against a waiting job without an explanation, and lists that ignore their filters.
+#[tokio::test]
+async fn jobs_are_listed_and_explained() {
+    let context = TestContext::with_tree().await;
+    context.answer("b", DomainAnswer::Why("no rack has 2 free workers".to_owned()));
+    let mut spec = job(2, None);
+    spec["domains"] = json!(["b"]);
+    let id = submit(&context, &spec).await.json()["id"].as_str().expect("id").to_owned();
+    let why = context.get(BANK, &format!("/v1/jobs/{id}/why")).await.json();
+    assert_eq!(why["reason"], "no rack has 2 free workers");
+    let damaged = keys::job(&"b".to_owned(), &"damaged".to_owned());
+    context.store.put(&damaged, "{".to_owned(), 0, None).await.expect("put");
+    for (query, count) in [
+        ("", 1),
+        ("?state=queued", 1),
+        ("?state=running", 0),
+        ("?class=slow", 0),
+        ("?domain=b", 1),
+        ("?domain=a", 0),
+        ("?customer=shop", 0),
+        ("?limit=0", 0),
+    ] {
+        let listed = context.get(READER, &format!("/v1/jobs{query}")).await.json();
+        assert_eq!(listed.as_array().map(Vec::len), Some(count), "{query}");
+    }
+    assert_eq!(context.get(READER, "/v1/jobs?colour=red").await.status, 400);
+    assert_eq!(context.get(READER, "/v1/jobs?domain=..").await.status, 404);
+}
