Add the backend server and fault proxy stand-ins

Cause: the request path is to be tested against slow, leaving and faulty backend servers, and all parts against delays, partitions and connections that go silent.

Change: BackendServer has slots, a queue, log-normal service times, seeded faults of answers and a record of every run; FaultProxy holds many links in groups with delay, cut in one or both directions, refusal, reset, silence of established connections and a limited rate, in process and over HTTP.

--- /dev/null
+++ b/crates/standins/src/backend_server/runs.rs
@@ -0,0 +1,150 @@
+//! Record of the requests that a backend server ran, as ground truth for tests.
+
+use std::collections::BTreeMap;
+
+use lacewingrail_model::clock::UnixMillis;
+use serde::{Deserialize, Serialize};
+
+use crate::backend_server::faults::AnswerFault;
+use crate::journal::{BoundedJournal, JournalPage};
+
+/// Runs recorded in full.
+const RECORDS: usize = 20_000;
+/// Keys and request ids counted.
+const COUNTED: usize = 100_000;
+
+/// Records one run.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RunRecord {
+    /// Number of the run on this server, from 1.
+    pub run: u64,
+    /// Value of `x-request-id`, or empty.
+    pub request_id: String,
+    /// Value of `idempotency-key`.
+    pub idempotency_key: Option<String>,
+    /// Value of `x-non-repeatable`.
+    pub non_repeatable: bool,
+    /// Value of `x-customer`, or empty.
+    pub customer: String,
+    /// Stable hash of the request body.
+    pub body_digest: u64,
+    /// Time of arrival.
+    pub arrived_ms: UnixMillis,
+    /// Time at which the run got a slot.
+    pub started_ms: UnixMillis,
+    /// Time of the end; empty while it runs.
+    pub ended_ms: Option<UnixMillis>,
+    /// Time from the leaving flag to the arrival, if the server was leaving.
+    pub leaving_ms: Option<u64>,
+    /// Fault of the answer, if any.
+    pub fault: Option<AnswerFault>,
+}
+
+/// Counts runs by idempotency key and by request id.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RunCounts {
+    /// Runs by idempotency key.
+    pub by_key: BTreeMap<String, u32>,
+    /// Runs by request id.
+    pub by_request: BTreeMap<String, u32>,
+    /// Runs that were not counted for lack of room; an assertion over all runs needs it to be 0.
+    pub dropped: u64,
+}
+
+impl RunCounts {
+    fn count(&mut self, record: &RunRecord) {
+        let key = record.idempotency_key.as_ref();
+        let counted = [(&mut self.by_key, key), (&mut self.by_request, Some(&record.request_id))];
+        for (counts, name) in counted {
+            let Some(name) = name.filter(|name| !name.is_empty()) else {
+                continue;
+            };
+            if counts.len() >= COUNTED && !counts.contains_key(name) {
+                self.dropped += 1;
+                continue;
+            }
+            *counts.entry(name.clone()).or_default() += 1;
+        }
+    }
+}
+
+/// Finds idempotency keys that ran more than once over all servers.
+pub fn find_repeated_runs(servers: &[RunCounts]) -> Vec<String> {
+    let mut total: BTreeMap<&str, u32> = BTreeMap::new();
+    for (key, runs) in servers.iter().flat_map(|counts| &counts.by_key) {
+        *total.entry(key).or_default() += runs;
+    }
+    let repeated = total.into_iter().filter(|(_, runs)| *runs > 1);
+    repeated.map(|(key, runs)| format!("key {key} ran {runs} times")).collect()
+}
+
+/// Counts what a backend server did since its start.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BackendCounts {
+    /// Requests that arrived.
+    pub requests: u64,
+    /// Runs started.
+    pub runs: u64,
+    /// Runs ended.
+    pub ended: u64,
+    /// Requests refused because the queue was full or by a fault.
+    pub refused: u64,
+    /// Time that slots were busy, in milliseconds.
+    pub busy_ms: u64,
+    /// Largest number of runs at once.
+    pub peak_running: u64,
+    /// Largest number of requests in the queue at once.
+    pub peak_queue: u64,
+    /// Open connections.
+    pub connections: u64,
+    /// Connections refused.
+    pub refused_connections: u64,
+}
+
+/// Keeps the records of a backend server.
+#[derive(Debug)]
+pub(super) struct RunJournal {
+    lasting: BTreeMap<u64, RunRecord>,
+    ended: BoundedJournal<RunRecord>,
+    counts: RunCounts,
+}
+
+impl RunJournal {
+    pub fn new() -> Self {
+        Self {
+            lasting: BTreeMap::new(),
+            ended: BoundedJournal::new(RECORDS),
+            counts: RunCounts::default(),
+        }
+    }
+
+    pub fn start(&mut self, record: RunRecord) {
+        self.counts.count(&record);
+        self.lasting.insert(record.run, record);
+    }
+
+    /// Ends a run and returns how long it lasted in milliseconds.
+    pub fn end(&mut self, run: u64, now_ms: UnixMillis) -> u64 {
+        let Some(mut record) = self.lasting.remove(&run) else {
+            return 0;
+        };
+        record.ended_ms = Some(now_ms);
+        let lasted = now_ms.saturating_sub(record.started_ms);
+        self.ended.push(record);
+        lasted
+    }
+
+    pub fn running(&self) -> u64 {
+        self.lasting.len() as u64
+    }
+
+    pub fn counts(&self) -> &RunCounts {
+        &self.counts
+    }
+
+    pub fn page(&self) -> JournalPage<RunRecord> {
+        let mut page = self.ended.page();
+        page.entries.extend(self.lasting.values().cloned());
+        page
+    }
+}
--- /dev/null
+++ b/crates/standins/src/fault_proxy.rs
@@ -0,0 +1,135 @@
+//! TCP proxy that injects network faults into many links.
+//!
+//! Each link belongs to the group of its callers and the group of its target, so that one call cuts
+//! two groups from each other. Rules last until they are changed; `silence` and `reset` meet the
+//! connections that exist and no later ones.
+
+pub mod control;
+pub mod link;
+pub mod rules;
+
+mod pump;
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use lacewingrail_model::hash::digest;
+
+use crate::fault_proxy::link::{LinkReport, ProxyLink};
+use crate::fault_proxy::rules::{LinkRule, LinkSelection, LinkSpec};
+
+/// Links of one proxy; bounds its descriptors and memory.
+const LINKS: usize = 2_000;
+
+/// Runs proxied links; the last clone that is dropped ends them all.
+#[derive(Clone, Debug)]
+pub struct FaultProxy {
+    links: Arc<Mutex<BTreeMap<String, ProxyLink>>>,
+    seed: u64,
+}
+
+impl FaultProxy {
+    /// Creates a proxy without links; the seed decides the jitter of delays.
+    pub fn new(seed: u64) -> Self {
+        Self { links: Arc::default(), seed }
+    }
+
+    /// Adds a link and returns its bound address; fails if the name is taken or cannot listen.
+    pub async fn add_link(&self, spec: LinkSpec) -> io::Result<SocketAddr> {
+        let name = spec.name.clone();
+        self.check_room(&name)?;
+        let link = ProxyLink::spawn(spec, self.seed ^ digest(name.as_bytes())).await?;
+        let address = link.address();
+        self.check_room(&name)?;
+        self.lock().insert(name, link);
+        Ok(address)
+    }
+
+    /// Removes a link, which closes its listener and connections; returns whether it existed.
+    pub fn remove_link(&self, name: &str) -> bool {
+        self.lock().remove(name).is_some()
+    }
+
+    /// Reports all links in the order of their names.
+    pub fn links(&self) -> Vec<LinkReport> {
+        self.lock().values().map(ProxyLink::report).collect()
+    }
+
+    /// Sets the rule of the selected links and returns their number.
+    pub fn set_rule(&self, selection: &LinkSelection, rule: LinkRule) -> usize {
+        self.for_each(selection, |link| link.change_rule(|current| *current = rule))
+    }
+
+    /// Changes the rules of the selected links and returns their number.
+    pub fn change_rule<F>(&self, selection: &LinkSelection, change: F) -> usize
+    where
+        F: Fn(&mut LinkRule),
+    {
+        self.for_each(selection, |link| link.change_rule(&change))
+    }
+
+    /// Cuts two groups from each other in both directions and returns the number of links.
+    pub fn cut_between(&self, first: &str, second: &str) -> usize {
+        self.cut_toward(first, second);
+        self.cut_toward(second, first)
+    }
+
+    /// Holds the bytes from one group to another and returns the number of links.
+    pub fn cut_toward(&self, from: &str, to: &str) -> usize {
+        self.set_cut(from, to, true)
+    }
+
+    /// Ends the cut of two groups from each other in both directions.
+    pub fn heal_between(&self, first: &str, second: &str) -> usize {
+        self.set_cut(first, second, false);
+        self.set_cut(second, first, false)
+    }
+
+    /// Makes the present connections of the selected links silent for good; new ones work.
+    pub fn silence(&self, selection: &LinkSelection) -> usize {
+        self.for_each(selection, ProxyLink::silence)
+    }
+
+    /// Resets the present connections of the selected links.
+    pub fn reset(&self, selection: &LinkSelection) -> usize {
+        self.for_each(selection, ProxyLink::reset)
+    }
+
+    fn set_cut(&self, from: &str, to: &str, cut: bool) -> usize {
+        let out = LinkSelection::path(from, to);
+        let back = LinkSelection::path(to, from);
+        if from == to {
+            return self.change_rule(&out, |rule| {
+                (rule.cut_forward, rule.cut_backward) = (cut, cut);
+            });
+        }
+        self.change_rule(&out, |rule| rule.cut_forward = cut)
+            + self.change_rule(&back, |rule| rule.cut_backward = cut)
+    }
+
+    fn for_each<F>(&self, selection: &LinkSelection, act: F) -> usize
+    where
+        F: Fn(&ProxyLink),
+    {
+        let links = self.lock();
+        let selected = links.values().filter(|link| selection.matches(link.spec()));
+        selected.inspect(|link| act(link)).count()
+    }
+
+    fn check_room(&self, name: &str) -> io::Result<()> {
+        let links = self.lock();
+        if links.contains_key(name) {
+            return Err(io::Error::other(format!("link {name} exists; choose another name")));
+        }
+        if links.len() >= LINKS {
+            return Err(io::Error::other(format!("{LINKS} links exist; start another proxy")));
+        }
+        Ok(())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, ProxyLink>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/fault_proxy/rules.rs
@@ -0,0 +1,131 @@
+//! Rules of proxied links and the selection of links.
+
+use serde::{Deserialize, Serialize};
+
+/// Describes one proxied link.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LinkSpec {
+    /// Name, unique within the proxy.
+    pub name: String,
+    /// Group on whose side the link's callers are, such as a failure domain.
+    pub from: String,
+    /// Group on whose side the target is.
+    pub to: String,
+    /// Address to listen on, such as `127.0.0.1:0`.
+    #[serde(default = "any_port")]
+    pub listen: String,
+    /// Address to connect to, such as `127.0.0.1:7000`.
+    pub target: String,
+}
+
+impl LinkSpec {
+    /// Describes a link on a free port.
+    pub fn new(
+        name: impl Into<String>,
+        from: impl Into<String>,
+        to: impl Into<String>,
+        target: impl Into<String>,
+    ) -> Self {
+        Self {
+            name: name.into(),
+            from: from.into(),
+            to: to.into(),
+            listen: any_port(),
+            target: target.into(),
+        }
+    }
+}
+
+/// Describes what happens to the traffic of a link; the default changes nothing.
+///
+/// Forward is from the callers to the target. Bytes that meet a cut are held and arrive when it ends,
+/// as retransmitted segments do.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LinkRule {
+    /// Delay of bytes to the target in milliseconds.
+    pub delay_forward_ms: u64,
+    /// Delay of bytes to the callers in milliseconds.
+    pub delay_backward_ms: u64,
+    /// Largest random addition to each delay in milliseconds; the order of bytes stays.
+    pub jitter_ms: u64,
+    /// Bytes a second in each direction; 0 for no limit.
+    pub bytes_per_second: u64,
+    /// Holds bytes to the target, and new connections.
+    pub cut_forward: bool,
+    /// Holds bytes to the callers, and new connections.
+    pub cut_backward: bool,
+    /// Refuses new connections.
+    pub refuse: bool,
+}
+
+impl LinkRule {
+    /// Returns a rule that delays both directions.
+    pub fn delay(each_way_ms: u64) -> Self {
+        Self { delay_forward_ms: each_way_ms, delay_backward_ms: each_way_ms, ..Self::default() }
+    }
+
+    /// Returns a rule that cuts both directions.
+    pub fn cut() -> Self {
+        Self { cut_forward: true, cut_backward: true, ..Self::default() }
+    }
+
+    /// Returns the rule for one direction.
+    pub(super) fn way(&self, forward: bool) -> WayRule {
+        let (delay_ms, cut) = if forward {
+            (self.delay_forward_ms, self.cut_forward)
+        } else {
+            (self.delay_backward_ms, self.cut_backward)
+        };
+        WayRule { delay_ms, cut, bytes_per_second: self.bytes_per_second }
+    }
+}
+
+/// Holds the part of a rule that applies to one direction.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct WayRule {
+    pub delay_ms: u64,
+    pub cut: bool,
+    pub bytes_per_second: u64,
+}
+
+/// Selects links; an empty field matches all.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LinkSelection {
+    /// Name of the link.
+    pub name: Option<String>,
+    /// Group of the callers.
+    pub from: Option<String>,
+    /// Group of the target.
+    pub to: Option<String>,
+}
+
+impl LinkSelection {
+    /// Selects every link.
+    pub fn all() -> Self {
+        Self::default()
+    }
+
+    /// Selects one link.
+    pub fn link(name: impl Into<String>) -> Self {
+        Self { name: Some(name.into()), ..Self::default() }
+    }
+
+    /// Selects the links from one group to another.
+    pub fn path(from: impl Into<String>, to: impl Into<String>) -> Self {
+        Self { name: None, from: Some(from.into()), to: Some(to.into()) }
+    }
+
+    /// Returns whether a link is selected.
+    pub fn matches(&self, spec: &LinkSpec) -> bool {
+        let fits = |wanted: &Option<String>, name: &String| {
+            wanted.as_ref().is_none_or(|wanted| wanted == name)
+        };
+        fits(&self.name, &spec.name) && fits(&self.from, &spec.from) && fits(&self.to, &spec.to)
+    }
+}
+
+fn any_port() -> String {
+    "127.0.0.1:0".into()
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,13 +5,22 @@
 //! binary of its own. Each is also controlled over HTTP, so that tests in other processes can inject
 //! faults and read what really happened.
 
+pub mod backend_server;
 pub mod cli;
+pub mod clock;
+pub mod fault_proxy;
 pub mod instance_server;
 pub mod journal;
 pub mod server;
 pub mod store_server;
 pub mod worker_fleet;
 
+pub use backend_server::faults::BackendFaults;
+pub use backend_server::runs::{RunCounts, RunRecord, find_repeated_runs};
+pub use backend_server::{BackendServer, BackendSettings};
+pub use clock::SteadyClock;
+pub use fault_proxy::FaultProxy;
+pub use fault_proxy::rules::{LinkRule, LinkSelection, LinkSpec};
 pub use instance_server::{InstanceChange, InstanceListServer};
 pub use journal::{BoundedJournal, JournalPage};
 pub use server::ServerHandle;
--- a/crates/standins/src/worker_fleet.rs
+++ b/crates/standins/src/worker_fleet.rs
@@ -16,13 +16,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use lacewingrail_model::WorkerId;
-use lacewingrail_model::clock::{UnixMillis, unix_millis};
+use lacewingrail_model::clock::UnixMillis;
 use lacewingrail_model::worker::WorkerSpec;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::net::TcpListener;
-use tokio::time::Instant;
 
+use crate::clock::SteadyClock;
 use crate::journal::JournalPage;
 use crate::server::{ConnectionGate, ServerHandle};
 use crate::worker_fleet::faults::{WorkerFaults, WorkerSelection};
@@ -106,7 +106,8 @@
             let machine = WorkerMachine::new(spec.clone(), speed, settings.lag_ms);
             (spec.id.clone(), Mutex::new(machine))
         });
-        let shared = Arc::new(SharedFleet { workers: workers.collect(), clock: FleetClock::new() });
+        let shared =
+            Arc::new(SharedFleet { workers: workers.collect(), clock: SteadyClock::default() });
         let router = routes::router(Arc::clone(&shared));
         let gate = Arc::new(ConnectionGate::new(usize::MAX));
         let handle = ServerHandle::serve(listener, router, gate)?;
@@ -158,7 +159,7 @@
 #[derive(Debug)]
 struct SharedFleet {
     workers: BTreeMap<WorkerId, Mutex<WorkerMachine>>,
-    clock: FleetClock,
+    clock: SteadyClock,
 }
 
 impl SharedFleet {
@@ -203,24 +204,6 @@
     }
 }
 
-/// Counts Unix milliseconds by the monotonic clock, so that the records never go backwards.
-#[derive(Debug)]
-struct FleetClock {
-    unix_ms: UnixMillis,
-    started: Instant,
-}
-
-impl FleetClock {
-    fn new() -> Self {
-        Self { unix_ms: unix_millis(), started: Instant::now() }
-    }
-
-    fn now_ms(&self) -> UnixMillis {
-        let elapsed = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
-        self.unix_ms.saturating_add(elapsed)
-    }
-}
-
 fn lock(worker: &Mutex<WorkerMachine>) -> MutexGuard<'_, WorkerMachine> {
     worker.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- /dev/null
+++ b/crates/standins/tests/fault_proxy.rs
@@ -0,0 +1,204 @@
+//! Guards the fault proxy against faults that do not happen, that meet other links or that last.
+
+use std::time::{Duration, Instant};
+
+use assert_matches::assert_matches;
+use lacewingrail_model::store::{KeyValueService, StoreError};
+use lacewingrail_model::worker::{
+    MemberId, ReserveRequest, TASK_LEASE_TTL, WorkerError, WorkerService, WorkerSpec,
+};
+use lacewingrail_platform::{HttpStore, HttpWorkerClient};
+use lacewingrail_standins::fault_proxy::control::spawn_control;
+use lacewingrail_standins::{
+    FaultProxy, FleetLayout, FleetSettings, LinkRule, LinkSelection, LinkSpec, StoreServer,
+    WorkerFleet,
+};
+use serde_json::json;
+
+const TIMEOUT: Duration = Duration::from_millis(300);
+
+struct ProxiedStore {
+    server: StoreServer,
+    proxy: FaultProxy,
+    store: HttpStore,
+}
+
+/// Starts a store behind the link `a-store` from group `a` to group `platform`.
+async fn proxied() -> ProxiedStore {
+    let server = StoreServer::spawn("127.0.0.1:0", 1).await.unwrap();
+    let proxy = FaultProxy::new(1);
+    let store = link(&proxy, &server, "a").await;
+    store.put("key", "v".into(), 0, None).await.unwrap();
+    ProxiedStore { server, proxy, store }
+}
+
+async fn link(proxy: &FaultProxy, server: &StoreServer, group: &str) -> HttpStore {
+    let target = server.handle().address().to_string();
+    let spec = LinkSpec::new(format!("{group}-store"), group, "platform", target);
+    let address = proxy.add_link(spec).await.unwrap();
+    HttpStore::new(format!("http://{address}")).with_timeout(TIMEOUT)
+}
+
+/// Guards against a delay that is not applied, or only one way.
+#[tokio::test]
+async fn delay_applies_each_way() {
+    let ProxiedStore { server: _server, proxy, store } = proxied().await;
+    let rule = LinkRule { delay_forward_ms: 30, delay_backward_ms: 50, ..LinkRule::default() };
+    proxy.set_rule(&LinkSelection::all(), rule);
+    let sent = Instant::now();
+    store.get("key").await.unwrap();
+    assert!(sent.elapsed() >= Duration::from_millis(80), "{:?}", sent.elapsed());
+}
+
+/// Guards against a black hole that also meets new connections, or that ends by itself.
+#[tokio::test]
+async fn silent_connection_stays_silent_and_new_ones_work() {
+    let ProxiedStore { server: _server, proxy, store } = proxied().await;
+    assert_eq!(proxy.silence(&LinkSelection::link("a-store")), 1);
+    assert_matches!(store.get("key").await, Err(StoreError::Unavailable(_)));
+    // The client has dropped the silent connection and opens a new one.
+    store.get("key").await.unwrap();
+    let report = proxy.links().remove(0);
+    assert_eq!(report.accepted, 2);
+}
+
+/// Guards against a write that is reported as refused when only its answer was held.
+#[tokio::test]
+async fn one_way_cut_holds_answers_only() {
+    let ProxiedStore { server, proxy, store } = proxied().await;
+    assert_eq!(proxy.cut_toward("platform", "a"), 1);
+    assert_matches!(store.put("cut", "v".into(), 0, None).await, Err(StoreError::Unclear(_)));
+    assert!(server.store().get("cut").await.unwrap().is_some());
+    proxy.heal_between("a", "platform");
+    assert!(store.get("cut").await.unwrap().is_some());
+
+    assert_eq!(proxy.cut_toward("a", "platform"), 1);
+    assert_matches!(store.put("other", "v".into(), 0, None).await, Err(StoreError::Unclear(_)));
+    assert_eq!(server.store().get("other").await.unwrap(), None);
+}
+
+/// Guards against a cut between two groups that meets a third one, set over HTTP.
+#[tokio::test]
+async fn cut_meets_its_groups_only() {
+    let ProxiedStore { server, proxy, store } = proxied().await;
+    let other = link(&proxy, &server, "b").await;
+    let control = spawn_control("127.0.0.1:0", proxy).await.unwrap();
+    let http = reqwest::Client::new();
+    let post = |path: &str, body: serde_json::Value| {
+        http.post(format!("{}/v1/{path}", control.url())).json(&body).send()
+    };
+    let answer = post("cut", json!({ "from": "platform", "to": "a" })).await.unwrap();
+    assert_eq!(answer.json::<serde_json::Value>().await.unwrap(), json!({ "links": 1 }));
+    assert_matches!(store.get("key").await, Err(StoreError::Unavailable(_)));
+    other.get("key").await.unwrap();
+    assert!(post("heal", json!({})).await.unwrap().status().is_success());
+    store.get("key").await.unwrap();
+    assert_eq!(post("cut", json!({ "from": "a", "to": "x" })).await.unwrap().status(), 404);
+
+    let delay = json!({ "selection": { "from": "b" }, "rule": { "delay_forward_ms": 50 } });
+    assert!(post("rules", delay).await.unwrap().status().is_success());
+    let sent = Instant::now();
+    other.get("key").await.unwrap();
+    assert!(sent.elapsed() >= Duration::from_millis(50));
+    assert!(post("silence", json!({ "name": "b-store" })).await.unwrap().status().is_success());
+    assert_matches!(other.get("key").await, Err(StoreError::Unavailable(_)));
+}
+
+/// Guards against refused connections that are accepted, and a port that does not come back.
+#[tokio::test]
+async fn refusal_and_reset_end() {
+    let ProxiedStore { server: _server, proxy, store } = proxied().await;
+    let all = LinkSelection::all();
+    proxy.set_rule(&all, LinkRule { refuse: true, ..LinkRule::default() });
+    // Established connections go on while new ones are refused.
+    store.get("key").await.unwrap();
+    assert_eq!(proxy.reset(&all), 1);
+    while proxy.links()[0].connections > 0 {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    let refused = store.put("refused", "v".into(), 0, None).await;
+    assert_matches!(refused, Err(StoreError::Unavailable(_)));
+    proxy.set_rule(&all, LinkRule::default());
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while store.get("key").await.is_err() {
+        assert!(Instant::now() < deadline, "the port did not come back");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Guards against a trickle that delivers all at once.
+#[tokio::test]
+async fn trickle_limits_the_rate() {
+    let ProxiedStore { server, proxy, store } = proxied().await;
+    server.store().put("large", "x".repeat(4_000), 0, None).await.unwrap();
+    let rule = LinkRule { bytes_per_second: 20_000, ..LinkRule::default() };
+    proxy.set_rule(&LinkSelection::all(), rule);
+    let sent = Instant::now();
+    let patient = store.clone().with_timeout(Duration::from_secs(10));
+    assert_eq!(patient.get("large").await.unwrap().unwrap().value.len(), 4_000);
+    assert!(sent.elapsed() >= Duration::from_millis(200), "{:?}", sent.elapsed());
+    assert!(proxy.links()[0].bytes_backward > 4_000);
+}
+
+/// Guards against a start that a partition held back and that takes effect after it healed.
+#[tokio::test]
+async fn held_start_is_refused_after_the_cut() {
+    let layout = FleetLayout {
+        domain: "d".into(),
+        workers: 1,
+        per_rack: 1,
+        accelerators: 8,
+        cores: 8,
+        memory_mb: 8,
+    };
+    let fleet =
+        WorkerFleet::spawn("127.0.0.1:0", layout.specs(), FleetSettings::default()).await.unwrap();
+    let proxy = FaultProxy::new(1);
+    let target = fleet.handle().address().to_string();
+    let address = proxy.add_link(LinkSpec::new("w", "a", "d", target)).await.unwrap();
+    let direct = fleet.specs().remove(0);
+    let worker =
+        WorkerSpec { address: format!("http://{address}/w/{}", direct.id), ..direct.clone() };
+    let client = HttpWorkerClient::new().with_timeout(TIMEOUT);
+    let member = MemberId { job: "j".into(), attempt: 1, index: 0 };
+    let request = ReserveRequest {
+        member: member.clone(),
+        gang_members: 1,
+        accelerators: 8,
+        cores: 1,
+        memory_mb: 1,
+        ttl_ms: 2_000,
+        command: String::new(),
+        work_ms: 60_000,
+    };
+    client.reserve(&worker, 1, request).await.unwrap();
+    client.commit(&worker, 1, &member, TASK_LEASE_TTL).await.unwrap();
+    proxy.cut_between("a", "d");
+    // The caller waits for long, so that its request is still in the proxy when the cut ends.
+    let waiting = {
+        let (worker, member) = (worker.clone(), member.clone());
+        let client = client.clone().with_timeout(Duration::from_secs(5));
+        tokio::spawn(
+            async move { client.start(&worker, 1, &member, Duration::from_millis(100)).await },
+        )
+    };
+    tokio::time::sleep(Duration::from_millis(250)).await;
+    proxy.heal_between("a", "d");
+    assert_eq!(waiting.await.unwrap(), Err(WorkerError::PermissionExpired));
+    assert_eq!(fleet.counts(&worker.id).unwrap().expired_permissions, 1);
+    assert_eq!(fleet.journal().entries[0].started_ms, None);
+}
+
+/// Guards against two links under one name and against links that outlive their removal.
+#[tokio::test]
+async fn links_are_named_and_removed() {
+    let ProxiedStore { server, proxy, store } = proxied().await;
+    let target = server.handle().address().to_string();
+    assert!(proxy.add_link(LinkSpec::new("a-store", "a", "b", target)).await.is_err());
+    assert!(proxy.remove_link("a-store"));
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while store.get("key").await.is_ok() {
+        assert!(Instant::now() < deadline, "the link outlives its removal");
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
