--- a/crates/admin/src/submission.rs
+++ b/crates/admin/src/submission.rs
@@ -314,6 +314,7 @@
         submitted_at: unix_millis(),
         started_at: None,
         ended_at: None,
+        arrival: None,
         mark: state.context.issue_mark(),
     }
 }
--- a/crates/scheduler/src/admin_context.rs
+++ b/crates/scheduler/src/admin_context.rs
@@ -5,13 +5,13 @@
 
 use async_trait::async_trait;
 use lacewingrail_admin::{AdminContext, VetoOutcome, process_status};
+use lacewingrail_membership::SchedulerHook;
 use lacewingrail_model::admin::{DomainAnswer, DomainQuery, ProcessStatus};
 use lacewingrail_model::config::ConfigView;
 use lacewingrail_model::mark::{MarkIssuer, WriteMark};
 use lacewingrail_model::message::{ConfigPayload, PeerRequest, PeerResponse};
 use lacewingrail_model::store::KeyValueService;
 use lacewingrail_model::{ConfigVersion, DomainName, InstanceId};
-use lacewingrail_membership::SchedulerHook;
 use tokio::time::Instant;
 
 use crate::context::ProcessContext;
@@ -106,9 +106,9 @@
                 membership.call(address, request.clone(), VETO_CALL).await
             });
             let responses = futures::future::join_all(calls).await;
-            let confirmed = responses
-                .iter()
-                .any(|response| matches!(response, Ok(PeerResponse::VetoConfirmed { active: true })));
+            let confirmed = responses.iter().any(|response| {
+                matches!(response, Ok(PeerResponse::VetoConfirmed { active: true }))
+            });
             if confirmed && let Some(holder) = self.holder(domain).await {
                 return VetoOutcome::ConfirmedBy(holder);
             }
@@ -158,4 +158,3 @@
         self.holder(domain).await.as_ref() == Some(&self.context.membership.settings().instance)
     }
 }
-
--- a/crates/scheduler/src/gang_controller.rs
+++ b/crates/scheduler/src/gang_controller.rs
@@ -14,7 +14,9 @@
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
-use lacewingrail_model::worker::{MemberId, MemberPhase, TaskReport, WorkerError, WorkerReport, WorkerSpec};
+use lacewingrail_model::worker::{
+    MemberId, MemberPhase, TaskReport, WorkerError, WorkerReport, WorkerSpec,
+};
 use lacewingrail_model::{DomainName, Epoch, JobId, WorkerId};
 use tracing::Instrument;
 
@@ -334,8 +336,13 @@
 impl Message<CountReached> for GangController {
     type Reply = (usize, usize);
 
-    async fn handle(&mut self, _message: CountReached, _context: &mut Context<Self, (usize, usize)>) -> (usize, usize) {
-        let reached = self.workers.values().filter(|link| link.failures == 0 && link.answered.is_some());
+    async fn handle(
+        &mut self,
+        _message: CountReached,
+        _context: &mut Context<Self, (usize, usize)>,
+    ) -> (usize, usize) {
+        let reached =
+            self.workers.values().filter(|link| link.failures == 0 && link.answered.is_some());
         (reached.count(), self.workers.len())
     }
 }
--- a/crates/scheduler/src/gang_controller/renewal.rs
+++ b/crates/scheduler/src/gang_controller/renewal.rs
@@ -146,15 +146,22 @@
         }
     }
 
-    fn take_members(&mut self, job: &JobId, worker: &WorkerId, sent: Instant, report: &WorkerReport) {
+    fn take_members(
+        &mut self,
+        job: &JobId,
+        worker: &WorkerId,
+        sent: Instant,
+        report: &WorkerReport,
+    ) {
         let Some(track) = self.gangs.get_mut(job) else {
             return;
         };
         let kept = track.kept_ms();
         let mut end = None;
-        let members = track.members.iter_mut().filter(|member| {
-            member.place.worker.id == *worker && !member.finished
-        });
+        let members = track
+            .members
+            .iter_mut()
+            .filter(|member| member.place.worker.id == *worker && !member.finished);
         for member in members {
             let task = report.tasks.iter().find(|task| task.member == member.place.id);
             let Some(task) = task else {
@@ -202,9 +209,9 @@
         }
         let owned = self.gangs.get(&task.member.job).is_some_and(|track| {
             let members = &track.members;
-            members.iter().any(|member| {
-                member.place.id == task.member && member.place.worker.id == *worker
-            })
+            members
+                .iter()
+                .any(|member| member.place.id == task.member && member.place.worker.id == *worker)
         });
         if !owned {
             self.count_double(task);
@@ -223,7 +230,10 @@
         let partial = task.phase == MemberPhase::Running
             && oldest.is_some_and(|oldest| sent > oldest + PARTIAL_BOUND);
         check(InvariantName::GangWhole, !partial, || {
-            format!("member {} still runs {PARTIAL_BOUND:?} after another was last seen", task.member)
+            format!(
+                "member {} still runs {PARTIAL_BOUND:?} after another was last seen",
+                task.member
+            )
         });
     }
 
@@ -250,7 +260,8 @@
 
 /// Asserts that no member outlives the evidence of life of all others by more than its lease.
 fn check_renewal(track: &GangTrack, sent: Instant, ttl: Duration) {
-    let within = track.oldest_evidence().is_some_and(|oldest| sent + ttl <= oldest + TASK_LEASE_TTL);
+    let within =
+        track.oldest_evidence().is_some_and(|oldest| sent + ttl <= oldest + TASK_LEASE_TTL);
     check(InvariantName::GangWhole, within, || {
         format!("job {} is renewed for {ttl:?} beyond the evidence of its members", track.plan.job)
     });
--- a/crates/scheduler/src/gang_controller/teardown.rs
+++ b/crates/scheduler/src/gang_controller/teardown.rs
@@ -67,13 +67,14 @@
         let members: Vec<_> = track
             .members
             .iter()
-            .map(|member| (member.place.worker.clone(), member.place.id.clone(), member.lease_until))
+            .map(|member| {
+                (member.place.worker.clone(), member.place.id.clone(), member.lease_until)
+            })
             .collect();
         let (job, attempt, me) = (job.clone(), track.plan.attempt, self.me.clone());
         tokio::spawn(async move {
-            let stops = members.iter().map(|(worker, member, until)| {
-                stopper.stop(worker, member, *until)
-            });
+            let stops =
+                members.iter().map(|(worker, member, until)| stopper.stop(worker, member, *until));
             join_all(stops).await;
             let _ = me.tell(TeardownEnded { job, attempt }).try_send();
         });
--- a/crates/scheduler/src/gang_start.rs
+++ b/crates/scheduler/src/gang_start.rs
@@ -103,7 +103,9 @@
             match outcome {
                 Ok(sent) => evidence[index] = evidence[index].max(Some(sent)),
                 Err(WorkerError::StaleEpoch { seen }) => stale = stale.max(Some(seen)),
-                Err(WorkerError::PermissionExpired) => denial = Some(WorkerError::PermissionExpired),
+                Err(WorkerError::PermissionExpired) => {
+                    denial = Some(WorkerError::PermissionExpired)
+                }
                 Err(error) => failures.push((plan.members[index].worker.id.clone(), error)),
             }
         }
--- a/crates/scheduler/src/history.rs
+++ b/crates/scheduler/src/history.rs
@@ -81,7 +81,10 @@
                 }
             }
         });
-        stream::iter(deletes.collect::<Vec<_>>()).buffer_unordered(DELETE_WIDTH).collect::<Vec<_>>().await;
+        stream::iter(deletes.collect::<Vec<_>>())
+            .buffer_unordered(DELETE_WIDTH)
+            .collect::<Vec<_>>()
+            .await;
         done(std::mem::take(&mut batch));
     }
 }
@@ -117,4 +120,3 @@
     }
     Ok(())
 }
-
--- a/crates/scheduler/src/hook.rs
+++ b/crates/scheduler/src/hook.rs
@@ -38,8 +38,9 @@
     /// Asks the own job controller.
     pub async fn ask(&self, domain: &DomainName, query: DomainQuery) -> Option<DomainAnswer> {
         let jobs = self.tenure(domain)?.jobs?;
-        let answer = jobs.ask(AskDomain(query));
-        tokio::time::timeout(ASK_LIMIT, async move { answer.await.ok() }).await.ok()?
+        let answer = async { jobs.ask(AskDomain(query)).await };
+        let reply = tokio::time::timeout(ASK_LIMIT, answer).await.ok()?.ok()?;
+        Some(reply.0)
     }
 }
 
@@ -69,9 +70,7 @@
                 Ok(body) => (OK, body),
                 Err(error) => (BAD_REQUEST, format!("the answer cannot be encoded: {error}")),
             },
-            None => {
-                (MISDIRECTED, format!("this process does not schedule {domain}; ask another"))
-            }
+            None => (MISDIRECTED, format!("this process does not schedule {domain}; ask another")),
         }
     }
 }
--- a/crates/scheduler/src/job_controller.rs
+++ b/crates/scheduler/src/job_controller.rs
@@ -23,7 +23,9 @@
 use lacewingrail_model::mark::MarkIssuer;
 use lacewingrail_model::store::Revision;
 use lacewingrail_model::worker::WorkerSpec;
-use lacewingrail_model::{ConfigVersion, CustomerName, DomainName, Epoch, InstanceId, JobId, WorkerId};
+use lacewingrail_model::{
+    ConfigVersion, CustomerName, DomainName, Epoch, InstanceId, JobId, WorkerId,
+};
 use lacewingrail_placement::{
     DomainPlanner, MemberPlace, RunningEntry, WaitingEntry, WorkerCapacity,
 };
@@ -38,7 +40,7 @@
 use crate::tombstones::TombstoneSet;
 use crate::worker_controller::WorkerController;
 
-pub use answers::AskDomain;
+pub use answers::{AskDomain, DomainReply};
 pub use ends::{EndsRecorded, JobFaulty};
 pub use writes::StoreChanged;
 
@@ -234,13 +236,10 @@
     async fn handle(&mut self, _tick: JobTick, _context: &mut Context<Self, ()>) {
         self.follow_out();
         let now = Instant::now();
-        let due = |entry: &JobEntry| matches!(entry.phase, JobPhase::Blocked(until) if until <= now);
-        let free: Vec<JobId> = self
-            .jobs
-            .iter()
-            .filter(|(_, entry)| due(entry))
-            .map(|(job, _)| job.clone())
-            .collect();
+        let due =
+            |entry: &JobEntry| matches!(entry.phase, JobPhase::Blocked(until) if until <= now);
+        let free: Vec<JobId> =
+            self.jobs.iter().filter(|(_, entry)| due(entry)).map(|(job, _)| job.clone()).collect();
         for job in free {
             self.enqueue(&job);
         }
--- a/crates/scheduler/src/job_controller/answers.rs
+++ b/crates/scheduler/src/job_controller/answers.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use kameo::Reply;
 use kameo::message::{Context, Message};
 use lacewingrail_model::admin::{
     DomainAnswer, DomainQuery, DomainStatus, MemberStatus, WorkerStatus,
@@ -14,22 +15,26 @@
 /// Puts a question about the domain.
 pub struct AskDomain(pub DomainQuery);
 
+/// Carries the answer to a question.
+#[derive(Debug, Reply)]
+pub struct DomainReply(pub DomainAnswer);
+
 impl Message<AskDomain> for JobController {
-    type Reply = DomainAnswer;
+    type Reply = DomainReply;
 
     async fn handle(
         &mut self,
         message: AskDomain,
-        _context: &mut Context<Self, DomainAnswer>,
-    ) -> DomainAnswer {
-        match message.0 {
+        _context: &mut Context<Self, DomainReply>,
+    ) -> DomainReply {
+        DomainReply(match message.0 {
             DomainQuery::Status => DomainAnswer::Status(self.status()),
             DomainQuery::Workers => DomainAnswer::Workers(self.workers()),
             DomainQuery::Guarantees => DomainAnswer::Guarantees(self.planner.guarantees()),
             DomainQuery::Queue => DomainAnswer::Queue(self.planner.queue()),
             DomainQuery::Why { job } => DomainAnswer::Why(self.why(&job)),
             DomainQuery::DryRun { text } => self.dry_run(&text),
-        }
+        })
     }
 }
 
--- a/crates/scheduler/src/job_controller/decisions.rs
+++ b/crates/scheduler/src/job_controller/decisions.rs
@@ -181,9 +181,8 @@
                 let spec = &entry.record.spec;
                 let policy = config.policy(domain, Some(&spec.customer), None);
                 let keeps = matches!(reason, StopReason::Preempted | StopReason::DomainOut);
-                let grace = (keeps && spec.checkpointable).then(|| {
-                    policy.preemption_grace.min(crate::MAX_PREEMPTION_GRACE)
-                });
+                let grace = (keeps && spec.checkpointable)
+                    .then(|| policy.preemption_grace.0.min(crate::MAX_PREEMPTION_GRACE));
                 entry.phase = JobPhase::Stopping(reason);
                 self.planner.note_stopping(job);
                 let _ = self.settings.gangs.tell(StopGang { job: job.clone(), grace }).try_send();
--- a/crates/scheduler/src/job_controller/leaving.rs
+++ b/crates/scheduler/src/job_controller/leaving.rs
@@ -86,9 +86,7 @@
             .filter(|(name, settings)| {
                 *name != own && settings.region == region && !context.membership.is_out(name)
             })
-            .filter_map(|(name, _)| {
-                Some((name.clone(), schedulers.get(name)?.free_accelerators))
-            })
+            .filter_map(|(name, _)| Some((name.clone(), schedulers.get(name)?.free_accelerators)))
             .collect();
         if room.is_empty() {
             return;
@@ -108,7 +106,8 @@
             }
             let spec = &entry.record.spec;
             let need = spec.shape.total();
-            let allowed = |name: &DomainName| spec.domains.is_empty() || spec.domains.contains(name);
+            let allowed =
+                |name: &DomainName| spec.domains.is_empty() || spec.domains.contains(name);
             let target = room
                 .iter_mut()
                 .filter(|(name, free)| allowed(name) && (out || *free >= need.max(1)))
--- a/crates/scheduler/src/lease.rs
+++ b/crates/scheduler/src/lease.rs
@@ -138,8 +138,8 @@
     lease: LeaseId,
 ) -> Result<Option<Revision>, StoreError> {
     let key = keys::scheduler_lease(domain);
-    let value = serde_json::to_string(&record)
-        .map_err(|error| StoreError::Malformed(error.to_string()))?;
+    let value =
+        serde_json::to_string(&record).map_err(|error| StoreError::Malformed(error.to_string()))?;
     match store.put(&key, value, expected, Some(lease)).await {
         Ok(revision) => Ok(Some(revision)),
         Err(StoreError::Conflict { .. }) => Ok(None),
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -61,18 +61,9 @@
         Ok(spans) => spans,
         Err(error) => return fail(&error),
     };
-    let store = match HttpStore::new(&settings.store) {
-        Ok(store) => Arc::new(store),
-        Err(error) => return fail(&error.to_string()),
-    };
-    let list = match HttpInstanceList::new(&settings.instances) {
-        Ok(list) => Arc::new(list),
-        Err(error) => return fail(&error.to_string()),
-    };
-    let workers = match HttpWorkerClient::new() {
-        Ok(workers) => Arc::new(workers),
-        Err(error) => return fail(&error.to_string()),
-    };
+    let store = Arc::new(HttpStore::new(&settings.store));
+    let list = Arc::new(HttpInstanceList::new(&settings.instances));
+    let workers = Arc::new(HttpWorkerClient::new());
     let (mut terminate, mut interrupt) =
         match (signal(SignalKind::terminate()), signal(SignalKind::interrupt())) {
             (Ok(terminate), Ok(interrupt)) => (terminate, interrupt),
--- a/crates/scheduler/src/permission.rs
+++ b/crates/scheduler/src/permission.rs
@@ -122,8 +122,7 @@
     pub fn is_outage(&self) -> bool {
         let now = Instant::now();
         let read = self.lock().read;
-        let reached =
-            read.is_some_and(|read| now.saturating_duration_since(read) < PERMISSION_TTL);
+        let reached = read.is_some_and(|read| now.saturating_duration_since(read) < PERMISSION_TTL);
         !reached && self.remaining().is_ok()
     }
 
--- a/crates/scheduler/src/process.rs
+++ b/crates/scheduler/src/process.rs
@@ -192,9 +192,10 @@
                 let view = config.borrow_and_update().clone();
                 let own = &context.membership.settings().domain;
                 let region = view.domains.get(own).map(|domain| domain.region.clone());
-                let domains = view.domains.iter().filter(|(_, domain)| {
-                    Some(&domain.region) == region.as_ref()
-                });
+                let domains = view
+                    .domains
+                    .iter()
+                    .filter(|(_, domain)| Some(&domain.region) == region.as_ref());
                 for (domain, _) in domains {
                     let mut leases = leases.lock().await;
                     if leases.contains_key(domain) {
@@ -206,8 +207,7 @@
                         issuer: issuer.clone(),
                         table: table.clone(),
                     };
-                    let lease =
-                        LeaseController::spawn_with_mailbox(settings, mailbox::unbounded());
+                    let lease = LeaseController::spawn_with_mailbox(settings, mailbox::unbounded());
                     leases.insert(domain.clone(), lease.clone());
                     tokio::spawn(tick(context.clone(), lease.clone()));
                     if domain == own {
--- a/crates/scheduler/src/rebuild.rs
+++ b/crates/scheduler/src/rebuild.rs
@@ -106,9 +106,8 @@
         let seen = attempts.keys().filter(|(job, _)| *job == record.id).map(|(_, number)| *number);
         let newest = seen.max();
         let running = record.state == JobState::Running;
-        let candidate = newest.filter(|newest| {
-            *newest > record.attempt || (*newest == record.attempt && running)
-        });
+        let candidate = newest
+            .filter(|newest| *newest > record.attempt || (*newest == record.attempt && running));
         record.attempt = record.attempt.max(newest.unwrap_or(0));
         let key = candidate.map(|number| (record.id.clone(), number));
         let members = key.as_ref().and_then(|key| attempts.get(key));
@@ -129,8 +128,7 @@
         }
         let blocked = unreachable && (running || !trust_queued);
         record.state = JobState::Queued;
-        let remains: Vec<_> =
-            attempts.extract_if(.., |(job, _), _| *job == record.id).collect();
+        let remains: Vec<_> = attempts.extract_if(.., |(job, _), _| *job == record.id).collect();
         let remains = remains.into_iter().flat_map(|(_, members)| members).filter(holds);
         let remains = tear_down(&record, remains.collect());
         plan.waiting.push((FoundJob { record, revision, blocked }, remains));
--- a/crates/scheduler/src/tenure.rs
+++ b/crates/scheduler/src/tenure.rs
@@ -363,13 +363,14 @@
         context.timer.wait(REBUILD_RETRY).await;
     };
     let revision = entries.iter().map(|entry| entry.revision).max().unwrap_or(0);
-    let parse = |entry: &lacewingrail_model::store::StoreEntry| {
-        match serde_json::from_str::<JobRecord>(&entry.value) {
-            Ok(record) => Some((record, entry.revision)),
-            Err(error) => {
-                log::error!("{} is malformed ({error}); delete it", entry.key);
-                None
-            }
+    let parse = |entry: &lacewingrail_model::store::StoreEntry| match serde_json::from_str::<
+        JobRecord,
+    >(&entry.value)
+    {
+        Ok(record) => Some((record, entry.revision)),
+        Err(error) => {
+            log::error!("{} is malformed ({error}); delete it", entry.key);
+            None
         }
     };
     (Some(entries.iter().filter_map(parse).collect()), revision)
@@ -422,4 +423,3 @@
         }
     }
 }
-
--- a/crates/scheduler/src/worker_controller.rs
+++ b/crates/scheduler/src/worker_controller.rs
@@ -314,7 +314,8 @@
     }
 
     fn capacity(&self, health: &HealthTracker) -> WorkerCapacity {
-        let silent = !self.listed || self.failures >= SILENT_FAILURES || self.accelerators.is_none();
+        let silent =
+            !self.listed || self.failures >= SILENT_FAILURES || self.accelerators.is_none();
         WorkerCapacity {
             id: self.spec.id.clone(),
             rack: self.spec.rack.clone(),
--- a/crates/scheduler/src/worker_controller/probe.rs
+++ b/crates/scheduler/src/worker_controller/probe.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use lacewingrail_model::WorkerId;
 use lacewingrail_model::worker::{
     MemberId, RESERVE_TTL, ReserveRequest, TASK_LEASE_TTL, WorkerError, WorkerSpec,
 };
-use lacewingrail_model::WorkerId;
 
 use super::{ProbeEnded, WorkerController};
 use crate::gang_start::GangStarter;
--- /dev/null
+++ b/crates/scheduler/tests/support/mod.rs
@@ -0,0 +1,369 @@
+//! A store, a worker fleet and scheduler processes within one test process.
+//!
+//! Each scheduler runs in a runtime of its own, so that ending the runtime ends it as a crash would.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+pub mod gates;
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_trait::async_trait;
+use lacewingrail_model::clock::unix_millis;
+use lacewingrail_model::instance::{InstanceEntry, InstanceError, InstanceList};
+use lacewingrail_model::job::{HistoryPage, JobRecord, JobSpec, JobState, WorkClass};
+use lacewingrail_model::keys;
+use lacewingrail_model::shape::{AdjacencyLevel, GangShape};
+use lacewingrail_model::store::{KeyValueService, StoreError};
+use lacewingrail_model::timer::TimerService;
+use lacewingrail_model::worker::WorkerSpec;
+use lacewingrail_platform::{HttpWorkerClient, MemoryStore};
+use lacewingrail_scheduler::SchedulerProcess;
+use lacewingrail_settings::{
+    ListenSettings, LogLevel, ProcessSettings, StoredTree, set_domain_out,
+};
+use lacewingrail_standins::worker_fleet::audit;
+use lacewingrail_standins::worker_fleet::holding::HoldingRecord;
+use lacewingrail_standins::worker_fleet::{FleetLayout, FleetSettings, WorkerFleet};
+use tokio::runtime::Runtime;
+
+use gates::{GatedStore, GatedWorkers};
+
+/// Longest partial run of a gang, from the design page.
+pub const PARTIAL_BOUND: Duration = Duration::from_millis(10_400);
+/// Latest start after a take-out, from the design page.
+pub const OUT_LIMIT: Duration = Duration::from_secs(3);
+
+/// Holds the outside systems.
+pub struct Bench {
+    pub store: MemoryStore,
+    pub fleet: WorkerFleet,
+    pub list: Arc<FixedList>,
+    pub peers: Vec<SocketAddr>,
+}
+
+/// Runs one scheduler process.
+pub struct SchedulerHost {
+    pub process: Option<SchedulerProcess>,
+    pub store: Arc<GatedStore>,
+    pub workers: Arc<GatedWorkers>,
+    runtime: Option<Runtime>,
+}
+
+/// Lists the workers of a fleet.
+pub struct FixedList(pub std::sync::Mutex<Vec<WorkerSpec>>);
+
+#[async_trait]
+impl InstanceList for FixedList {
+    async fn read(&self) -> Result<Vec<InstanceEntry>, InstanceError> {
+        Ok(Vec::new())
+    }
+
+    async fn workers(&self) -> Result<Vec<WorkerSpec>, InstanceError> {
+        Ok(self.0.lock().expect("the list is readable").clone())
+    }
+}
+
+impl Bench {
+    /// Starts domains `a`, `b`, ... with equal workers of 8 accelerators, 3 to a rack.
+    pub async fn new(domains: u32, workers: u32) -> Self {
+        Self::with_tree(domains, workers, "").await
+    }
+
+    /// Starts domains with additional lines of settings.
+    pub async fn with_tree(domains: u32, workers: u32, extra: &str) -> Self {
+        let names: Vec<String> = (0..domains).map(domain_name).collect();
+        let layouts = names.iter().map(|domain| FleetLayout {
+            domain: domain.clone(),
+            workers,
+            per_rack: 3,
+            accelerators: 8,
+            cores: 64,
+            memory_mb: 128_000,
+        });
+        let specs = layouts.flat_map(|layout| layout.specs()).collect();
+        let settings = FleetSettings { lag_ms: 0, ..FleetSettings::default() };
+        let fleet = WorkerFleet::spawn("127.0.0.1:0", specs, settings).await.expect("a fleet");
+        let list = Arc::new(FixedList(std::sync::Mutex::new(fleet.specs())));
+        let store = MemoryStore::new();
+        let bench = Self { store, fleet, list, peers: (0..8).map(|_| free_address()).collect() };
+        let tree = tree_text(&names, workers, extra);
+        let tree = StoredTree::first(&tree, "test", "test#1".to_owned()).expect("a valid tree");
+        bench.write_tree(&tree, 0).await;
+        bench
+    }
+
+    async fn write_tree(&self, tree: &StoredTree, revision: u64) {
+        let value = tree.encode().expect("an encoded tree");
+        self.store.put(keys::CONFIG_TREE, value, revision, None).await.expect("a stored tree");
+    }
+
+    /// Takes a domain out or in by a write to the store; returns the fleet's time of the write.
+    pub async fn set_out(&self, domain: &str, out: bool) -> u64 {
+        let entry = self.store.get(keys::CONFIG_TREE).await.expect("a tree").expect("a tree");
+        let stored = StoredTree::decode(&entry.value).expect("a tree");
+        let text = set_domain_out(&stored.text, domain, out).expect("a changed tree");
+        let next = stored.next(&text, "test", format!("test#{}", stored.version + 1));
+        self.write_tree(&next.expect("a valid tree"), entry.revision).await;
+        self.fleet.now_ms()
+    }
+
+    /// Starts the process with an index in a domain.
+    pub async fn start(&self, domain: &str, index: usize) -> SchedulerHost {
+        let store = Arc::new(GatedStore::new(Arc::new(self.store.clone())));
+        let workers = Arc::new(GatedWorkers::new(Arc::new(HttpWorkerClient::new())));
+        self.start_gated(domain, index, store, workers).await
+    }
+
+    pub async fn start_gated(
+        &self,
+        domain: &str,
+        index: usize,
+        store: Arc<GatedStore>,
+        workers: Arc<GatedWorkers>,
+    ) -> SchedulerHost {
+        let settings = ProcessSettings {
+            file: "test".to_owned(),
+            name: format!("{domain}{index}"),
+            region: "north".to_owned(),
+            domain: domain.to_owned(),
+            listen: ListenSettings { callers: None, admin: None, peers: self.peers[index] },
+            peers: self.peers.clone(),
+            store: String::new(),
+            instances: String::new(),
+            otlp: None,
+            log_level: LogLevel::Info,
+        };
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        let start = SchedulerProcess::start(
+            settings,
+            store.clone(),
+            workers.clone(),
+            self.list.clone(),
+            TimerService::new(),
+        );
+        let process = runtime.spawn(start).await.expect("a start").expect("a process");
+        SchedulerHost { process: Some(process), store, workers, runtime: Some(runtime) }
+    }
+
+    /// Submits a job to a domain.
+    pub async fn submit(&self, domain: &str, id: &str, spec: JobSpec) {
+        let record = JobRecord {
+            id: id.to_owned(),
+            spec,
+            state: JobState::Queued,
+            owner: domain.to_owned(),
+            attempt: 0,
+            epoch: 0,
+            checkpoint_ms: 0,
+            preemptions: 0,
+            guaranteed: false,
+            submitted_at: unix_millis(),
+            started_at: None,
+            ended_at: None,
+            arrival: None,
+            mark: format!("client#{id}"),
+        };
+        let value = serde_json::to_string(&record).expect("a record");
+        let key = keys::job(&domain.to_owned(), &id.to_owned());
+        self.store.put(&key, value, 0, None).await.expect("a submission");
+    }
+
+    /// Cancels a job as the administration API does.
+    pub async fn cancel(&self, id: &str) {
+        loop {
+            let (record, entry) = match self.find(id).await {
+                Some(found) => found,
+                None => return,
+            };
+            let record = JobRecord {
+                state: JobState::Cancelled,
+                mark: format!("client#cancel-{id}"),
+                ..record
+            };
+            let value = serde_json::to_string(&record).expect("a record");
+            match self.store.put(&entry.0, value, entry.1, None).await {
+                Ok(_) => return,
+                Err(StoreError::Conflict { .. }) => {}
+                Err(error) => panic!("the cancellation failed: {error}"),
+            }
+        }
+    }
+
+    async fn find(&self, id: &str) -> Option<(JobRecord, (String, u64))> {
+        let entries = self.store.list(keys::JOBS).await.expect("records");
+        let entry = entries.into_iter().find(|entry| entry.key.ends_with(&format!("/{id}")))?;
+        let record = serde_json::from_str(&entry.value).expect("a record");
+        Some((record, (entry.key, entry.revision)))
+    }
+
+    /// Returns the record of a job that has not ended.
+    pub async fn record(&self, id: &str) -> Option<JobRecord> {
+        self.find(id).await.map(|(record, _)| record)
+    }
+
+    /// Returns the records of all ended jobs.
+    pub async fn history(&self) -> Vec<JobRecord> {
+        let pages = self.store.list("history/").await.expect("pages");
+        let pages = pages
+            .iter()
+            .map(|entry| serde_json::from_str::<HistoryPage>(&entry.value).expect("a page").jobs);
+        pages.flatten().collect()
+    }
+
+    /// Returns the record of an ended job.
+    pub async fn ended(&self, id: &str) -> Option<JobRecord> {
+        self.history().await.into_iter().find(|record| record.id == id)
+    }
+
+    /// Waits until a job has ended.
+    pub async fn wait_ended(&self, id: &str, limit: Duration) -> JobRecord {
+        let begun = Instant::now();
+        loop {
+            if let Some(record) = self.ended(id).await {
+                return record;
+            }
+            assert!(begun.elapsed() < limit, "{id} has not ended: {:?}", self.record(id).await);
+            tokio::time::sleep(Duration::from_millis(25)).await;
+        }
+    }
+
+    /// Waits until a number of members of a job run on the workers.
+    pub async fn wait_running(&self, id: &str, members: usize, limit: Duration) -> Duration {
+        let begun = Instant::now();
+        while self.running(id).len() != members {
+            assert!(
+                begun.elapsed() < limit,
+                "{id} has {} members running, not {members}: {:?}",
+                self.running(id).len(),
+                self.record(id).await
+            );
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        begun.elapsed()
+    }
+
+    /// Returns the members of a job that run now, from the workers' ground truth.
+    pub fn running(&self, id: &str) -> Vec<HoldingRecord> {
+        let records = self.fleet.journal().entries;
+        let running = records.into_iter().filter(|record| {
+            record.member.job == id && record.started_ms.is_some() && record.ended_ms.is_none()
+        });
+        running.collect()
+    }
+
+    /// Asserts from the workers' ground truth that gangs were whole, nothing ran twice and no worker
+    /// held more than it has.
+    pub fn assert_truth(&self) {
+        let journal = self.fleet.journal();
+        assert_eq!(journal.dropped, 0, "the journal is complete");
+        let (records, now) = (journal.entries, self.fleet.now_ms());
+        let none: Vec<String> = Vec::new();
+        assert_eq!(audit::find_double_runs(&records, now), none);
+        assert_eq!(audit::find_partial_gangs(&records, now, PARTIAL_BOUND), none);
+        assert_eq!(audit::find_overcommits(&records, &self.fleet.specs(), now), none);
+    }
+
+    /// Asserts that nothing started in a domain after it was taken out.
+    pub fn assert_no_late_start(&self, domain: &str, out_ms: u64, back_ms: u64) {
+        let records = self.fleet.journal().entries;
+        let late = audit::find_late_starts(&records, domain, out_ms, OUT_LIMIT, back_ms);
+        assert_eq!(late, Vec::<String>::new());
+    }
+}
+
+impl SchedulerHost {
+    pub fn process(&self) -> &SchedulerProcess {
+        self.process.as_ref().expect("a running process")
+    }
+
+    /// Returns whether the process schedules a domain.
+    pub fn schedules(&self, domain: &str) -> bool {
+        self.process().tenures().contains_key(domain)
+    }
+
+    /// Returns the epoch under which the process schedules a domain; 0 if it does not.
+    pub fn epoch(&self, domain: &str) -> u64 {
+        self.process().tenures().get(domain).copied().unwrap_or(0)
+    }
+
+    /// Waits until the process schedules a domain.
+    pub async fn wait_schedules(&self, domain: &str, limit: Duration) {
+        let begun = Instant::now();
+        while !self.schedules(domain) {
+            assert!(begun.elapsed() < limit, "the process does not schedule {domain}");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Ends the process without a farewell.
+    pub fn crash(&mut self) {
+        std::mem::forget(self.process.take());
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    /// Shuts the process down gracefully.
+    pub async fn shut_down(mut self) {
+        if let Some(process) = self.process.take() {
+            let runtime = self.runtime.as_ref().expect("a runtime");
+            runtime.spawn(process.shut_down()).await.expect("a shutdown");
+        }
+    }
+}
+
+impl Drop for SchedulerHost {
+    fn drop(&mut self) {
+        self.crash();
+    }
+}
+
+/// Describes a job whose members take `accelerators` each.
+pub fn gang(members: u32, accelerators: u32, work_ms: u64) -> JobSpec {
+    JobSpec {
+        customer: "bank".to_owned(),
+        shape: GangShape { members, accelerators, adjacency: AdjacencyLevel::Domain },
+        class: WorkClass::Normal,
+        declared_ms: work_ms,
+        cores: 1,
+        memory_mb: 100,
+        checkpointable: true,
+        domains: Vec::new(),
+        command: "run".to_owned(),
+        idempotency_key: None,
+    }
+}
+
+fn domain_name(index: u32) -> String {
+    char::from_u32(u32::from(b'a') + index).expect("a letter").to_string()
+}
+
+fn tree_text(domains: &[String], workers: u32, extra: &str) -> String {
+    let mut text = String::from("regions:\n  north:\n    domains:\n");
+    for domain in domains {
+        text.push_str(&format!("      {domain}:\n        racks:\n"));
+        for rack in 0..workers.div_ceil(3) {
+            let count = (workers - rack * 3).min(3);
+            text.push_str(&format!(
+                "          {domain}-r{rack:02}: {{ workers: {count}, accelerators: 8 }}\n"
+            ));
+        }
+    }
+    if !extra.contains("customers:") {
+        text.push_str("customers:\n  bank: { quota: 4000 }\n  shop: { quota: 4000 }\n");
+    }
+    text.push_str(extra);
+    text
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address")
+}
