--- a/crates/model/src/admin.rs
+++ b/crates/model/src/admin.rs
@@ -3,6 +3,8 @@
 //! Any scheduler process answers the API. What only the active scheduler of a failure domain knows
 //! is asked with a [`DomainQuery`], forwarded as JSON text between processes.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 use crate::clock::UnixMillis;
@@ -35,6 +37,8 @@
         /// Text of the tree in YAML.
         text: String,
     },
+    /// Accelerators that each customer uses in the domain, for quotas over all domains.
+    Usage,
 }
 
 /// Answers a [`DomainQuery`].
@@ -53,6 +57,8 @@
     Why(String),
     /// Answers `DryRun`: one sentence for each effect, none when nothing changes.
     DryRun(Vec<String>),
+    /// Answers `Usage`.
+    Usage(BTreeMap<CustomerName, u32>),
     /// The query could not be answered; fault and mend.
     Refused(String),
 }
--- a/crates/scheduler/src/job_controller.rs
+++ b/crates/scheduler/src/job_controller.rs
@@ -27,7 +27,7 @@
     ConfigVersion, CustomerName, DomainName, Epoch, InstanceId, JobId, WorkerId,
 };
 use lacewingrail_placement::{
-    DomainPlanner, MemberPlace, RunningEntry, WaitingEntry, WorkerCapacity,
+    DomainPlanner, MemberPlace, RunningEntry, WaitingEntry, WorkerCapacity, WorkerHealth,
 };
 use tokio::sync::mpsc;
 
@@ -48,6 +48,9 @@
 /// the start permission.
 pub const UNREACHABLE_WAIT: Duration = Duration::from_secs(12);
 
+/// Ticks after which the planner is asked although nothing happened, since waiting times matter too.
+const QUIET_TICKS: u32 = 4;
+
 /// Holds what a controller works with.
 pub struct JobSettings {
     /// Process.
@@ -88,6 +91,8 @@
     config_version: ConfigVersion,
     out_handled: bool,
     denial: Option<String>,
+    /// Ticks since the newest decision.
+    quiet_ticks: u32,
     starts: u64,
     preemptions: u64,
 }
@@ -126,8 +131,10 @@
 enum JobPhase {
     /// Arrives from another domain.
     Arriving,
-    /// May still run on a worker that did not answer; waits until then.
+    /// Waits a moment after failed attempts.
     Blocked(Instant),
+    /// May still run on a worker that did not answer; waits at least until then.
+    Unreachable(Instant),
     /// Waits in the planner's queue.
     Waiting,
     /// A start is decided and waits for the rate after a return.
@@ -170,6 +177,9 @@
 /// Tells that the settings or the vetoes changed.
 pub struct SettingsChanged;
 
+/// Sets the accelerators that customers use in other domains.
+pub struct SetElsewhere(pub BTreeMap<CustomerName, u32>);
+
 /// Sets the workers.
 pub struct SetCapacities(pub Vec<WorkerCapacity>, pub Vec<Arc<WorkerSpec>>);
 
@@ -198,6 +208,7 @@
             config_version: 0,
             out_handled: false,
             denial: None,
+            quiet_ticks: 0,
             starts: 0,
             preemptions: 0,
         };
@@ -220,6 +231,18 @@
     }
 }
 
+impl Message<SetElsewhere> for JobController {
+    type Reply = ();
+
+    async fn handle(&mut self, message: SetElsewhere, _context: &mut Context<Self, ()>) {
+        if self.elsewhere != message.0 {
+            self.elsewhere = message.0;
+            self.set_customers();
+            self.request_pump();
+        }
+    }
+}
+
 impl Message<SettingsChanged> for JobController {
     type Reply = ();
 
@@ -236,8 +259,12 @@
     async fn handle(&mut self, _tick: JobTick, _context: &mut Context<Self, ()>) {
         self.follow_out();
         let now = Instant::now();
-        let due =
-            |entry: &JobEntry| matches!(entry.phase, JobPhase::Blocked(until) if until <= now);
+        let fenced = self.out_handled || self.is_fenced();
+        let due = |entry: &JobEntry| match entry.phase {
+            JobPhase::Blocked(until) => until <= now,
+            JobPhase::Unreachable(until) => until <= now && fenced,
+            _ => false,
+        };
         let free: Vec<JobId> =
             self.jobs.iter().filter(|(_, entry)| due(entry)).map(|(job, _)| job.clone()).collect();
         for job in free {
@@ -248,7 +275,10 @@
         let free = self.planner.counts().accelerators_free;
         let settings = &self.settings;
         settings.context.membership.set_scheduling(&settings.domain, settings.epoch, free);
-        self.request_pump();
+        self.quiet_ticks += 1;
+        if self.denial.is_some() || !self.deferred.is_empty() || self.quiet_ticks >= QUIET_TICKS {
+            self.request_pump();
+        }
     }
 }
 
@@ -257,6 +287,15 @@
         DomainLabel { domain: self.settings.domain.clone() }
     }
 
+    /// Returns whether more than half of the workers follow this scheduler.
+    ///
+    /// A former holder that still reaches at least half of them has then met a worker that refused
+    /// its epoch, and renews nothing any more.
+    fn is_fenced(&self) -> bool {
+        let silent = |capacity: &&WorkerCapacity| capacity.health == WorkerHealth::Silent;
+        self.capacities.iter().filter(silent).count() * 2 < self.capacities.len()
+    }
+
     /// Takes over what the rebuild found.
     fn take_plan(&mut self, plan: RebuildPlan) {
         for gang in plan.adopted {
@@ -271,7 +310,7 @@
                 self.jobs.insert(job, entry);
                 let _ = self.settings.gangs.tell(StopRemains(remains)).try_send();
             } else if blocked {
-                entry.phase = JobPhase::Blocked(Instant::now() + UNREACHABLE_WAIT);
+                entry.phase = JobPhase::Unreachable(Instant::now() + UNREACHABLE_WAIT);
                 self.jobs.insert(job, entry);
             } else {
                 self.jobs.insert(job.clone(), entry);
--- a/crates/scheduler/src/job_controller/answers.rs
+++ b/crates/scheduler/src/job_controller/answers.rs
@@ -7,7 +7,7 @@
 use lacewingrail_model::admin::{
     DomainAnswer, DomainQuery, DomainStatus, MemberStatus, WorkerStatus,
 };
-use lacewingrail_model::{JobId, WorkerId};
+use lacewingrail_model::{CustomerName, JobId, WorkerId};
 use lacewingrail_placement::WorkerCapacity;
 
 use super::{JobController, JobPhase};
@@ -34,6 +34,7 @@
             DomainQuery::Queue => DomainAnswer::Queue(self.planner.queue()),
             DomainQuery::Why { job } => DomainAnswer::Why(self.why(&job)),
             DomainQuery::DryRun { text } => self.dry_run(&text),
+            DomainQuery::Usage => DomainAnswer::Usage(self.usage()),
         })
     }
 }
@@ -86,6 +87,16 @@
         self.capacities.iter().map(describe).collect()
     }
 
+    /// Returns the accelerators that each customer holds.
+    fn usage(&self) -> BTreeMap<CustomerName, u32> {
+        let mut usage = BTreeMap::new();
+        for entry in self.jobs.values().filter(|entry| entry.gang.is_some()) {
+            let spec = &entry.record.spec;
+            *usage.entry(spec.customer.clone()).or_insert(0) += spec.shape.total();
+        }
+        usage
+    }
+
     fn why(&self, job: &JobId) -> String {
         let Some(entry) = self.jobs.get(job) else {
             return format!("job {job} is not in failure domain {}", self.settings.domain);
@@ -97,8 +108,13 @@
                 None => explained(),
             },
             JobPhase::Blocked(_) => {
-                "the job waits a moment before its next attempt, because an earlier one failed or \
-                 may still run on a worker that does not answer"
+                "the job waits a moment before its next attempt, because earlier ones failed"
+                    .to_owned()
+            }
+            JobPhase::Unreachable(_) => {
+                "an earlier attempt may still run on a worker that does not answer; the job waits \
+                 until its lease has lapsed and most workers of the domain answer, or the domain \
+                 is taken out"
                     .to_owned()
             }
             JobPhase::Arriving => "the job arrives from another failure domain".to_owned(),
--- a/crates/scheduler/src/job_controller/decisions.rs
+++ b/crates/scheduler/src/job_controller/decisions.rs
@@ -21,6 +21,7 @@
 
     async fn handle(&mut self, _message: Pump, _context: &mut Context<Self, ()>) {
         self.pump_pending = false;
+        self.quiet_ticks = 0;
         if let Err(denial) = self.settings.permission.remaining() {
             self.denial = Some(denial.to_string());
             return;
--- a/crates/scheduler/src/job_controller/ends.rs
+++ b/crates/scheduler/src/job_controller/ends.rs
@@ -13,7 +13,7 @@
 use crate::gang_controller::{GangEvent, GangSummary};
 use crate::history::EndedJob;
 use crate::metrics::DomainLabel;
-use crate::worker_controller::{ForgetJob, GangBegan, StartsFailed, WorkerSeen};
+use crate::worker_controller::{ForgetJob, GangBegan, StartsFailed};
 
 /// Run time below which a failure is counted like a failed start.
 const EARLY_FAILURE: Duration = Duration::from_secs(10);
@@ -47,11 +47,8 @@
                 self.note_checkpoint(&job, attempt, kept_ms);
             }
             GangEvent::Ended(summary) => self.note_ended(summary),
-            GangEvent::WorkerSeen { worker, outcome } => {
-                let _ = self.settings.workers.tell(WorkerSeen { worker, outcome }).try_send();
-            }
-            // The lease controller ends this controller.
-            GangEvent::Stale { .. } => {}
+            // The tenure hands these to the worker controller and the lease controller.
+            GangEvent::WorkerSeen { .. } | GangEvent::Stale { .. } => {}
         }
     }
 }
@@ -81,7 +78,9 @@
                 self.planner.release(&message.job);
                 self.refuse(&message.job, message.reason);
             }
-            JobPhase::Waiting | JobPhase::Blocked(_) => self.refuse(&message.job, message.reason),
+            JobPhase::Waiting | JobPhase::Blocked(_) | JobPhase::Unreachable(_) => {
+                self.refuse(&message.job, message.reason);
+            }
             JobPhase::Arriving | JobPhase::Leaving(_) | JobPhase::Ending => {}
         }
         self.request_pump();
--- a/crates/scheduler/src/job_controller/outs.rs
+++ b/crates/scheduler/src/job_controller/outs.rs
@@ -22,6 +22,12 @@
             self.planner.set_nominal(settings.nominal_racks.clone());
         }
         self.planner.set_guarantees(guarantees(&config, domain));
+        self.set_customers();
+    }
+
+    /// Gives the planner the customers' shares.
+    pub(super) fn set_customers(&mut self) {
+        let config = self.settings.context.membership.current();
         let shares = config.customers.iter().map(|(name, customer)| {
             let in_use_elsewhere = self.elsewhere.get(name).copied().unwrap_or(0);
             let share =
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod records;
 pub mod tenure;
 pub mod tombstones;
+pub mod usage;
 pub mod worker_controller;
 
 pub use process::SchedulerProcess;
--- a/crates/scheduler/src/tenure.rs
+++ b/crates/scheduler/src/tenure.rs
@@ -31,8 +31,8 @@
 use crate::permission::StartPermission;
 use crate::rebuild::{self, WorkerAnswer};
 use crate::records;
-use crate::worker_controller::{LIST_PERIOD, ListTick, WorkerController, WorkerSettings};
-use crate::{evidence, history};
+use crate::worker_controller::{LIST_PERIOD, ListTick, WorkerController, WorkerSeen, WorkerSettings};
+use crate::{evidence, history, usage};
 
 /// Workers asked at a time.
 const REBUILD_WIDTH: usize = 64;
@@ -145,13 +145,20 @@
             plan.waiting.len()
         );
         let receiver: Arc<OnceLock<ActorRef<JobController>>> = Arc::default();
+        let watcher: Arc<OnceLock<ActorRef<WorkerController>>> = Arc::default();
         let sink = {
-            let receiver = receiver.clone();
-            Arc::new(move |event: GangEvent| {
-                if let GangEvent::Stale { seen } = event {
-                    stale(seen);
-                } else if let Some(jobs) = receiver.get() {
-                    let _ = jobs.tell(event).try_send();
+            let (receiver, watcher) = (receiver.clone(), watcher.clone());
+            Arc::new(move |event: GangEvent| match event {
+                GangEvent::Stale { seen } => stale(seen),
+                GangEvent::WorkerSeen { worker, outcome } => {
+                    if let Some(workers) = watcher.get() {
+                        let _ = workers.tell(WorkerSeen { worker, outcome }).try_send();
+                    }
+                }
+                event => {
+                    if let Some(jobs) = receiver.get() {
+                        let _ = jobs.tell(event).try_send();
+                    }
                 }
             })
         };
@@ -212,9 +219,11 @@
             mailbox::unbounded(),
         );
         let _ = receiver.set(jobs.clone());
+        let _ = watcher.set(workers.clone());
         let _ = workers.tell(ListTick).try_send();
         tasks.tick(&context, LIST_PERIOD, &workers, || ListTick);
         tasks.tick(&context, JOB_PERIOD, &jobs, || JobTick);
+        tasks.add(tokio::spawn(usage::run(context.clone(), domain.clone(), jobs.clone())));
         tasks.add(tokio::spawn(watch_settings(context.clone(), jobs.clone())));
         tasks.add(tokio::spawn(watch_jobs(
             context.clone(),
--- /dev/null
+++ b/crates/scheduler/src/usage.rs
@@ -0,0 +1,53 @@
+//! Use of accelerators in other failure domains, for quotas that hold over all domains.
+//!
+//! Each active scheduler asks the others. Between two rounds, domains that start jobs of the same
+//! customer at once may exceed its quota; a quota is a limit for fairness and no guarantee.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::actor::ActorRef;
+use lacewingrail_model::admin::{DomainAnswer, DomainQuery};
+use lacewingrail_model::message::{PeerRequest, PeerResponse};
+use lacewingrail_model::{CustomerName, DomainName};
+
+use crate::context::ProcessContext;
+use crate::job_controller::{JobController, SetElsewhere};
+
+/// Time between rounds.
+const PERIOD: Duration = Duration::from_secs(5);
+/// Longest time of one question.
+const LIMIT: Duration = Duration::from_secs(1);
+
+/// Asks until it is aborted. A domain that does not answer counts with its newest answer.
+pub async fn run(context: Arc<ProcessContext>, domain: DomainName, jobs: ActorRef<JobController>) {
+    let mut ticks = context.timer.subscribe_spread(PERIOD);
+    let mut answers: BTreeMap<DomainName, BTreeMap<CustomerName, u32>> = BTreeMap::new();
+    let Ok(request) = serde_json::to_string(&DomainQuery::Usage) else {
+        return;
+    };
+    loop {
+        ticks.tick().await;
+        let membership = &context.membership;
+        let others = membership.schedulers().into_iter().filter(|(name, _)| *name != domain);
+        for (name, seen) in others {
+            let forward =
+                PeerRequest::AdminForward { domain: name.clone(), request: request.clone() };
+            let response = membership.call(&seen.address, forward, LIMIT).await;
+            let Ok(PeerResponse::Admin { status: 200, body }) = response else {
+                continue;
+            };
+            if let Ok(DomainAnswer::Usage(usage)) = serde_json::from_str(&body) {
+                answers.insert(name, usage);
+            }
+        }
+        let mut elsewhere: BTreeMap<CustomerName, u32> = BTreeMap::new();
+        for (customer, used) in answers.values().flatten() {
+            *elsewhere.entry(customer.clone()).or_insert(0) += used;
+        }
+        if jobs.tell(SetElsewhere(elsewhere)).try_send().is_err() {
+            return;
+        }
+    }
+}
--- a/crates/scheduler/src/worker_controller.rs
+++ b/crates/scheduler/src/worker_controller.rs
@@ -204,7 +204,12 @@
             Ok(report) => worker.take_report(&report, Instant::now()),
             Err(_) => worker.failures += 1,
         }
-        self.publish();
+        // Most reports change nothing, and comparing all workers for each would cost more.
+        let capacity = worker.capacity(&self.health);
+        let known = self.sent.iter().flatten().find(|known| known.id == capacity.id);
+        if known.is_none_or(|known| !is_close(&capacity, known)) {
+            self.publish();
+        }
     }
 }
 
@@ -330,9 +335,10 @@
 
 /// Returns whether capacities changed enough to matter to the planner.
 fn differs(new: &[WorkerCapacity], old: &[WorkerCapacity]) -> bool {
-    let close = |(new, old): (&WorkerCapacity, &WorkerCapacity)| {
-        (new.speed - old.speed).abs() < SPEED_STEP
-            && WorkerCapacity { speed: old.speed, ..new.clone() } == *old
-    };
-    new.len() != old.len() || !new.iter().zip(old).all(close)
+    new.len() != old.len() || !new.iter().zip(old).all(|(new, old)| is_close(new, old))
+}
+
+fn is_close(new: &WorkerCapacity, old: &WorkerCapacity) -> bool {
+    (new.speed - old.speed).abs() < SPEED_STEP
+        && WorkerCapacity { speed: old.speed, ..new.clone() } == *old
 }
