--- /dev/null
+++ b/crates/scheduler/tests/gangs.rs
@@ -0,0 +1,152 @@
+//! Whole gangs under faults of the coordinator and of members.
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use futures::future::join_all;
+use lacewingrail_model::job::{JobSpec, JobState};
+use lacewingrail_standins::worker_fleet::faults::{WorkerFaults, WorkerSelection};
+use support::gates::WorkerCall;
+use support::{Bench, gang};
+
+const LIMIT: Duration = Duration::from_secs(25);
+
+/// Guards against partial gangs and double runs when the coordinator dies between any two messages
+/// of the start protocol: its successor must adopt what is whole and stop the rest.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_coordinator_dies_between_every_two_messages() {
+    // Two members and three steps make six messages.
+    join_all((0..=6).map(|allowed| async move {
+        let bench = Bench::new(1, 2).await;
+        let mut first = bench.start("a", 0).await;
+        first.wait_schedules("a", LIMIT).await;
+        let sent = Arc::new(AtomicU32::new(0));
+        let count = sent.clone();
+        first.workers.set_filter(Arc::new(move |call, _| match call {
+            WorkerCall::Reserve | WorkerCall::Commit | WorkerCall::Start => {
+                count.fetch_add(1, Ordering::SeqCst) < allowed
+            }
+            _ => count.load(Ordering::SeqCst) <= allowed,
+        }));
+        let second = bench.start("a", 1).await;
+        bench.submit("a", "job-1", gang(2, 8, 6_000)).await;
+        let cut = async {
+            while sent.load(Ordering::SeqCst) < (allowed + 1).min(6) {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        };
+        tokio::time::timeout(Duration::from_secs(5), cut).await.expect("the start protocol begins");
+        first.crash();
+        let record = bench.wait_ended("job-1", LIMIT).await;
+        assert_eq!(record.state, JobState::Finished, "after {allowed} messages");
+        assert!(second.schedules("a"));
+        println!("after {allowed} messages: finished with attempt {}", record.attempt);
+        if allowed == 6 {
+            assert_eq!(record.attempt, 1, "the running gang is adopted");
+        }
+        bench.assert_truth();
+    }))
+    .await;
+}
+
+/// Guards against a gang that stays partial when one member's worker dies, and against work that is
+/// not started again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_worker_dies_at_each_phase() {
+    let phases = [WorkerCall::Reserve, WorkerCall::Commit, WorkerCall::Start, WorkerCall::Renew];
+    join_all(phases.map(|phase| async move {
+        let bench = Arc::new(Bench::new(1, 3).await);
+        let host = bench.start("a", 0).await;
+        host.wait_schedules("a", LIMIT).await;
+        let (fleet, hit) = (bench.clone(), Arc::new(AtomicU32::new(0)));
+        let runs = hit.clone();
+        host.workers.set_filter(Arc::new(move |call, worker| {
+            // The first call of the phase that meets a member kills its worker.
+            let meets = call != WorkerCall::Renew || !fleet.running("job-1").is_empty();
+            if call == phase && meets && runs.fetch_add(1, Ordering::SeqCst) == 0 {
+                let faults = WorkerFaults { dead: true, ..WorkerFaults::default() };
+                fleet.fleet.set_faults(&WorkerSelection::worker(worker), faults);
+            }
+            true
+        }));
+        bench.submit("a", "job-1", gang(2, 8, 3_000)).await;
+        let record = bench.wait_ended("job-1", LIMIT).await;
+        assert_eq!(record.state, JobState::Finished, "death at {phase:?}");
+        assert!(hit.load(Ordering::SeqCst) > 0);
+        println!("death at {phase:?}: finished with attempt {}", record.attempt);
+        bench.assert_truth();
+    }))
+    .await;
+}
+
+/// Guards against a gang whose members go on when one worker answers no more: the others must stop
+/// in time, and the job must run again elsewhere only after the silent member's lease.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_worker_goes_silent() {
+    let bench = Bench::new(1, 3).await;
+    let host = bench.start("a", 0).await;
+    host.wait_schedules("a", LIMIT).await;
+    bench.submit("a", "job-1", gang(2, 8, 20_000)).await;
+    bench.wait_running("job-1", 2, LIMIT).await;
+    let silent = bench.running("job-1")[0].worker.clone();
+    let faults = WorkerFaults { silent: true, ..WorkerFaults::default() };
+    bench.fleet.set_faults(&WorkerSelection::worker(&silent), faults);
+    let other = async {
+        while bench.running("job-1").iter().any(|record| record.worker != silent) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(8), other).await.expect("the other member stops");
+    let again = async {
+        while !bench.running("job-1").iter().any(|record| record.member.attempt == 2) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, again).await.expect("the job runs again");
+    bench.assert_truth();
+}
+
+/// Guards against writes and calls that are repeated wrongly, or given up, when their answers are
+/// lost after they took effect.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_are_lost_everywhere() {
+    join_all([2, 3, 5].map(|period| async move {
+        let bench = Bench::new(1, 3).await;
+        let host = bench.start("a", 0).await;
+        host.store.lose_every(period);
+        host.workers.lose_every(period);
+        host.wait_schedules("a", LIMIT).await;
+        for index in 0..4 {
+            bench.submit("a", &format!("job-{index}"), gang(3, 2, 800)).await;
+        }
+        for index in 0..4 {
+            let record = bench.wait_ended(&format!("job-{index}"), LIMIT).await;
+            assert_eq!(record.state, JobState::Finished, "every {period}th answer lost");
+        }
+        let mut ids: Vec<_> = bench.history().await.into_iter().map(|job| job.id).collect();
+        ids.sort();
+        assert_eq!(ids, ["job-0", "job-1", "job-2", "job-3"], "each end is recorded once");
+        bench.assert_truth();
+    }))
+    .await;
+}
+
+/// Guards against endless attempts of a job that cannot start anywhere, and against good workers
+/// that are taken out of service because of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_faulty_job_is_refused() {
+    let bench = Bench::new(1, 4).await;
+    let host = bench.start("a", 0).await;
+    host.wait_schedules("a", LIMIT).await;
+    let faulty = JobSpec { command: "fail-start".to_owned(), ..gang(1, 8, 500) };
+    bench.submit("a", "job-bad", faulty).await;
+    let record = bench.wait_ended("job-bad", LIMIT).await;
+    assert!(matches!(record.state, JobState::Failed { .. }), "{:?}", record.state);
+    assert!(record.attempt <= 4, "{} attempts", record.attempt);
+    bench.submit("a", "job-good", gang(4, 8, 500)).await;
+    assert_eq!(bench.wait_ended("job-good", LIMIT).await.state, JobState::Finished);
+}
