--- /dev/null
+++ b/crates/membership/tests/spreading.rs
@@ -0,0 +1,102 @@
+//! Spreading of the settings tree between processes over real connections.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{Cluster, TestProcess, eventually, write_tree};
+use lacewingrail_model::message::ConfigPayload;
+use lacewingrail_platform::StoreFaults;
+
+const PROCESSES_PER_DOMAIN: usize = 6;
+/// Bound of the design: one change is in force everywhere within 2 s on one machine.
+const SPREAD_BOUND: Duration = Duration::from_secs(2);
+
+/// Guards against changes that reach some processes only through the slow poll.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn change_reaches_every_process_within_the_bound() {
+    let cluster = Cluster::start(&["a", "b", "c"], PROCESSES_PER_DOMAIN).await;
+    cluster.wait_ready().await;
+    // Watches start once peers are known.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for version in 2..=4 {
+        write_tree(&*cluster.store, version, &[]).await;
+        let written = Instant::now();
+        let reached = eventually(SPREAD_BOUND, || cluster.all_have(version)).await;
+        assert!(reached, "version {version} is not everywhere after {:?}", written.elapsed());
+    }
+}
+
+/// Guards against store calls that grow with the number of processes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn watches_stay_at_two_per_domain() {
+    let cluster = Cluster::start(&["a", "b"], PROCESSES_PER_DOMAIN).await;
+    cluster.wait_ready().await;
+    // Long enough for every process to know the schedulers of its domain.
+    tokio::time::sleep(Duration::from_secs(16)).await;
+    let waiting = cluster.store.stats().waiting_watches;
+    assert!(waiting <= 4, "{waiting} watches wait for 2 domains");
+}
+
+/// Guards against a process that stays behind when its own way to the store is cut.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn process_without_store_learns_from_peers() {
+    let cluster = Cluster::start(&["a"], 4).await;
+    cluster.wait_ready().await;
+    cluster.processes[0].link.cut(true);
+    write_tree(&*cluster.store, 2, &[]).await;
+    let reached = eventually(Duration::from_secs(4), || cluster.all_have(2)).await;
+    assert!(reached, "a process without the store does not follow its peers");
+}
+
+/// Guards against a restarted process in a cut-off domain that serves without configuration or with
+/// an older one than its peers have.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn restarted_process_takes_the_tree_of_its_peers() {
+    let mut cluster = Cluster::start(&["a"], 3).await;
+    cluster.wait_ready().await;
+    write_tree(&*cluster.store, 5, &[]).await;
+    assert!(eventually(Duration::from_secs(4), || cluster.all_have(5)).await);
+    cluster.store.set_faults(StoreFaults::outage());
+    let restarted =
+        TestProcess::start("a", "a-restarted", &cluster.addresses(), &cluster.store).await;
+    assert!(!restarted.membership.ready(), "a process is ready before it has a tree");
+    let ready = eventually(Duration::from_secs(4), || restarted.membership.ready()).await;
+    assert!(ready, "the restarted process does not become ready");
+    assert_eq!(restarted.membership.current().version, 5);
+    cluster.processes.push(restarted);
+}
+
+/// Guards against serving with neither the store nor a peer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn process_alone_without_store_is_not_ready() {
+    let cluster = Cluster::start(&[], 0).await;
+    cluster.store.set_faults(StoreFaults::outage());
+    let alone = TestProcess::start("a", "a-alone", &[], &cluster.store).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert!(!alone.membership.ready());
+}
+
+/// Guards against a revert by a late push of an older tree.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn older_tree_is_not_taken() {
+    let cluster = Cluster::start(&["a"], 1).await;
+    cluster.wait_ready().await;
+    write_tree(&*cluster.store, 3, &[]).await;
+    let process = &cluster.processes[0];
+    assert!(eventually(Duration::from_secs(15), || cluster.all_have(3)).await);
+    let older = ConfigPayload { version: 2, text: common::tree_text(2, &[]) };
+    process.membership.publish(older).await;
+    assert_eq!(process.membership.current().version, 3);
+}
+
+/// Guards against a malformed value in the store that takes the former tree out of force.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn unreadable_tree_leaves_the_former_in_force() {
+    let cluster = Cluster::start(&["a"], 1).await;
+    cluster.wait_ready().await;
+    let process = &cluster.processes[0];
+    let broken = ConfigPayload { version: 9, text: "{\"version\": 9}".to_owned() };
+    process.membership.publish(broken).await;
+    assert_eq!(process.membership.current().version, 1);
+}
