--- a/crates/placement/src/audit.rs
+++ b/crates/placement/src/audit.rs
@@ -1,7 +1,6 @@
 //! Checks the invariants of a board.
 
 use lacewingrail_model::invariant::{self, InvariantName};
-use lacewingrail_model::shape::AdjacencyLevel;
 
 use crate::board::PlacementBoard;
 use crate::gang::{GangPhase, PlacedGang};
@@ -70,18 +69,8 @@
 
 /// Returns whether an unused unit has a whole footprint on usable workers.
 fn is_placed(board: &PlacementBoard, unit: &PlanUnit) -> bool {
-    let workers = &board.floor.workers;
-    let total: u32 = unit.footprint.iter().map(|part| part.accelerators).sum();
-    let usable = unit.footprint.iter().all(|part| workers[part.worker].is_usable());
-    let mut racks: Vec<&str> =
-        unit.footprint.iter().map(|part| workers[part.worker].rack.as_str()).collect();
-    racks.dedup();
-    let adjacent = match unit.shape.adjacency {
-        AdjacencyLevel::Worker => unit.footprint.len() == 1,
-        AdjacencyLevel::Rack => racks.len() == 1,
-        AdjacencyLevel::Domain => true,
-    };
-    total == unit.shape.total() && usable && adjacent
+    let usable = |worker: usize| board.floor.workers[worker].is_usable();
+    unit.footprint.iter().all(|part| usable(part.worker)) && unit.is_whole(&board.floor.map)
 }
 
 /// Returns whether a gang lies within the footprint of its unit.
--- a/crates/placement/src/board.rs
+++ b/crates/placement/src/board.rs
@@ -318,7 +318,8 @@
         if let Some(unit) = self.plan.vacate(slot) {
             let footprint = &self.plan.units[unit].footprint;
             let usable = |worker: usize| self.floor.workers[worker].is_usable();
-            let valid = footprint.iter().all(|part| usable(part.worker));
+            let valid = footprint.iter().all(|part| usable(part.worker))
+                && self.plan.units[unit].is_whole(&self.floor.map);
             let suspended = self.plan.units.iter().any(|unit| unit.footprint.is_empty());
             self.dirty |= !valid || suspended;
         }
--- a/crates/placement/src/guaranteed.rs
+++ b/crates/placement/src/guaranteed.rs
@@ -35,8 +35,10 @@
     // A unit whose only place is a worker to avoid is used all the same.
     let attempts = avoiding.into_iter().chain([&[][..]]);
     let mut found = None;
-    for avoid in attempts {
-        let search = UnitSearch { candidate, unit, avoid, now };
+    let stages: Vec<SearchStage> = stages(board, now).collect();
+    let searches = attempts.flat_map(|avoid| stages.iter().map(move |stage| (avoid, *stage)));
+    for (avoid, stage) in searches {
+        let search = UnitSearch { candidate, unit, avoid, stage, now };
         found = search.run(board);
         if found.is_some() {
             break;
@@ -54,10 +56,32 @@
     })
 }
 
+/// Says how far a search may go.
+#[derive(Clone, Copy)]
+struct SearchStage {
+    /// Whether the reserved place of a waiting gang is left alone.
+    spares: bool,
+    /// Whether borrowers may be stopped.
+    stops: bool,
+}
+
+/// Returns the stages of a search in order.
+///
+/// A guaranteed job goes before a reservation, but a stream of them must not take the reserved
+/// place while another serves as well: it is spared where it costs no work, and where it does as
+/// soon as its holder is overdue.
+fn stages(board: &PlacementBoard, now: Duration) -> impl Iterator<Item = SearchStage> + use<> {
+    let holder = board.reservation.as_ref().and_then(|held| board.queue.find(&held.job));
+    let holder = holder.and_then(|key| board.queue.get(key));
+    let sparing = holder.map(|job| SearchStage { spares: true, stops: job.is_overdue(now) });
+    sparing.into_iter().chain([SearchStage { spares: false, stops: true }])
+}
+
 struct UnitSearch<'a> {
     candidate: &'a JobCandidate,
     unit: usize,
     avoid: &'a [usize],
+    stage: SearchStage,
     now: Duration,
 }
 
@@ -73,6 +97,9 @@
         {
             return Some(ReclaimChoice { cost: 0.0, place, victims: Vec::new() });
         }
+        if !self.stage.stops {
+            return None;
+        }
         if exact {
             let open = self.mask(board, board.plan.open.clone());
             let choice = self.reclaim(board, &demand, &open);
@@ -157,6 +184,11 @@
                 room[index] = 0;
             }
         }
+        if let Some(held) = board.reservation.as_ref().filter(|_| self.stage.spares) {
+            for part in footprint_of(&held.place, &held.demand) {
+                room[part.worker] = room[part.worker].saturating_sub(part.accelerators);
+            }
+        }
         room
     }
 }
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -52,6 +52,12 @@
 }
 
 impl PlanUnit {
+    /// Returns whether the footprint holds the whole shape. That of a gang which was adopted or kept
+    /// beside others may hold the gang alone.
+    pub fn is_whole(&self, map: &RackMap) -> bool {
+        holds_shape(&self.footprint, &self.shape, map)
+    }
+
     /// Returns whether the unit could be reclaimed.
     pub fn is_unused(&self) -> bool {
         self.state == UnitState::Unused
@@ -246,9 +252,7 @@
     shape: &GangShape,
     core: &[PlanPart],
 ) -> Option<Footprint> {
-    if is_inside(outside, core)
-        && core.iter().map(|part| part.accelerators).sum::<u32>() == shape.total()
-    {
+    if is_inside(outside, core) && holds_shape(core, shape, map) {
         return Some(core.to_vec());
     }
     let first = core.first()?;
@@ -290,6 +294,22 @@
     Some(footprint)
 }
 
+/// Returns whether a footprint has the members and the adjacency of a shape.
+pub fn holds_shape(footprint: &[PlanPart], shape: &GangShape, map: &RackMap) -> bool {
+    let total: u32 = footprint.iter().map(|part| part.accelerators).sum();
+    let whole = footprint.iter().all(|part| part.accelerators % shape.accelerators == 0);
+    let Some(first) = footprint.first() else {
+        return false;
+    };
+    let rack = map.rack_of[first.worker];
+    let adjacent = match shape.adjacency {
+        AdjacencyLevel::Worker => footprint.len() == 1,
+        AdjacencyLevel::Rack => footprint.iter().all(|part| map.rack_of[part.worker] == rack),
+        AdjacencyLevel::Domain => true,
+    };
+    total == shape.total() && whole && adjacent
+}
+
 /// Returns whether a footprint lies within the accelerators of each worker.
 pub fn is_inside(outside: &[u32], footprint: &[PlanPart]) -> bool {
     footprint.iter().all(|part| outside[part.worker] >= part.accelerators)
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -31,6 +31,13 @@
     decided: Duration,
 }
 
+impl Clone for DomainPlanner {
+    fn clone(&self) -> Self {
+        let policy = policy_of(self.board.choice);
+        Self { board: self.board.clone(), policy, decided: self.decided }
+    }
+}
+
 impl DomainPlanner {
     /// Creates a planner without workers. The seed selects among equal places.
     pub fn new(domain: DomainName, choice: PlacementChoice, seed: u64) -> Self {
--- a/crates/placement/src/replan.rs
+++ b/crates/placement/src/replan.rs
@@ -31,8 +31,8 @@
     let capacity: Vec<u32> =
         floor.workers.iter().map(|worker| worker.usable_capacity().accelerators).collect();
     let mut plan = GuaranteePlan::new(entries, &capacity);
-    assign_held(&mut plan, previous, &floor.map, gangs);
-    keep_footprints(&mut plan, previous);
+    assign_held(&mut plan, previous, floor, gangs);
+    keep_footprints(&mut plan, previous, &floor.map);
     if !place_missing(&mut plan, &floor.map) && !repack(&mut plan, &floor.map) {
         honour_by_precedence(&mut plan, &floor.map);
     }
@@ -50,7 +50,7 @@
 fn assign_held(
     plan: &mut GuaranteePlan,
     previous: &GuaranteePlan,
-    map: &RackMap,
+    floor: &WorkerFloor,
     gangs: &GangTable,
 ) {
     let mut holders: Vec<(usize, &PlacedGang)> =
@@ -66,6 +66,7 @@
             let unit = same.find(|unit| matches!(plan.units[*unit].state, UnitState::Suspended(_)));
             Some((unit?, old.footprint.clone()))
         });
+        let kept = kept.filter(|(_, footprint)| is_clear(plan, floor, footprint));
         match kept {
             Some((unit, footprint)) => plan.place(unit, footprint, UnitState::Held(slot)),
             None => homeless.push((slot, gang)),
@@ -78,15 +79,27 @@
         };
         let core = footprint_of(&gang.place, &gang.demand);
         let shape = plan.units[unit].shape;
-        let footprint = footprint_around(&plan.outside, map, &shape, &core).unwrap_or(core);
+        let footprint = footprint_around(&plan.outside, &floor.map, &shape, &core).unwrap_or(core);
+        // A gang that lost its guarantee may run where another unit was given its place since.
+        if !is_clear(plan, floor, &footprint) {
+            continue;
+        }
         plan.place(unit, footprint, UnitState::Held(slot));
     }
 }
 
+/// Returns whether a running gang's footprint is free of others. Workers that may not get new
+/// members have no room in the plan, but gangs on them may go on.
+fn is_clear(plan: &GuaranteePlan, floor: &WorkerFloor, footprint: &[PlanPart]) -> bool {
+    footprint.iter().all(|part| {
+        !floor.workers[part.worker].is_usable() || plan.outside[part.worker] >= part.accelerators
+    })
+}
+
 /// Gives unused units the footprints that units of the same customer and shape had.
-fn keep_footprints(plan: &mut GuaranteePlan, previous: &GuaranteePlan) {
+fn keep_footprints(plan: &mut GuaranteePlan, previous: &GuaranteePlan, map: &RackMap) {
     let mut pool = FootprintPool::new();
-    for unit in previous.units.iter().filter(|unit| unit.is_unused()) {
+    for unit in previous.units.iter().filter(|unit| unit.is_unused() && unit.is_whole(map)) {
         let customer = previous.entries[unit.entry].customer.clone();
         pool.entry((customer, unit.shape)).or_default().push(unit.footprint.clone());
     }
--- /dev/null
+++ b/crates/placement/tests/support/scene.rs
@@ -0,0 +1,260 @@
+//! A scheduler in small: it carries out decisions at once and keeps its own account of them.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use lacewingrail_model::config::PlacementChoice;
+use lacewingrail_model::job::{JobRecord, JobSpec, JobState, WorkClass};
+use lacewingrail_model::shape::{AdjacencyLevel, GangShape};
+use lacewingrail_placement::{
+    CustomerShare, DomainPlanner, GuaranteeEntry, MemberPlace, PlacementAction, WaitingEntry,
+    WorkerCapacity, WorkerHealth,
+};
+
+/// Decisions that one event may lead to; more means that the planner goes in circles.
+const MAX_DECISIONS: usize = 200;
+
+pub const RACK: AdjacencyLevel = AdjacencyLevel::Rack;
+pub const WORKER: AdjacencyLevel = AdjacencyLevel::Worker;
+pub const DOMAIN: AdjacencyLevel = AdjacencyLevel::Domain;
+
+#[derive(Clone)]
+pub struct RunningJob {
+    pub record: JobRecord,
+    pub since: Duration,
+    pub members: Vec<MemberPlace>,
+    pub guaranteed: bool,
+}
+
+#[derive(Clone)]
+pub struct Scene {
+    pub planner: DomainPlanner,
+    pub now: Duration,
+    pub capacity: BTreeMap<String, u32>,
+    pub running: BTreeMap<String, RunningJob>,
+    pub waiting: BTreeMap<String, WaitingEntry>,
+    pub refused: BTreeMap<String, String>,
+    pub preempted: Vec<String>,
+    next: u32,
+}
+
+pub fn shape(members: u32, accelerators: u32, adjacency: AdjacencyLevel) -> GangShape {
+    GangShape { members, accelerators, adjacency }
+}
+
+pub fn spec(customer: &str, shape: GangShape, class: WorkClass) -> JobSpec {
+    JobSpec {
+        customer: customer.to_owned(),
+        shape,
+        class,
+        declared_ms: 1_000,
+        cores: 1,
+        memory_mb: 0,
+        checkpointable: true,
+        domains: Vec::new(),
+        command: String::new(),
+        idempotency_key: None,
+    }
+}
+
+pub fn entry(customer: &str, shape: GangShape, count: u32, precedence: u32) -> GuaranteeEntry {
+    GuaranteeEntry { customer: customer.to_owned(), shape, count, precedence, since: 1 }
+}
+
+impl Scene {
+    /// Builds a domain from the accelerators of each worker of each rack, named `r0w0` and so on.
+    pub fn new(racks: &[&[u32]]) -> Self {
+        let mut scene = Self {
+            planner: DomainPlanner::new("d1".to_owned(), PlacementChoice::Shape, 7),
+            now: Duration::from_secs(10_000),
+            capacity: BTreeMap::new(),
+            running: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            refused: BTreeMap::new(),
+            preempted: Vec::new(),
+            next: 0,
+        };
+        let mut workers = Vec::new();
+        for (rack, counts) in racks.iter().enumerate() {
+            for (worker, accelerators) in counts.iter().enumerate() {
+                let id = format!("r{rack}w{worker}");
+                scene.capacity.insert(id.clone(), *accelerators);
+                workers.push(WorkerCapacity {
+                    id,
+                    rack: format!("r{rack}"),
+                    accelerators: *accelerators,
+                    cores: 64,
+                    memory_mb: 128_000,
+                    speed: 1.0,
+                    health: WorkerHealth::Healthy,
+                });
+            }
+        }
+        scene.planner.set_workers(workers);
+        scene.set_quotas(&[("a", 1_000), ("b", 1_000), ("c", 1_000)]);
+        scene
+    }
+
+    pub fn set_quotas(&mut self, quotas: &[(&str, u32)]) {
+        let shares = quotas.iter().map(|(name, quota)| {
+            let share = CustomerShare { weight: 1.0, quota: *quota, in_use_elsewhere: 0 };
+            ((*name).to_owned(), share)
+        });
+        self.planner.set_customers(shares.collect());
+    }
+
+    /// Submits a job without letting the planner decide.
+    pub fn enqueue(&mut self, spec: JobSpec) -> String {
+        self.next += 1;
+        let id = format!("j{}", self.next);
+        let record = JobRecord {
+            id: id.clone(),
+            spec,
+            state: JobState::Queued,
+            owner: "d1".to_owned(),
+            attempt: 0,
+            epoch: 1,
+            checkpoint_ms: 0,
+            preemptions: 0,
+            guaranteed: false,
+            submitted_at: 0,
+            started_at: None,
+            ended_at: None,
+            mark: Default::default(),
+        };
+        self.push(WaitingEntry { record, since: self.now });
+        id
+    }
+
+    pub fn submit(&mut self, customer: &str, shape: GangShape) -> String {
+        self.submit_class(customer, shape, WorkClass::Normal)
+    }
+
+    pub fn submit_class(&mut self, customer: &str, shape: GangShape, class: WorkClass) -> String {
+        let id = self.enqueue(spec(customer, shape, class));
+        self.settle();
+        id
+    }
+
+    /// Ends a running job.
+    pub fn end(&mut self, id: &str) {
+        self.running.remove(id);
+        self.planner.release(&id.to_owned());
+        self.settle();
+    }
+
+    /// Lets time pass.
+    pub fn wait(&mut self, seconds: u64) {
+        self.now += Duration::from_secs(seconds);
+        self.settle();
+    }
+
+    /// Loses a worker: its gangs are torn down and wait again.
+    pub fn lose(&mut self, worker: &str) {
+        self.planner.set_health(&worker.to_owned(), WorkerHealth::Silent);
+        let hit: Vec<String> = self
+            .running
+            .iter()
+            .filter(|(_, job)| job.members.iter().any(|member| member.worker == worker))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in hit {
+            self.requeue(&id, 0);
+        }
+        self.settle();
+    }
+
+    pub fn restore(&mut self, worker: &str) {
+        self.planner.set_health(&worker.to_owned(), WorkerHealth::Healthy);
+        self.settle();
+    }
+
+    /// Carries out decisions until there are none, and checks every one.
+    pub fn settle(&mut self) {
+        for _ in 0..MAX_DECISIONS {
+            let actions = self.planner.decide(self.now);
+            let violations = self.planner.check_invariants();
+            assert!(violations.is_empty(), "{violations:?}");
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                self.carry_out(action);
+            }
+            self.check_account();
+        }
+        panic!("the planner still decides after {MAX_DECISIONS} decisions");
+    }
+
+    pub fn is_running(&self, id: &str) -> bool {
+        self.running.contains_key(id)
+    }
+
+    pub fn workers_of(&self, id: &str) -> Vec<String> {
+        let members = self.running.get(id).map_or(&[][..], |job| &job.members[..]);
+        members.iter().map(|member| member.worker.clone()).collect()
+    }
+
+    fn carry_out(&mut self, action: PlacementAction) {
+        match action {
+            PlacementAction::Start { job, members, guaranteed } => {
+                let entry = self.waiting.remove(&job).expect("a started job was waiting");
+                assert_whole(&entry.record.spec, &members);
+                self.planner.confirm_started(&job);
+                let WaitingEntry { record, since } = entry;
+                self.running.insert(job, RunningJob { record, since, members, guaranteed });
+            }
+            PlacementAction::Preempt { victims, on_behalf_of } => {
+                assert!(self.waiting.contains_key(&on_behalf_of));
+                for victim in victims {
+                    self.preempted.push(victim.clone());
+                    self.requeue(&victim, 1);
+                }
+            }
+            PlacementAction::Refuse { job, reason } => {
+                self.waiting.remove(&job).expect("a refused job was waiting");
+                self.refused.insert(job, reason);
+            }
+        }
+    }
+
+    fn requeue(&mut self, id: &str, preemptions: u32) {
+        let job = self.running.remove(id).expect("a stopped job was running");
+        self.planner.release(&id.to_owned());
+        let mut record = job.record;
+        record.preemptions += preemptions;
+        self.push(WaitingEntry { record, since: job.since });
+    }
+
+    fn push(&mut self, entry: WaitingEntry) {
+        self.waiting.insert(entry.record.id.clone(), entry.clone());
+        self.planner.enqueue(entry);
+    }
+
+    /// Checks that no worker holds more than it has, by what was started and stopped.
+    fn check_account(&self) {
+        let mut held: BTreeMap<&str, u32> = BTreeMap::new();
+        for member in self.running.values().flat_map(|job| &job.members) {
+            *held.entry(&member.worker).or_default() += member.accelerators;
+        }
+        for (worker, count) in held {
+            assert!(count <= self.capacity[worker], "{worker} holds {count} accelerators");
+        }
+    }
+}
+
+/// Checks that all members have a place in the shape that the job asked for.
+fn assert_whole(spec: &JobSpec, members: &[MemberPlace]) {
+    let indices: Vec<u32> = members.iter().map(|member| member.index).collect();
+    assert_eq!(indices, (0..spec.shape.members).collect::<Vec<u32>>());
+    assert!(members.iter().all(|member| member.accelerators == spec.shape.accelerators));
+    let rack = |worker: &str| worker.split('w').next().unwrap_or_default().to_owned();
+    let first = &members[0].worker;
+    let adjacent = members.iter().all(|member| match spec.shape.adjacency {
+        AdjacencyLevel::Worker => member.worker == *first,
+        AdjacencyLevel::Rack => rack(&member.worker) == rack(first),
+        AdjacencyLevel::Domain => true,
+    });
+    assert!(adjacent, "{members:?} is not in one {}", spec.shape.adjacency);
+}
