--- a/crates/standins/tests/instance_list.rs
+++ b/crates/standins/tests/instance_list.rs
@@ -15,6 +15,7 @@
         service: "framecheck".into(),
         domain: "jawa-1".into(),
         address: "http://127.0.0.1:1".into(),
+        peer_address: String::new(),
         leaving: false,
         slots: 8,
         connections: 64,
