Add the command line and refuse trees that lock operators out

Cause: operators need a command line, and a property test found that an empty body was accepted as a tree, which removed every token. Change: the binary lacewingrail with all commands of the design, next-server retries that take effect once, exit codes; the API refuses a tree without an operator; property tests run with a fixed seed. Conclusion: the command line works against the real API with the in-memory store.

--- a/crates/admin/src/config_routes.rs
+++ b/crates/admin/src/config_routes.rs
@@ -80,6 +80,7 @@
     caller.require_reader("a dry run of settings")?;
     let text = read_text(body)?;
     let current = tree_writer::read(&state).await?;
+    tree_writer::check_access(&text)?;
     // Building the next tree applies every check, including the size limit.
     let mark = String::new();
     match &current.tree {
--- a/crates/admin/src/tree_writer.rs
+++ b/crates/admin/src/tree_writer.rs
@@ -74,18 +74,16 @@
     first_digest: Option<&str>,
 ) -> Result<ConfigVersion, ApiFailure> {
     let current = read(state).await?;
-    if let Some(digest) = first_digest {
-        if current.tree.is_some() {
-            return Err(ApiFailure::unauthorized());
-        }
-        let operators = parse(text, CONFIG_TREE)?.operators;
-        if !operators.iter().any(|known| known == digest) {
-            return Err(ApiFailure::unauthorized());
-        }
+    if first_digest.is_some() && current.tree.is_some() {
+        return Err(ApiFailure::unauthorized());
     }
     if current.version() != if_version {
         return Err(ApiFailure::conflict(current.version()));
     }
+    let operators = check_access(text)?;
+    if first_digest.is_some_and(|digest| !operators.iter().any(|known| known == digest)) {
+        return Err(ApiFailure::unauthorized());
+    }
     let mark = state.context.issue_mark();
     let tree = match &current.tree {
         Some(tree) => tree.next(text, author, mark)?,
@@ -97,6 +95,20 @@
     }
 }
 
+/// Checks a tree and returns its operators; one without any would lock everyone out.
+///
+/// An empty text is a valid tree, so this also refuses a body that was lost on its way.
+pub(crate) fn check_access(text: &str) -> Result<Vec<String>, ApiFailure> {
+    let operators = parse(text, CONFIG_TREE)?.operators;
+    if operators.is_empty() {
+        return Err(ApiFailure::refused(
+            "the tree names no operator, so nobody could change it again",
+            "add the digest of an operator's token under access.operators",
+        ));
+    }
+    Ok(operators)
+}
+
 /// Sets whether a failure domain is out; the change is made again on a tree that changed meanwhile.
 ///
 /// Returns the version that holds the state and whether a write was needed.
--- a/crates/admin/tests/api/access.rs
+++ b/crates/admin/tests/api/access.rs
@@ -6,6 +6,7 @@
 use lacewingrail_model::admin::{DomainAnswer, GuaranteeStatus};
 use lacewingrail_model::shape::{AdjacencyLevel, GangShape};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 use crate::harness::{BANK, OPERATOR, READER, SHOP, TestContext, call, tree};
 
@@ -144,7 +145,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(64))]
+    #![proptest_config(ProptestConfig { cases: 64, rng_seed: RngSeed::Fixed(7), ..ProptestConfig::default() })]
 
     /// Guards against bodies, headers and paths that panic a route.
     #[test]
--- a/crates/admin/tests/api/config.rs
+++ b/crates/admin/tests/api/config.rs
@@ -67,6 +67,18 @@
     assert_eq!(context.stored().await.version, 1);
 }
 
+/// Guards against a tree, most of all an empty one, that locks all operators out.
+#[tokio::test]
+async fn trees_without_operators_are_refused() {
+    let context = TestContext::with_tree().await;
+    for text in ["", "# only a comment", "policy: { hedging: false }"] {
+        let answer =
+            context.call(OPERATOR, "PUT", "/v1/config", &[("if-version", "1")], text).await;
+        assert_eq!((answer.status, answer.text.contains("no operator")), (422, true), "{text}");
+    }
+    assert_eq!(context.stored().await.version, 1);
+}
+
 /// Guards against a stranger who writes the first tree of a running system, or replaces it.
 #[tokio::test]
 async fn first_tree_needs_a_token_that_it_names() {
--- a/crates/admin/tests/api/harness.rs
+++ b/crates/admin/tests/api/harness.rs
@@ -1,6 +1,7 @@
 //! A scheduler process in miniature, and calls to its API.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -30,6 +31,8 @@
     pub store: MemoryStore,
     pub answers: Mutex<BTreeMap<DomainName, Vec<DomainAnswer>>>,
     pub veto: Mutex<Option<VetoOutcome>>,
+    /// Number of questions that domains answered.
+    pub asked: AtomicUsize,
     payload: Mutex<Option<ConfigPayload>>,
     view: Mutex<Arc<ConfigView>>,
     issuer: MarkIssuer,
@@ -86,6 +89,7 @@
             store: MemoryStore::new(),
             answers: Mutex::default(),
             veto: Mutex::new(Some(VetoOutcome::ConfirmedBy("scheduler-a".to_owned()))),
+            asked: AtomicUsize::new(0),
             payload: Mutex::default(),
             view: Mutex::default(),
             issuer: MarkIssuer::new("test".to_owned()),
@@ -198,6 +202,7 @@
                     | (DomainQuery::DryRun { .. }, DomainAnswer::DryRun(_))
             )
         };
+        self.asked.fetch_add(1, Ordering::Relaxed);
         let found = answers.get(domain).and_then(|answers| answers.iter().find(fits));
         found.cloned().unwrap_or_else(|| DomainAnswer::Refused("no scheduler is active".to_owned()))
     }
--- /dev/null
+++ b/crates/ctl/src/client.rs
@@ -0,0 +1,241 @@
+//! Calls of the administration API.
+
+use lacewingrail_model::admin::ApiError;
+use reqwest::{Method, StatusCode, Url};
+use serde::de::DeserializeOwned;
+
+use crate::failure::CtlError;
+use crate::options::CommonOptions;
+
+/// States whether a call may be repeated on another server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RepeatRule {
+    /// Repeating has no further effect.
+    Always,
+    /// Only when the first server surely did not act.
+    OnlyUnsent,
+}
+
+/// Describes one call.
+pub(crate) struct ApiCall<'a> {
+    method: Method,
+    path: Vec<&'a str>,
+    query: Vec<(&'a str, String)>,
+    headers: Vec<(&'static str, String)>,
+    body: Option<String>,
+    repeat: RepeatRule,
+}
+
+/// States what one server made of a call.
+pub(crate) enum CallOutcome<T> {
+    Answered(T),
+    /// The server refused; another one would refuse as well.
+    Refused(CtlError),
+    /// The server surely did not act.
+    NotDone(String),
+    /// The server may have acted.
+    Unclear(String),
+}
+
+/// Calls the servers in order until one answers.
+pub(crate) struct ApiClient {
+    http: reqwest::Client,
+    options: CommonOptions,
+}
+
+impl<'a> ApiCall<'a> {
+    pub(crate) fn new(method: Method, path: &[&'a str]) -> Self {
+        Self {
+            method,
+            path: path.to_vec(),
+            query: Vec::new(),
+            headers: Vec::new(),
+            body: None,
+            repeat: RepeatRule::Always,
+        }
+    }
+
+    pub(crate) fn get(path: &[&'a str]) -> Self {
+        Self::new(Method::GET, path)
+    }
+
+    pub(crate) fn post(path: &[&'a str]) -> Self {
+        Self::new(Method::POST, path)
+    }
+
+    pub(crate) fn query(mut self, name: &'a str, value: Option<String>) -> Self {
+        self.query.extend(value.map(|value| (name, value)));
+        self
+    }
+
+    pub(crate) fn header(mut self, name: &'static str, value: String) -> Self {
+        self.headers.push((name, value));
+        self
+    }
+
+    pub(crate) fn body(mut self, body: String) -> Self {
+        self.body = Some(body);
+        self
+    }
+
+    pub(crate) fn repeat(mut self, rule: RepeatRule) -> Self {
+        self.repeat = rule;
+        self
+    }
+}
+
+impl ApiClient {
+    pub(crate) fn new(options: CommonOptions) -> Result<Self, CtlError> {
+        let http = reqwest::Client::builder()
+            .no_proxy()
+            .timeout(options.timeout)
+            .connect_timeout(options.timeout.min(std::time::Duration::from_secs(2)))
+            .build()
+            .map_err(|error| {
+                CtlError::Unreachable(vec![format!("the HTTP client cannot start ({error})")])
+            })?;
+        Ok(Self { http, options })
+    }
+
+    /// Returns the addresses of the servers.
+    pub(crate) fn servers(&self) -> Result<&[String], CtlError> {
+        if self.options.servers.is_empty() {
+            return Err(CtlError::usage(
+                "no server is named; use --server http://host:port or LACEWINGRAIL_SERVERS",
+            ));
+        }
+        Ok(&self.options.servers)
+    }
+
+    /// Calls the servers in order and returns the first answer.
+    pub(crate) async fn call<T>(&self, call: &ApiCall<'_>) -> Result<T, CtlError>
+    where
+        T: DeserializeOwned,
+    {
+        let mut attempts = Vec::new();
+        for server in self.servers()? {
+            match self.call_server(server, call).await {
+                CallOutcome::Answered(answer) => return Ok(answer),
+                CallOutcome::Refused(error) => return Err(error),
+                CallOutcome::NotDone(cause) => attempts.push(format!("{server}: {cause}")),
+                CallOutcome::Unclear(cause) => {
+                    attempts.push(format!("{server}: {cause}"));
+                    if call.repeat == RepeatRule::OnlyUnsent {
+                        break;
+                    }
+                }
+            }
+        }
+        Err(CtlError::Unreachable(attempts))
+    }
+
+    /// Calls one server.
+    pub(crate) async fn call_server<T>(&self, server: &str, call: &ApiCall<'_>) -> CallOutcome<T>
+    where
+        T: DeserializeOwned,
+    {
+        let url = match build_url(server, call) {
+            Ok(url) => url,
+            Err(error) => return CallOutcome::Refused(error),
+        };
+        let mut request = self.http.request(call.method.clone(), url);
+        if let Some(token) = &self.options.token {
+            request = request.bearer_auth(token);
+        }
+        let author = &self.options.author;
+        if !author.is_empty() && author.bytes().all(|byte| matches!(byte, b' '..=b'~')) {
+            request = request.header("x-author", author);
+        }
+        for (name, value) in &call.headers {
+            request = request.header(*name, value);
+        }
+        if let Some(body) = &call.body {
+            request = request.body(body.clone());
+        }
+        let response = match request.send().await {
+            Ok(response) => response,
+            Err(error) if error.is_connect() => {
+                return CallOutcome::NotDone(format!(
+                    "the server cannot be reached ({}); check its address and the network",
+                    innermost(&error)
+                ));
+            }
+            Err(error) if error.is_builder() => {
+                return CallOutcome::Refused(CtlError::usage(format!(
+                    "the request cannot be built ({})",
+                    innermost(&error)
+                )));
+            }
+            Err(error) => {
+                return CallOutcome::Unclear(format!(
+                    "no answer arrived ({}); show the state before the command is repeated",
+                    innermost(&error)
+                ));
+            }
+        };
+        let status = response.status();
+        let body = match response.bytes().await {
+            Ok(body) => body,
+            Err(error) => {
+                return CallOutcome::Unclear(format!(
+                    "the answer broke off ({}); show the state before the command is repeated",
+                    innermost(&error)
+                ));
+            }
+        };
+        read_answer(status, &body)
+    }
+}
+
+fn build_url(server: &str, call: &ApiCall<'_>) -> Result<Url, CtlError> {
+    let wrong =
+        || CtlError::usage(format!("\"{server}\" is not a server address; write http://host:port"));
+    let mut url = Url::parse(server).map_err(|_| wrong())?;
+    if url.scheme() != "http" {
+        return Err(wrong());
+    }
+    url.path_segments_mut().map_err(|()| wrong())?.pop_if_empty().extend(&call.path);
+    if !call.query.is_empty() {
+        url.query_pairs_mut().extend_pairs(&call.query);
+    }
+    Ok(url)
+}
+
+fn read_answer<T>(status: StatusCode, body: &[u8]) -> CallOutcome<T>
+where
+    T: DeserializeOwned,
+{
+    if status.is_success() {
+        return match serde_json::from_slice(body) {
+            Ok(answer) => CallOutcome::Answered(answer),
+            Err(error) => CallOutcome::Unclear(format!(
+                "the answer is not understood ({error}); compare the versions of both programs"
+            )),
+        };
+    }
+    let error = serde_json::from_slice(body).unwrap_or_else(|_| ApiError {
+        reason: format!("the server answered {status}"),
+        mend: "check that the address is that of a scheduler process".to_owned(),
+        ..ApiError::default()
+    });
+    match status {
+        // A conflict without a version, such as the cancellation of an ended job, is no lost race.
+        StatusCode::CONFLICT if error.current_version.is_some() => {
+            CallOutcome::Refused(CtlError::Conflict(error))
+        }
+        StatusCode::SERVICE_UNAVAILABLE => {
+            CallOutcome::NotDone(format!("{}; {}", error.reason, error.mend))
+        }
+        status if status.is_client_error() => CallOutcome::Refused(CtlError::Refused(error)),
+        _ => CallOutcome::Unclear(format!("{}; {}", error.reason, error.mend)),
+    }
+}
+
+/// Returns the innermost cause, which names the fault most exactly.
+fn innermost(error: &reqwest::Error) -> String {
+    let mut cause: &dyn std::error::Error = error;
+    while let Some(inner) = cause.source() {
+        cause = inner;
+    }
+    cause.to_string()
+}
--- /dev/null
+++ b/crates/ctl/src/help.rs
@@ -0,0 +1,114 @@
+//! Help texts.
+
+const GENERAL: &str = "\
+lacewingrail: settings, jobs and failure domains from the command line
+
+usage: lacewingrail [options] COMMAND ...
+
+commands:
+  config init|get|put|dry-run|effective|check   the settings tree
+  job submit|list|show|cancel|why|watch         jobs
+  domain list|out|in                            failure domains
+  worker list                                   workers and who holds their accelerators
+  guarantee list                                guarantees
+  status                                        the whole system
+  doctor                                        checks of settings, servers, store, workers, clocks
+
+options:
+  --server URL        address of a scheduler process, such as http://10.0.0.1:8090; may be
+                      repeated, and the next one is tried when one fails (or
+                      LACEWINGRAIL_SERVERS, separated by commas)
+  --token-file PATH   file with the access token (or LACEWINGRAIL_TOKEN_FILE, LACEWINGRAIL_TOKEN)
+  --output FORM       table (default) or json
+  --author NAME       name recorded with a change (default: $USER)
+  --timeout TIME      longest wait for one answer, such as 10s (default)
+  -h, --help          this text, or the help of a command
+  -V, --version       version of the program
+
+exit codes: 0 done, 1 refused or a check failed, 2 wrong command line, 3 no server gave an answer
+or the outcome is unknown, 4 lost a race against another change
+
+example:
+  lacewingrail --server http://10.0.0.1:8090 --token-file operator.token status
+";
+
+const CONFIG: &str = "\
+usage: lacewingrail config init FILE                      write the first tree
+       lacewingrail config get                            print the tree; its version goes to stderr
+       lacewingrail config put FILE --if-version N        replace version N of the tree
+       lacewingrail config dry-run FILE                   report what a tree would change
+       lacewingrail config effective [PATH]               values with the level they come from
+       lacewingrail config check FILE                     check a tree without a server
+
+The token of `init` must be named, as a digest, under access.operators of FILE.
+PATH is pairs of region, domain, customer or service and a name.
+
+examples:
+  lacewingrail config get > tree.yaml          # prints \"version 7 by ada\" to stderr
+  lacewingrail config dry-run tree.yaml
+  lacewingrail config put tree.yaml --if-version 7
+  lacewingrail config effective domain/om-north-a/customer/credit-scoring
+";
+
+const JOB: &str = "\
+usage: lacewingrail job submit --customer NAME [options] [-- COMMAND ...]
+       lacewingrail job submit --file JOB.yaml [--key KEY]
+       lacewingrail job list [--customer NAME] [--domain NAME] [--state STATE] [--class CLASS]
+                             [--history] [--limit N]
+       lacewingrail job show|cancel|why|watch JOB
+
+options of submit:
+  --members N          members of the gang, 1 to 64 (default 1)
+  --accelerators N     accelerators of each member, 0 to 8 (default 1)
+  --adjacency LEVEL    worker, rack (default) or domain
+  --class CLASS        urgent, normal (default) or slow
+  --declared TIME      expected run time, such as 2h (default 1h)
+  --cores N            processor cores of each member
+  --memory-mb N        memory of each member in megabytes
+  --checkpointable     the job can be checkpointed and moved
+  --domain NAME        failure domain the job may run in; may be repeated (default: any)
+  --key KEY            idempotency key: a repeated submission returns the first job
+
+`watch` prints each change until the job ends, and exits with 1 unless it ended with success.
+
+examples:
+  lacewingrail job submit --customer credit-scoring --members 4 --accelerators 8 -- train.sh v3
+  lacewingrail job why job-0011223344556677
+  lacewingrail --output json job list --state queued
+";
+
+const DOMAIN: &str = "\
+usage: lacewingrail domain list
+       lacewingrail domain out DOMAIN [--watch]     no task starts in the domain any more
+       lacewingrail domain in DOMAIN [--watch]      bring the domain back
+
+`out` returns when the domain's scheduler has confirmed, or after 3 s, when all start permissions
+have expired. --watch prints the progress until no gang runs (out) or starts are permitted (in).
+
+example:
+  lacewingrail domain out om-north-a --watch
+";
+
+const OTHERS: &str = "\
+usage: lacewingrail worker list [--domain NAME]
+       lacewingrail guarantee list
+       lacewingrail status
+       lacewingrail doctor [--tree TREE.yaml] [--process PROCESS.yaml]
+
+`doctor` asks every server that is named, prints one line for each check and exits with 1 when one
+fails. The files of --tree and --process are checked locally.
+
+example:
+  lacewingrail --server http://10.0.0.1:8090 --server http://10.0.1.1:8090 doctor
+";
+
+/// Returns the help of a command, or the general one.
+pub(crate) fn text(topic: &str) -> &'static str {
+    match topic {
+        "config" => CONFIG,
+        "job" => JOB,
+        "domain" => DOMAIN,
+        "worker" | "guarantee" | "status" | "doctor" => OTHERS,
+        _ => GENERAL,
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,120 @@
+//! The operators' command line `lacewingrail`.
+//!
+//! Each command is a few calls of the administration API. Results go to the standard output as a
+//! table or as JSON, faults with their remedy to the standard error, and the exit code tells scripts
+//! what happened. Commands that may safely be repeated are tried on the next server when one fails.
+
+mod client;
+mod config;
+mod doctor;
+mod domain;
+mod failure;
+mod help;
+mod job;
+mod options;
+mod status;
+mod table;
+
+use std::ffi::OsString;
+use std::io::Write;
+
+use pico_args::Arguments;
+
+use crate::client::ApiClient;
+use crate::failure::CtlError;
+use crate::options::{CommonOptions, Environment};
+use crate::table::Printer;
+
+/// Exit code of success.
+pub const EXIT_OK: u8 = 0;
+/// Exit code of a request that was refused, and of faults that a check found.
+pub const EXIT_REFUSED: u8 = 1;
+/// Exit code of a wrong command line.
+pub const EXIT_USAGE: u8 = 2;
+/// Exit code of a system that cannot be reached or whose outcome is unknown.
+pub const EXIT_UNREACHABLE: u8 = 3;
+/// Exit code of a change that lost a race.
+pub const EXIT_CONFLICT: u8 = 4;
+
+/// Runs one command and returns its exit code.
+pub async fn run(
+    args: Vec<OsString>,
+    environment: &Environment<'_>,
+    out: &mut dyn Write,
+    err: &mut dyn Write,
+) -> u8 {
+    match dispatch(args, environment, out, err).await {
+        Ok(code) => code,
+        Err(error) => {
+            // Nothing is left to report to when the standard error is closed.
+            let _ = writeln!(err, "{}", table::clean_lines(&error.to_string()));
+            error.exit_code()
+        }
+    }
+}
+
+async fn dispatch(
+    args: Vec<OsString>,
+    environment: &Environment<'_>,
+    out: &mut dyn Write,
+    err: &mut dyn Write,
+) -> Result<u8, CtlError> {
+    let (args, rest) = split_command(args);
+    let mut args = Arguments::from_vec(args);
+    let wants_help = args.contains(["-h", "--help"]);
+    if args.contains(["-V", "--version"]) {
+        let _ = writeln!(out, "lacewingrail {}", env!("CARGO_PKG_VERSION"));
+        return Ok(EXIT_OK);
+    }
+    let options = CommonOptions::take(&mut args, environment)?;
+    let group = args.subcommand()?.unwrap_or_default();
+    let asks_help = wants_help || group == "help";
+    if asks_help || group.is_empty() {
+        let topic = if group == "help" { args.subcommand()?.unwrap_or_default() } else { group };
+        let _ = out.write_all(help::text(&topic).as_bytes());
+        return Ok(if asks_help { EXIT_OK } else { EXIT_USAGE });
+    }
+    let mut printer = Printer::new(out, err, options.output);
+    let client = ApiClient::new(options)?;
+    if group != "job" && !rest.is_empty() {
+        return Err(CtlError::usage("\"--\" separates the command of \"job submit\" only"));
+    }
+    match group.as_str() {
+        "config" => config::run(args, &client, &mut printer).await,
+        "job" => job::run(args, rest, &client, &mut printer).await,
+        "domain" => domain::run(args, &client, &mut printer).await,
+        "worker" => status::run_workers(args, &client, &mut printer).await,
+        "guarantee" => status::run_guarantees(args, &client, &mut printer).await,
+        "status" => status::run(args, &client, &mut printer).await,
+        "doctor" => doctor::run(args, &client, &mut printer).await,
+        other => Err(CtlError::usage(format!("the command \"{other}\" does not exist"))),
+    }
+}
+
+/// Splits the words after `--`, which are the command of a job.
+fn split_command(mut args: Vec<OsString>) -> (Vec<OsString>, Vec<OsString>) {
+    match args.iter().position(|word| word == "--") {
+        Some(place) => {
+            let rest = args.split_off(place).split_off(1);
+            (args, rest)
+        }
+        None => (args, Vec::new()),
+    }
+}
+
+/// Refuses words that no option and no argument took.
+pub(crate) fn finish(args: Arguments) -> Result<(), CtlError> {
+    match args.finish().first() {
+        None => Ok(()),
+        Some(word) => Err(CtlError::usage(format!(
+            "the argument \"{}\" is not expected here",
+            word.to_string_lossy()
+        ))),
+    }
+}
+
+/// Takes a required argument.
+pub(crate) fn argument(args: &mut Arguments, name: &str) -> Result<String, CtlError> {
+    let word = args.opt_free_from_str::<String>()?;
+    word.ok_or_else(|| CtlError::usage(format!("the argument {name} is missing")))
+}
--- /dev/null
+++ b/crates/ctl/src/table.rs
@@ -0,0 +1,96 @@
+//! Printing of results.
+
+use std::io::Write;
+
+use serde::Serialize;
+
+use crate::options::OutputForm;
+
+/// Prints results in the form that the command line selects.
+pub(crate) struct Printer<'a> {
+    out: &'a mut dyn Write,
+    err: &'a mut dyn Write,
+    form: OutputForm,
+}
+
+impl<'a> Printer<'a> {
+    pub(crate) fn new(out: &'a mut dyn Write, err: &'a mut dyn Write, form: OutputForm) -> Self {
+        Self { out, err, form }
+    }
+
+    /// Prints a record as JSON, or as `table` renders it.
+    pub(crate) fn show<T, F>(&mut self, record: &T, table: F)
+    where
+        T: Serialize,
+        F: FnOnce(&T) -> String,
+    {
+        let text = match self.form {
+            OutputForm::Table => table(record),
+            OutputForm::Json => match serde_json::to_string_pretty(record) {
+                Ok(text) => text + "\n",
+                Err(error) => format!("{{\"error\":\"{error}\"}}\n"),
+            },
+        };
+        self.write(&text);
+    }
+
+    /// Prints text that is the result itself.
+    pub(crate) fn write(&mut self, text: &str) {
+        // A reader that closes the pipe early, such as `head`, is no fault.
+        let _ = self.out.write_all(text.as_bytes());
+        let _ = self.out.flush();
+    }
+
+    /// Prints a remark that is not part of the result.
+    pub(crate) fn note(&mut self, text: &str) {
+        let _ = writeln!(self.err, "{}", clean_lines(text));
+    }
+}
+
+/// Renders aligned columns.
+pub(crate) fn columns(head: &[&str], rows: &[Vec<String>]) -> String {
+    let rows: Vec<Vec<String>> =
+        rows.iter().map(|row| row.iter().map(|cell| clean(cell)).collect()).collect();
+    let widths: Vec<usize> = head
+        .iter()
+        .enumerate()
+        .map(|(index, name)| {
+            let cells = rows.iter().filter_map(|row| row.get(index));
+            cells.map(|cell| cell.chars().count()).chain([name.len()]).max().unwrap_or(0)
+        })
+        .collect();
+    let mut text = String::new();
+    let head: Vec<String> = head.iter().map(|name| (*name).to_owned()).collect();
+    for row in std::iter::once(&head).chain(&rows) {
+        let mut line = String::new();
+        for (cell, width) in row.iter().zip(&widths) {
+            line.push_str(cell);
+            line.extend(std::iter::repeat_n(' ', width + 2 - cell.chars().count().min(*width)));
+        }
+        text.push_str(line.trim_end());
+        text.push('\n');
+    }
+    text
+}
+
+/// Removes control characters, with which a name could drive the terminal.
+pub(crate) fn clean(text: &str) -> String {
+    text.chars().map(|letter| if letter.is_control() { '?' } else { letter }).collect()
+}
+
+/// Removes control characters and keeps the line ends.
+pub(crate) fn clean_lines(text: &str) -> String {
+    text.split('\n').map(clean).collect::<Vec<_>>().join("\n")
+}
+
+/// Returns a wall-clock time for people, or `-`.
+pub(crate) fn time(millis: Option<u64>) -> String {
+    let Some(millis) = millis else { return "-".to_owned() };
+    let time = std::time::UNIX_EPOCH.checked_add(std::time::Duration::from_millis(millis));
+    // The formatter covers years up to 9999.
+    const LAST_MILLIS: u64 = 253_402_300_799_000;
+    match time.filter(|_| millis <= LAST_MILLIS) {
+        Some(time) => humantime::format_rfc3339_seconds(time).to_string(),
+        None => "-".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/ctl/tests/commands/changes.rs
@@ -0,0 +1,103 @@
+//! Commands that change something.
+
+use lacewingrail_model::keys;
+use lacewingrail_model::store::KeyValueService;
+
+use crate::harness::{TestContext, tree};
+use crate::{dead_server, file, run, serve, serve_losing_answers};
+
+/// Guards against exit codes that hide a lost race or a refused tree.
+#[tokio::test]
+async fn settings_commands_tell_their_outcome() {
+    let context = TestContext::empty();
+    let server = serve(context.router()).await;
+    let servers = [server.as_str()];
+    let first = file("first.yaml", &tree());
+    assert_eq!(run(&servers, &["config", "init", &first]).await.code, 0);
+    let again = run(&servers, &["config", "init", &first]).await;
+    assert_eq!((again.code, again.err.contains("version is 1 now")), (4, true), "{}", again.err);
+    let got = run(&servers, &["config", "get"]).await;
+    assert_eq!((got.code, got.out, got.err), (0, tree(), "version 1 by ada\n".to_owned()));
+
+    let changed = file("changed.yaml", &tree().replace("quota: 32", "quota: 40"));
+    let dry = run(&servers, &["config", "dry-run", &changed]).await;
+    assert!(dry.out.contains("customers.bank.quota: 32 -> 40"), "{}", dry.out);
+    let put = run(&servers, &["config", "put", "--if-version", "1", &changed]).await;
+    assert_eq!((put.code, put.out.as_str()), (0, "written as version 2\n"));
+    assert_eq!(run(&servers, &["config", "put", "--if-version", "1", &changed]).await.code, 4);
+    assert_eq!(run(&servers, &["config", "put", &changed]).await.code, 2);
+
+    let faulty = file("faulty.yaml", "customers: { bank: { quota: -1 } }\npolicy: { hedge: true }");
+    for line in
+        [vec!["config", "check", &faulty], vec!["config", "put", "--if-version", "2", &faulty]]
+    {
+        let outcome = run(&servers, &line).await;
+        assert_eq!(outcome.code, 1);
+        for path in ["customers.bank.quota", "policy.hedge"] {
+            assert!(outcome.err.contains(path), "{path}: {}", outcome.err);
+        }
+    }
+    assert_eq!(run(&[], &["config", "check", &first]).await.code, 0, "no server is needed");
+}
+
+/// Guards against a command that fails while another server would answer, or repeats a write.
+#[tokio::test]
+async fn next_server_is_tried_without_a_second_effect() {
+    let context = TestContext::with_tree().await;
+    let (dead, server) = (dead_server().await, serve(context.router()).await);
+    let losing = serve_losing_answers(&context).await;
+    assert_eq!(run(&[&dead, &server], &["status"]).await.code, 0);
+    let unreachable = run(&[&dead], &["status"]).await;
+    assert_eq!(
+        (unreachable.code, unreachable.err.contains(&dead)),
+        (3, true),
+        "{}",
+        unreachable.err
+    );
+
+    let submit =
+        ["job", "submit", "--customer", "bank", "--accelerators", "8", "--", "train", "-v"];
+    let outcome = run(&[&losing, &server], &submit).await;
+    assert_eq!(outcome.code, 0, "{}", outcome.err);
+    assert_eq!(context.store.list(keys::JOBS).await.expect("list").len(), 1);
+
+    let changed = file("lost.yaml", &tree().replace("quota: 32", "quota: 40"));
+    let put = run(&[&losing, &server], &["config", "put", "--if-version", "1", &changed]).await;
+    assert_eq!((put.code, put.out.as_str()), (0, "written as version 2\n"), "{}", put.err);
+    assert_eq!(run(&[&losing, &server], &["domain", "out", "a"]).await.code, 0);
+    assert_eq!(context.stored().await.version, 3);
+}
+
+/// Guards against a job that cannot be followed from submission to its end.
+#[tokio::test]
+async fn jobs_can_be_followed() {
+    let context = TestContext::with_tree().await;
+    let server = serve(context.router()).await;
+    let servers = [server.as_str()];
+    let submit = [
+        "job",
+        "submit",
+        "--customer",
+        "bank",
+        "--class",
+        "urgent",
+        "--declared",
+        "2h",
+        "--key",
+        "k",
+    ];
+    let id = run(&servers, &submit).await.out.trim().to_owned();
+    assert_eq!(run(&servers, &submit).await.out.trim(), id, "the key returns the first job");
+    let shown = run(&servers, &["--output", "json", "job", "show", &id]).await.out;
+    let record: lacewingrail_model::job::JobRecord = serde_json::from_str(&shown).expect("record");
+    assert_eq!((record.spec.declared_ms, record.id.as_str()), (7_200_000, id.as_str()));
+    assert!(run(&servers, &["job", "list", "--state", "queued"]).await.out.contains(&id));
+    assert!(run(&servers, &["job", "why", &id]).await.out.contains("no scheduler is active"));
+    assert_eq!(run(&servers, &["job", "cancel", &id]).await.code, 0);
+    let watched = run(&servers, &["job", "watch", &id]).await;
+    assert_eq!((watched.code, watched.out.starts_with("cancelled")), (1, true), "{}", watched.out);
+    let impossible = ["job", "submit", "--customer", "bank", "--members", "64"];
+    let refused = run(&servers, &impossible).await;
+    assert_eq!((refused.code, refused.err.contains("; ")), (1, true), "{}", refused.err);
+    assert_eq!(run(&servers, &["job", "show", "../status"]).await.code, 1);
+}
--- a/crates/settings/tests/parse.rs
+++ b/crates/settings/tests/parse.rs
@@ -2,6 +2,7 @@
 
 use lacewingrail_settings::{SettingsErrors, parse};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const TREE: &str = "
 regions:
@@ -133,6 +134,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
     /// Guards against a panic of the reader on any text.
     #[test]
     fn any_text_is_read_without_panic(text in "\\PC{0,200}") {
