Add fail-over, slow teardown, cores and processor-only jobs to the random sequences

Cause: claims on gangs that are still being torn down, adoption after a fail-over and short cores were not met by the sequences. Change: three more kinds of event and jobs with many cores or no accelerators.

--- a/crates/placement/tests/properties.rs
+++ b/crates/placement/tests/properties.rs
@@ -3,7 +3,7 @@
 #[path = "support/scene.rs"]
 mod scene;
 
-use lacewingrail_model::job::WorkClass;
+use lacewingrail_model::job::{JobSpec, WorkClass};
 use lacewingrail_model::shape::GangShape;
 use lacewingrail_placement::GuaranteeEntry;
 use proptest::prelude::*;
@@ -16,12 +16,14 @@
 
 #[derive(Clone, Debug)]
 enum Event {
-    Submit { customer: usize, shape: GangShape, class: WorkClass },
+    Submit { customer: usize, shape: GangShape, class: WorkClass, cores: u32 },
     End(usize),
     Lose(usize),
     Restore(usize),
     Guarantee(Vec<(usize, GangShape, u32, u32)>),
     Wait(u64),
+    Confirm,
+    FailOver,
 }
 
 const CUSTOMERS: [&str; 3] = ["a", "b", "c"];
@@ -43,13 +45,21 @@
     ];
     let guarantees = prop::collection::vec((0..3_usize, any_shape(), 1..3_u32, 0..4_u32), 0..5);
     prop_oneof![
-        10 => (0..3_usize, any_shape(), class)
-            .prop_map(|(customer, shape, class)| Event::Submit { customer, shape, class }),
+        10 => (0..3_usize, any_shape(), class, prop_oneof![Just(1_u32), Just(8), Just(30)])
+            .prop_map(|(customer, shape, class, cores)| {
+                // A few jobs take processors only.
+                let processors = cores == 30 && shape.members % 2 == 0;
+                let accelerators = if processors { 0 } else { shape.accelerators };
+                let shape = GangShape { accelerators, ..shape };
+                Event::Submit { customer, shape, class, cores }
+            }),
         6 => any::<usize>().prop_map(Event::End),
         1 => any::<usize>().prop_map(Event::Lose),
         1 => any::<usize>().prop_map(Event::Restore),
         1 => guarantees.prop_map(Event::Guarantee),
         2 => (1..4_000_u64).prop_map(Event::Wait),
+        3 => Just(Event::Confirm),
+        1 => Just(Event::FailOver),
     ]
 }
 
@@ -63,8 +73,10 @@
 
 fn apply(scene: &mut Scene, event: &Event) {
     match event {
-        Event::Submit { customer, shape, class } => {
-            scene.submit_class(CUSTOMERS[*customer], *shape, *class);
+        Event::Submit { customer, shape, class, cores } => {
+            let spec = JobSpec { cores: *cores, ..spec(CUSTOMERS[*customer], *shape, *class) };
+            scene.enqueue(spec);
+            scene.settle();
         }
         Event::End(pick) => {
             let ids: Vec<String> = scene.running.keys().cloned().collect();
@@ -81,10 +93,11 @@
             scene.restore(&worker.expect("the scene has workers"));
         }
         Event::Guarantee(raw) => {
-            scene.planner.set_guarantees(entries(raw));
-            scene.settle();
+            scene.set_guarantees(entries(raw));
         }
         Event::Wait(seconds) => scene.wait(*seconds),
+        Event::Confirm => scene.confirm_teardowns(),
+        Event::FailOver => scene.fail_over(),
     }
 }
 
@@ -92,6 +105,8 @@
 /// guaranteed gangs that run.
 fn assert_reclaimable(scene: &Scene) {
     let mut scene = scene.clone();
+    scene.confirm_teardowns();
+    scene.slow_teardown = false;
     let protected: Vec<String> = scene
         .running
         .iter()
@@ -111,15 +126,6 @@
         }
     }
     scene.settle();
-    if std::env::var("DBG").is_ok() {
-        eprintln!(
-            "reclaimed {} preempted {} protected {} running {}",
-            reclaimed.len(),
-            scene.preempted.len(),
-            protected.len(),
-            scene.running.len()
-        );
-    }
     for id in reclaimed.iter().chain(&protected) {
         assert!(scene.is_running(id), "{id} does not run: {}", scene.planner.explain(id));
     }
@@ -142,9 +148,11 @@
 fn guarantees_stay_reclaimable() {
     let guarantees = prop::collection::vec((0..3_usize, any_shape(), 1..3_u32, 0..4_u32), 0..6);
     let events = prop::collection::vec(any_event(), 1..40);
-    let result = runner(SEQUENCES).run(&(guarantees, events), |(guarantees, events)| {
+    let inputs = (guarantees, events, any::<bool>());
+    let result = runner(SEQUENCES).run(&inputs, |(guarantees, events, slow_teardown)| {
         let mut scene = Scene::new(&[&[8, 8, 8, 8, 8, 8], &[8, 8, 4, 4, 2, 0], &[8, 8, 8]]);
-        scene.planner.set_guarantees(entries(&guarantees));
+        scene.slow_teardown = slow_teardown;
+        scene.set_guarantees(entries(&guarantees));
         for event in &events {
             apply(&mut scene, event);
             assert_reclaimable(&scene);
@@ -161,7 +169,7 @@
     let stream = prop::collection::vec((0..2_usize, any_shape(), 0..8_u32, 1..5_usize), 20..60);
     let result = runner(24).run(&stream, |stream| {
         let mut scene = Scene::new(&[&[8, 8, 8, 8], &[8, 4, 4]]);
-        scene.planner.set_guarantees(vec![entry("a", shape(1, 8, WORKER), 1, 1)]);
+        scene.set_guarantees(vec![entry("a", shape(1, 8, WORKER), 1, 1)]);
         let mut ends: Vec<(usize, String)> = Vec::new();
         let mut large = None;
         let mut slow = None;
--- a/crates/placement/tests/support/scene.rs
+++ b/crates/placement/tests/support/scene.rs
@@ -8,8 +8,8 @@
 use lacewingrail_model::job::{JobRecord, JobSpec, JobState, WorkClass};
 use lacewingrail_model::shape::{AdjacencyLevel, GangShape};
 use lacewingrail_placement::{
-    CustomerShare, DomainPlanner, GuaranteeEntry, MemberPlace, PlacementAction, WaitingEntry,
-    WorkerCapacity, WorkerHealth,
+    CustomerShare, DomainPlanner, GuaranteeEntry, MemberPlace, PlacementAction, RunningEntry,
+    WaitingEntry, WorkerCapacity, WorkerHealth,
 };
 
 /// Decisions that one event may lead to; more means that the planner goes in circles.
@@ -36,6 +36,12 @@
     pub waiting: BTreeMap<String, WaitingEntry>,
     pub refused: BTreeMap<String, String>,
     pub preempted: Vec<String>,
+    /// Whether teardowns wait for [`Scene::confirm_teardowns`].
+    pub slow_teardown: bool,
+    stopping: Vec<(RunningJob, Option<u32>)>,
+    guarantees: Vec<GuaranteeEntry>,
+    quotas: BTreeMap<String, CustomerShare>,
+    workers: Vec<WorkerCapacity>,
     next: u32,
 }
 
@@ -73,6 +79,11 @@
             waiting: BTreeMap::new(),
             refused: BTreeMap::new(),
             preempted: Vec::new(),
+            slow_teardown: false,
+            stopping: Vec::new(),
+            guarantees: Vec::new(),
+            quotas: BTreeMap::new(),
+            workers: Vec::new(),
             next: 0,
         };
         let mut workers = Vec::new();
@@ -91,6 +102,7 @@
                 });
             }
         }
+        scene.workers.clone_from(&workers);
         scene.planner.set_workers(workers);
         scene.set_quotas(&[("a", 1_000), ("b", 1_000), ("c", 1_000)]);
         scene
@@ -101,7 +113,14 @@
             let share = CustomerShare { weight: 1.0, quota: *quota, in_use_elsewhere: 0 };
             ((*name).to_owned(), share)
         });
-        self.planner.set_customers(shares.collect());
+        self.quotas = shares.collect();
+        self.planner.set_customers(self.quotas.clone());
+    }
+
+    pub fn set_guarantees(&mut self, guarantees: Vec<GuaranteeEntry>) {
+        self.guarantees.clone_from(&guarantees);
+        self.planner.set_guarantees(guarantees);
+        self.settle();
     }
 
     /// Submits a job without letting the planner decide.
@@ -139,8 +158,41 @@
 
     /// Ends a running job.
     pub fn end(&mut self, id: &str) {
-        self.running.remove(id);
-        self.planner.release(&id.to_owned());
+        let job = self.running.remove(id).expect("an ended job was running");
+        self.tear_down(job, None);
+        self.settle();
+    }
+
+    /// Confirms all teardowns that were held back.
+    pub fn confirm_teardowns(&mut self) {
+        let slow = std::mem::replace(&mut self.slow_teardown, false);
+        for (job, requeue) in std::mem::take(&mut self.stopping) {
+            self.tear_down(job, requeue);
+        }
+        self.settle();
+        self.slow_teardown = slow;
+    }
+
+    /// Replaces the planner by a new one that adopts what runs.
+    pub fn fail_over(&mut self) {
+        self.confirm_teardowns();
+        self.planner = DomainPlanner::new("d1".to_owned(), PlacementChoice::Shape, 8);
+        self.planner.set_workers(self.workers.clone());
+        self.planner.set_customers(self.quotas.clone());
+        self.planner.set_guarantees(self.guarantees.clone());
+        for (id, job) in &self.running {
+            self.planner.adopt(RunningEntry {
+                job: id.clone(),
+                spec: job.record.spec.clone(),
+                members: job.members.clone(),
+                guaranteed: job.guaranteed,
+                preemptions: job.record.preemptions,
+                checkpointed: self.now,
+            });
+        }
+        for entry in self.waiting.values() {
+            self.planner.enqueue(entry.clone());
+        }
         self.settle();
     }
 
@@ -152,7 +204,7 @@
 
     /// Loses a worker: its gangs are torn down and wait again.
     pub fn lose(&mut self, worker: &str) {
-        self.planner.set_health(&worker.to_owned(), WorkerHealth::Silent);
+        self.set_health(worker, WorkerHealth::Silent);
         let hit: Vec<String> = self
             .running
             .iter()
@@ -166,7 +218,7 @@
     }
 
     pub fn restore(&mut self, worker: &str) {
-        self.planner.set_health(&worker.to_owned(), WorkerHealth::Healthy);
+        self.set_health(worker, WorkerHealth::Healthy);
         self.settle();
     }
 
@@ -221,10 +273,29 @@
 
     fn requeue(&mut self, id: &str, preemptions: u32) {
         let job = self.running.remove(id).expect("a stopped job was running");
-        self.planner.release(&id.to_owned());
-        let mut record = job.record;
-        record.preemptions += preemptions;
-        self.push(WaitingEntry { record, since: job.since });
+        self.tear_down(job, Some(preemptions));
+    }
+
+    /// Frees a job's accelerators, now or later, and queues it again if told to.
+    fn tear_down(&mut self, job: RunningJob, requeue: Option<u32>) {
+        if self.slow_teardown {
+            self.planner.note_stopping(&job.record.id);
+            self.stopping.push((job, requeue));
+            return;
+        }
+        self.planner.release(&job.record.id);
+        if let Some(preemptions) = requeue {
+            let mut record = job.record;
+            record.preemptions += preemptions;
+            self.push(WaitingEntry { record, since: job.since });
+        }
+    }
+
+    fn set_health(&mut self, worker: &str, health: WorkerHealth) {
+        self.planner.set_health(&worker.to_owned(), health);
+        for capacity in self.workers.iter_mut().filter(|capacity| capacity.id == worker) {
+            capacity.health = health;
+        }
     }
 
     fn push(&mut self, entry: WaitingEntry) {
@@ -235,7 +306,8 @@
     /// Checks that no worker holds more than it has, by what was started and stopped.
     fn check_account(&self) {
         let mut held: BTreeMap<&str, u32> = BTreeMap::new();
-        for member in self.running.values().flat_map(|job| &job.members) {
+        let stopping = self.stopping.iter().map(|(job, _)| job);
+        for member in self.running.values().chain(stopping).flat_map(|job| &job.members) {
             *held.entry(&member.worker).or_default() += member.accelerators;
         }
         for (worker, count) in held {
