Add the request path: filter chain, backend pool, claims

Cause: entry processes had no request path. Change: filters in the order of the design page, a backend pool over HTTP/2 with PING, retries and hedges under one budget, adaptive concurrency, claims in sharded values with group commit, the entry binary and its shutdown.

--- /dev/null
+++ b/crates/entry/src/backend.rs
@@ -0,0 +1,226 @@
+//! Backend servers: their connections, load, health and choice.
+
+pub mod connection;
+pub mod health;
+pub mod list_controller;
+pub mod pool;
+pub mod select;
+
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use lacewingrail_model::instance::InstanceEntry;
+use lacewingrail_model::{BackendId, DomainName};
+use tokio::time::Instant;
+
+use crate::backend::connection::{BackendConnections, HttpChoice};
+use crate::backend::health::{BackendHealth, Verdict};
+use crate::lock;
+
+/// Share of a new value in the smoothed latency.
+const LATENCY_WEIGHT: f64 = 0.2;
+/// Time for which a backend that said it is leaving counts as leaving although the list still shows
+/// it as staying. It bounds the effect of a wrong header.
+const LEAVING_MEMORY: Duration = Duration::from_secs(600);
+
+/// Holds what one process knows of one backend server.
+#[derive(Debug)]
+pub struct Backend {
+    /// Name.
+    pub id: BackendId,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Base address.
+    pub address: String,
+    /// Whether the backend is in the failure domain of the process.
+    pub local: bool,
+    /// Connections.
+    pub connections: BackendConnections,
+    slots: AtomicU32,
+    in_flight: AtomicU32,
+    latency_us: AtomicU64,
+    health: Mutex<BackendHealth>,
+    /// Milliseconds of the process clock until which the backend is ejected; 0 when it is not.
+    ejected_until_ms: AtomicU64,
+    on_trial: AtomicBool,
+    leaving: Mutex<LeavingState>,
+    started: Instant,
+}
+
+#[derive(Debug, Default)]
+struct LeavingState {
+    listed: bool,
+    said: Option<Instant>,
+    /// Lists that showed the backend as leaving since it said so.
+    confirmed: bool,
+}
+
+/// States whether a backend may get a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Availability {
+    /// It takes requests.
+    Open,
+    /// Its ejection has ended, and one request may test it.
+    Trial,
+    /// It takes none.
+    Closed,
+}
+
+/// Counts one request of a backend while it exists.
+#[derive(Debug)]
+pub struct BackendUse {
+    backend: Arc<Backend>,
+    trial: bool,
+}
+
+impl Backend {
+    /// Creates a backend from its entry in the list.
+    pub fn new(entry: &InstanceEntry, own_domain: &str, http: HttpChoice) -> Self {
+        Self {
+            id: entry.name.clone(),
+            domain: entry.domain.clone(),
+            address: entry.address.trim_end_matches('/').to_owned(),
+            local: entry.domain == own_domain,
+            connections: BackendConnections::new(http, entry.connections),
+            slots: AtomicU32::new(entry.slots.max(1)),
+            in_flight: AtomicU32::new(0),
+            latency_us: AtomicU64::new(0),
+            health: Mutex::default(),
+            ejected_until_ms: AtomicU64::new(0),
+            on_trial: AtomicBool::new(false),
+            leaving: Mutex::new(LeavingState { listed: entry.leaving, ..Default::default() }),
+            started: Instant::now(),
+        }
+    }
+
+    /// Takes over what a newer list says.
+    pub fn update(&self, entry: &InstanceEntry) {
+        self.slots.store(entry.slots.max(1), Ordering::Relaxed);
+        let mut leaving = lock(&self.leaving);
+        leaving.listed = entry.leaving;
+        leaving.confirmed |= entry.leaving;
+        // A backend that left and came back under its name is in service again.
+        if leaving.confirmed && !entry.leaving {
+            *leaving = LeavingState::default();
+        }
+    }
+
+    /// Notes that the backend said it is leaving.
+    pub fn note_leaving(&self) {
+        lock(&self.leaving).said.get_or_insert_with(|| {
+            log::info!("backend {} says it is leaving; it gets no new work", self.id);
+            Instant::now()
+        });
+    }
+
+    /// Returns whether the backend is leaving.
+    pub fn is_leaving(&self) -> bool {
+        let leaving = lock(&self.leaving);
+        leaving.listed || leaving.said.is_some_and(|said| said.elapsed() < LEAVING_MEMORY)
+    }
+
+    /// Returns the number of requests that the backend serves at a time.
+    pub fn slots(&self) -> u32 {
+        self.slots.load(Ordering::Relaxed)
+    }
+
+    /// Returns the requests of this process in flight.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Returns the smoothed latency in microseconds; 0 before the first answer.
+    pub fn latency_us(&self) -> u64 {
+        self.latency_us.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the backend may get a request.
+    pub fn availability(&self) -> Availability {
+        let until = self.ejected_until_ms.load(Ordering::Acquire);
+        if until == 0 {
+            return if self.is_leaving() { Availability::Closed } else { Availability::Open };
+        }
+        let closed = self.clock_ms() < until || self.on_trial.load(Ordering::Acquire);
+        if closed || self.is_leaving() { Availability::Closed } else { Availability::Trial }
+    }
+
+    /// Returns whether the backend is ejected or on trial.
+    pub fn is_ejected(&self) -> bool {
+        self.ejected_until_ms.load(Ordering::Acquire) != 0
+    }
+
+    /// Counts a request; nothing when another request already tests the backend.
+    pub fn acquire(self: &Arc<Self>) -> Option<BackendUse> {
+        let trial = self.is_ejected();
+        if trial && self.on_trial.swap(true, Ordering::AcqRel) {
+            return None;
+        }
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        Some(BackendUse { backend: self.clone(), trial })
+    }
+
+    /// Records an answered request and returns the backend to service.
+    pub fn note_success(&self, latency: Duration) {
+        self.smooth(latency);
+        lock(&self.health).note_success(Instant::now());
+        if self.ejected_until_ms.swap(0, Ordering::AcqRel) != 0 {
+            log::info!("backend {} answered its trial request and is back in service", self.id);
+        }
+    }
+
+    /// Records a failed request; returns whether the backend should be ejected.
+    ///
+    /// `latency` enters the smoothed latency only where it raises it, because a backend that fails
+    /// fast must not look attractive.
+    pub fn note_failure(&self, verdict: Verdict, latency: Duration, eject_after: u32) -> bool {
+        if latency.as_micros() > u128::from(self.latency_us()) {
+            self.smooth(latency);
+        }
+        let now = Instant::now();
+        let due = lock(&self.health).note_failure(verdict, eject_after, now);
+        due || self.is_ejected()
+    }
+
+    /// Ejects the backend for a time that doubles with each ejection in a row.
+    pub fn eject(&self) {
+        let time = lock(&self.health).eject(Instant::now());
+        let until = self.clock_ms() + u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        self.ejected_until_ms.store(until.max(1), Ordering::Release);
+        log::warn!("backend {} is ejected for {} ms", self.id, time.as_millis());
+    }
+
+    fn smooth(&self, latency: Duration) {
+        let sample = latency.as_micros() as f64;
+        let blend = |old: u64| {
+            let old = if old == 0 { sample } else { old as f64 };
+            Some((old + LATENCY_WEIGHT * (sample - old)).max(1.0) as u64)
+        };
+        let _ = self.latency_us.fetch_update(Ordering::Relaxed, Ordering::Relaxed, blend);
+    }
+
+    fn clock_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+impl BackendUse {
+    /// Returns whether the request tests a backend whose ejection has ended.
+    pub fn is_trial(&self) -> bool {
+        self.trial
+    }
+
+    /// Returns the backend.
+    pub fn backend(&self) -> &Arc<Backend> {
+        &self.backend
+    }
+}
+
+impl Drop for BackendUse {
+    fn drop(&mut self) {
+        self.backend.in_flight.fetch_sub(1, Ordering::AcqRel);
+        if self.trial {
+            self.backend.on_trial.store(false, Ordering::Release);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/filters.rs
@@ -0,0 +1,11 @@
+//! The filters, in the order in which a request passes them.
+
+pub mod at_most_once;
+pub mod body_limit;
+pub mod customer_limit;
+pub mod deadline;
+pub mod identity;
+pub mod overload_limit;
+pub mod readiness;
+pub mod route;
+pub mod trace;
--- /dev/null
+++ b/crates/entry/src/filters/customer_limit.rs
@@ -0,0 +1,27 @@
+//! Applies the rate and concurrency limits of the customer.
+
+use async_trait::async_trait;
+use tokio::time::Instant;
+
+use crate::chain::{NextFilter, RequestFilter};
+use crate::customer::CustomerLimits;
+use crate::exchange::{CallerAnswer, RequestExchange};
+
+/// Limits customers.
+#[derive(Default)]
+pub struct CustomerLimitFilter {
+    limits: CustomerLimits,
+}
+
+#[async_trait]
+impl RequestFilter for CustomerLimitFilter {
+    async fn apply(&self, mut exchange: RequestExchange, next: NextFilter) -> CallerAnswer {
+        match self.limits.acquire(&exchange.customer, &exchange.policy, Instant::now()) {
+            Ok(permit) => {
+                exchange.customer_permit = Some(permit);
+                next.run(exchange).await
+            }
+            Err(refusal) => refusal.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,203 @@
+//! Metrics of an entry process.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lacewingrail_model::invariant;
+use lacewingrail_telemetry::MetricsRegistry;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+
+use crate::backend::pool::ServicePool;
+use crate::exchange::{CallerAnswer, RequestClass};
+
+/// Upper bound of the first latency bucket in seconds.
+const FIRST_BUCKET: f64 = 0.001;
+/// Latency buckets, each twice the one before; the last ends at 65 s.
+const BUCKETS: u16 = 17;
+
+/// Counts what an entry process does.
+#[derive(Debug)]
+pub struct EntryMetrics {
+    requests: Family<RequestLabels, Counter>,
+    latency: Family<LatencyLabels, Histogram>,
+    tries: Family<KindLabels, Counter>,
+    failed_tries: Family<KindLabels, Counter>,
+    budget_empty: Family<ServiceLabels, Counter>,
+    backends: Family<KindLabels, Gauge>,
+    limiter: Family<KindLabels, Gauge>,
+    claims: Family<KindLabels, Counter>,
+    claim_latency: Histogram,
+    violations: Family<NameLabels, Gauge>,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct RequestLabels {
+    service: Arc<str>,
+    class: &'static str,
+    outcome: &'static str,
+    reason: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct LatencyLabels {
+    service: Arc<str>,
+    class: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct KindLabels {
+    service: Arc<str>,
+    kind: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ServiceLabels {
+    service: Arc<str>,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct NameLabels {
+    name: String,
+}
+
+impl EntryMetrics {
+    /// Registers the metrics.
+    pub fn new(registry: &MetricsRegistry) -> Self {
+        let histogram: fn() -> Histogram =
+            || Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS));
+        Self {
+            requests: registry.register(
+                "requests",
+                "Requests by outcome and reason",
+                Family::default(),
+            ),
+            latency: registry.register(
+                "request_seconds",
+                "Time from arrival to the answer",
+                Family::new_with_constructor(histogram),
+            ),
+            tries: registry.register("tries", "Tries by kind", Family::default()),
+            failed_tries: registry.register(
+                "failed_tries",
+                "Tries without a whole answer by cause",
+                Family::default(),
+            ),
+            budget_empty: registry.register(
+                "retry_budget_empty",
+                "Retries and hedges left out for lack of budget",
+                Family::default(),
+            ),
+            backends: registry.register("backends", "Backend servers by state", Family::default()),
+            limiter: registry.register(
+                "concurrency",
+                "Requests in flight and waiting, and the limit",
+                Family::default(),
+            ),
+            claims: registry.register(
+                "claim_events",
+                "Claims, group commits and conflicts",
+                Family::default(),
+            ),
+            claim_latency: registry.register(
+                "claim_seconds",
+                "Time until a claim is confirmed",
+                histogram(),
+            ),
+            violations: registry.register(
+                "invariant_violations",
+                "Violated invariants",
+                Family::default(),
+            ),
+        }
+    }
+
+    /// Counts a request that got its answer.
+    pub fn note_request(
+        &self,
+        service: &Arc<str>,
+        class: RequestClass,
+        answer: &CallerAnswer,
+        elapsed: Duration,
+    ) {
+        let labels = RequestLabels {
+            service: service.clone(),
+            class: class.name(),
+            outcome: answer.outcome.name(),
+            reason: answer.reason,
+        };
+        self.requests.get_or_create(&labels).inc();
+        let labels = LatencyLabels { service: service.clone(), class: class.name() };
+        self.latency.get_or_create(&labels).observe(elapsed.as_secs_f64());
+    }
+
+    /// Counts a try.
+    pub fn note_try(&self, service: &Arc<str>) {
+        self.tries.get_or_create(&kind(service, "all")).inc();
+    }
+
+    /// Counts a retry or hedge.
+    pub fn note_extra_try(&self, service: &Arc<str>, name: &'static str) {
+        self.tries.get_or_create(&kind(service, name)).inc();
+    }
+
+    /// Counts a try without a whole answer.
+    pub fn note_failed_try(&self, service: &Arc<str>, cause: &'static str) {
+        self.failed_tries.get_or_create(&kind(service, cause)).inc();
+    }
+
+    /// Counts a retry or hedge that the budget did not allow.
+    pub fn note_budget_empty(&self, service: &Arc<str>) {
+        self.budget_empty.get_or_create(&ServiceLabels { service: service.clone() }).inc();
+    }
+
+    /// Counts something about claims.
+    pub fn note_claims(&self, service: &Arc<str>, name: &'static str, count: u64) {
+        self.claims.get_or_create(&kind(service, name)).inc_by(count);
+    }
+
+    /// Records the time until a claim was confirmed.
+    pub fn note_claim_latency(&self, elapsed: Duration) {
+        self.claim_latency.observe(elapsed.as_secs_f64());
+    }
+
+    /// Returns the tries so far: all, retries and hedges.
+    pub fn tries(&self, service: &Arc<str>) -> (u64, u64, u64) {
+        let read = |name| self.tries.get_or_create(&kind(service, name)).get();
+        (read("all"), read("retry"), read("hedge"))
+    }
+
+    /// Updates the gauges of a service.
+    pub fn refresh(&self, pool: &ServicePool) {
+        let backends = pool.backends();
+        let ejected = backends.iter().filter(|backend| backend.is_ejected()).count();
+        let leaving = backends.iter().filter(|backend| backend.is_leaving()).count();
+        for (name, count) in
+            [("listed", backends.len()), ("ejected", ejected), ("leaving", leaving)]
+        {
+            let gauge = self.backends.get_or_create(&kind(&pool.service, name));
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+        let status = pool.limiter.status();
+        let waiting = i64::try_from(status.waiting).unwrap_or(i64::MAX);
+        for (name, value) in [
+            ("in-flight", i64::from(status.in_flight)),
+            ("limit", i64::from(status.limit)),
+            ("waiting", waiting),
+        ] {
+            self.limiter.get_or_create(&kind(&pool.service, name)).set(value);
+        }
+        for (name, count) in invariant::violations() {
+            let labels = NameLabels { name: format!("{name:?}") };
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.violations.get_or_create(&labels).set(count);
+        }
+    }
+}
+
+fn kind(service: &Arc<str>, kind: &'static str) -> KindLabels {
+    KindLabels { service: service.clone(), kind }
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,74 @@
+//! Settings of an entry process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lacewingrail_membership::config::TreeDecoder;
+use lacewingrail_model::DomainName;
+use lacewingrail_settings::{ProcessSettings, SettingsErrors, StoredTree};
+
+use crate::backend::connection::HttpChoice;
+use crate::claims::shard_writer::GROUP_PERIOD;
+
+/// Holds what an entry process must know at its start.
+#[derive(Clone)]
+pub struct EntrySettings {
+    /// Name; the process adds a suffix that is new after each restart.
+    pub name: String,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Address for callers; port 0 selects a free one.
+    pub callers: SocketAddr,
+    /// Address for messages of other processes; port 0 selects a free one.
+    pub peer_address: SocketAddr,
+    /// Addresses of other processes at start, as `ip:port`.
+    pub peers: Vec<String>,
+    /// Protocol towards backend servers.
+    pub http: HttpChoice,
+    /// Time after the start of a shutdown for which new requests are served.
+    pub drain_lag: Duration,
+    /// Shortest time between writes of a shard of claims.
+    pub claim_group: Duration,
+    /// Reads the stored settings tree.
+    pub decoder: TreeDecoder,
+}
+
+/// Time for which a leaving process serves new requests, because the load balancer lags.
+pub const DRAIN_LAG: Duration = Duration::from_secs(3);
+
+impl EntrySettings {
+    /// Creates the settings of a process that listens on two addresses.
+    pub fn new(name: &str, domain: &str, callers: SocketAddr, peer_address: SocketAddr) -> Self {
+        Self {
+            name: name.to_owned(),
+            domain: domain.to_owned(),
+            callers,
+            peer_address,
+            peers: Vec::new(),
+            http: HttpChoice::default(),
+            drain_lag: DRAIN_LAG,
+            claim_group: GROUP_PERIOD,
+            decoder: tree_decoder(),
+        }
+    }
+
+    /// Reads the settings of an entry process from a settings file.
+    ///
+    /// # Errors
+    /// Reports that the address for callers is missing.
+    pub fn from_process(settings: &ProcessSettings) -> Result<Self, SettingsErrors> {
+        let (callers, peers) = (settings.callers()?, settings.listen.peers);
+        let mut own = Self::new(&settings.name, &settings.domain, callers, peers);
+        own.peers = settings.peers.iter().map(SocketAddr::to_string).collect();
+        Ok(own)
+    }
+}
+
+/// Returns the function that reads the stored settings tree.
+pub fn tree_decoder() -> TreeDecoder {
+    Arc::new(|text| {
+        let view = StoredTree::decode(text).and_then(|stored| stored.view());
+        view.map_err(|errors| errors.to_string())
+    })
+}
--- /dev/null
+++ b/crates/entry/tests/support/mod.rs
@@ -0,0 +1,161 @@
+//! A small system for tests: store, instance list, settings and entry processes.
+
+#![allow(dead_code, unreachable_pub)]
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use lacewingrail_entry::{EntryHandle, EntryProcess, EntrySettings};
+use lacewingrail_model::config::{
+    ConfigView, CustomerConfig, DomainConfig, PolicyOverlay, ServiceConfig,
+};
+use lacewingrail_model::instance::{InstanceEntry, InstanceError, InstanceList, InstanceRole};
+use lacewingrail_model::keys::CONFIG_TREE;
+use lacewingrail_model::store::KeyValueService;
+use lacewingrail_model::timer::TimerService;
+use lacewingrail_model::worker::WorkerSpec;
+use lacewingrail_platform::MemoryStore;
+
+/// Service of the tests.
+pub const SERVICE: &str = "desk";
+/// Customer of the tests.
+pub const CUSTOMER: &str = "north";
+/// Failure domain of the entry processes.
+pub const DOMAIN: &str = "domain-1";
+
+/// Lists what a test puts in.
+#[derive(Clone, Default)]
+pub struct TestList {
+    entries: Arc<Mutex<Vec<InstanceEntry>>>,
+    down: Arc<Mutex<bool>>,
+}
+
+impl TestList {
+    pub fn set(&self, entries: Vec<InstanceEntry>) {
+        *self.entries.lock().unwrap() = entries;
+    }
+
+    pub fn change(&self, change: impl FnOnce(&mut Vec<InstanceEntry>)) {
+        change(&mut self.entries.lock().unwrap());
+    }
+
+    pub fn set_down(&self, down: bool) {
+        *self.down.lock().unwrap() = down;
+    }
+}
+
+#[async_trait]
+impl InstanceList for TestList {
+    async fn read(&self) -> Result<Vec<InstanceEntry>, InstanceError> {
+        if *self.down.lock().unwrap() {
+            return Err(InstanceError("down".into()));
+        }
+        Ok(self.entries.lock().unwrap().clone())
+    }
+
+    async fn workers(&self) -> Result<Vec<WorkerSpec>, InstanceError> {
+        Ok(Vec::new())
+    }
+}
+
+/// Holds what the entry processes of a test share.
+pub struct TestSystem {
+    pub store: MemoryStore,
+    pub list: TestList,
+    pub overlay: PolicyOverlay,
+}
+
+impl TestSystem {
+    pub async fn new(overlay: PolicyOverlay) -> Self {
+        let store = MemoryStore::new();
+        store.put(CONFIG_TREE, "{\"version\":1}".into(), 0, None).await.unwrap();
+        Self { store, list: TestList::default(), overlay }
+    }
+
+    /// Starts an entry process and waits until it is ready.
+    pub async fn start(&self, change: impl FnOnce(&mut EntrySettings)) -> EntryHandle {
+        self.start_with(Arc::new(self.store.clone()), change).await
+    }
+
+    pub async fn start_with(
+        &self,
+        store: Arc<dyn KeyValueService>,
+        change: impl FnOnce(&mut EntrySettings),
+    ) -> EntryHandle {
+        let mut settings = self.settings();
+        change(&mut settings);
+        let list = Arc::new(self.list.clone());
+        let handle = EntryProcess::start(settings, store, list, TimerService::new()).await.unwrap();
+        for _ in 0..500 {
+            if handle.is_ready() {
+                return handle;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("the process does not become ready");
+    }
+
+    pub fn settings(&self) -> EntrySettings {
+        let any = "127.0.0.1:0".parse().unwrap();
+        let mut settings = EntrySettings::new("entry", DOMAIN, any, any);
+        settings.drain_lag = Duration::from_millis(200);
+        let view = config_view(self.overlay.clone());
+        settings.decoder = Arc::new(move |_| Ok(view.clone()));
+        settings
+    }
+}
+
+fn config_view(overlay: PolicyOverlay) -> ConfigView {
+    let domain = DomainConfig {
+        region: "region".into(),
+        out: false,
+        out_since: 1,
+        overlay: PolicyOverlay::default(),
+        nominal_racks: BTreeMap::new(),
+    };
+    let customer = CustomerConfig {
+        precedence: 1,
+        weight: 1.0,
+        quota: 0,
+        guarantees: Vec::new(),
+        overlay: PolicyOverlay::default(),
+    };
+    let service = ServiceConfig { overlay };
+    ConfigView {
+        version: 1,
+        domains: ["domain-1", "domain-2"].map(|name| (name.into(), domain.clone())).into(),
+        customers: [(CUSTOMER.into(), customer)].into(),
+        services: [(SERVICE.into(), service)].into(),
+        ..ConfigView::default()
+    }
+}
+
+pub fn backend_entry(name: &str, domain: &str, address: &str) -> InstanceEntry {
+    InstanceEntry {
+        name: name.into(),
+        role: InstanceRole::Backend,
+        service: SERVICE.into(),
+        domain: domain.into(),
+        address: address.into(),
+        peer_address: String::new(),
+        leaving: false,
+        slots: 8,
+        connections: 64,
+    }
+}
+
+/// Builds a request to the service through an entry process.
+pub fn request(
+    client: &reqwest::Client,
+    entry: &EntryHandle,
+    path: &str,
+) -> reqwest::RequestBuilder {
+    let url = format!("http://{}/{SERVICE}{path}", entry.callers());
+    client.post(url).header("x-customer", CUSTOMER)
+}
+
+pub fn outcome(response: &reqwest::Response) -> String {
+    response.headers()["x-outcome"].to_str().unwrap().to_owned()
+}
--- a/crates/model/src/keys.rs
+++ b/crates/model/src/keys.rs
@@ -37,6 +37,11 @@
     format!("claims/{service}/{shard:04}")
 }
 
+/// Returns the key of the number of shards of a service.
+pub fn claim_layout(service: &str) -> String {
+    format!("claims/{service}/layout")
+}
+
 /// Returns the key of a recorded answer that is too large for its claim.
 pub fn answer(service: &str, hash: u64) -> String {
     format!("answers/{service}/{hash:016x}")
