--- a/crates/entry/src/claims/ledger.rs
+++ b/crates/entry/src/claims/ledger.rs
@@ -20,13 +20,16 @@
 use crate::claims::shard_writer::{ClaimOrder, ShardWriter, WriterContext};
 use crate::lock;
 
+/// Service and number of a shard.
+type ShardId = (Arc<str>, u64);
+
 /// Takes claims and records outcomes.
 pub struct ClaimLedger {
     context: WriterContext,
     archive: AnswerArchive,
     issuer: MarkIssuer,
     layouts: Mutex<HashMap<Arc<str>, u64>>,
-    writers: Mutex<HashMap<(Arc<str>, u64), mpsc::Sender<ClaimOrder>>>,
+    writers: Mutex<HashMap<ShardId, mpsc::Sender<ClaimOrder>>>,
 }
 
 /// Identifies a claim that a request holds.
@@ -127,20 +130,12 @@
         content_type: &str,
         body: &[u8],
     ) -> Result<(), ClaimError> {
-        let body = match body.len() {
-            ..=INLINE_BYTES => RecordedBody::inline(body),
-            ..=STORED_BYTES => {
-                let unique = format!("{}\n{}", claim.key, claim.mark);
-                let hash = hash::digest(unique.as_bytes());
-                match self.archive.write(&claim.service, hash, body).await {
-                    Ok(()) => RecordedBody::Stored(hash),
-                    Err(error) => {
-                        log::debug!("an answer is recorded without its body: {error}");
-                        RecordedBody::dropped(body)
-                    }
-                }
-            }
-            _ => RecordedBody::dropped(body),
+        let body = if body.len() <= INLINE_BYTES {
+            RecordedBody::inline(body)
+        } else if body.len() <= STORED_BYTES {
+            self.store_body(claim, body).await
+        } else {
+            RecordedBody::dropped(body)
         };
         let content_type = content_type.to_owned();
         self.finish(claim, ClaimState::Done(RecordedAnswer { status, content_type, body })).await
@@ -169,6 +164,19 @@
         }
     }
 
+    /// Writes a body under its own key; it is dropped where that fails, but its outcome is kept.
+    async fn store_body(&self, claim: &HeldClaim, body: &[u8]) -> RecordedBody {
+        let unique = format!("{}\n{}", claim.key, claim.mark);
+        let hash = hash::digest(unique.as_bytes());
+        match self.archive.write(&claim.service, hash, body).await {
+            Ok(()) => RecordedBody::Stored(hash),
+            Err(error) => {
+                log::debug!("an answer is recorded without its body: {error}");
+                RecordedBody::dropped(body)
+            }
+        }
+    }
+
     async fn finish(&self, claim: &HeldClaim, state: ClaimState) -> Result<(), ClaimError> {
         let change = ClaimChange::Finish { mark: claim.mark.clone(), state };
         let deadline = ClaimOrder::finish_deadline();
--- a/crates/entry/src/claims/record.rs
+++ b/crates/entry/src/claims/record.rs
@@ -224,7 +224,7 @@
 }
 
 fn decode_hex(digits: &str) -> Option<Vec<u8>> {
-    if !digits.is_ascii() || digits.len() % 2 != 0 {
+    if !digits.is_ascii() || !digits.len().is_multiple_of(2) {
         return None;
     }
     let pairs = (0..digits.len()).step_by(2);
