Test whole answers and at-most-once against the stand-ins

Cause: the request path had no test with faults. A server error without x-request-id counts as a failure of the backend, not as a crossed answer. A request that was given up enters the latency that adapts the concurrency limit.

--- a/crates/entry/src/filters/route.rs
+++ b/crates/entry/src/filters/route.rs
@@ -39,6 +39,9 @@
         };
         let headers = build_headers(&exchange);
         let started = Instant::now();
+        if let Some(permit) = exchange.overload_permit.as_mut() {
+            permit.note_routed();
+        }
         match self.router.route(&exchange, &pool, headers).await {
             Ok(answer) => {
                 if let Some(permit) = exchange.overload_permit.as_mut() {
--- a/crates/entry/src/overload.rs
+++ b/crates/entry/src/overload.rs
@@ -46,6 +46,7 @@
 #[derive(Debug)]
 pub struct OverloadPermit {
     limiter: Arc<ServiceLimiter>,
+    routed: Option<Instant>,
     sample: Option<Duration>,
     armed: bool,
 }
@@ -123,13 +124,18 @@
         lock(&self.state).status()
     }
 
+    /// Returns the average time in which backend servers answer.
+    pub fn service_time(&self) -> Duration {
+        lock(&self.state).service_time()
+    }
+
     /// Notes that a backend server refused work for lack of capacity.
     pub fn note_refused(&self) {
         lock(&self.state).note_refused();
     }
 
     fn permit(self: &Arc<Self>) -> OverloadPermit {
-        OverloadPermit { limiter: self.clone(), sample: None, armed: true }
+        OverloadPermit { limiter: self.clone(), routed: None, sample: None, armed: true }
     }
 
     fn release(self: &Arc<Self>, sample: Option<Duration>) {
@@ -158,6 +164,11 @@
 }
 
 impl OverloadPermit {
+    /// Records that the request is now sent to backend servers.
+    pub fn note_routed(&mut self) {
+        self.routed = Some(Instant::now());
+    }
+
     /// Records the time in which backend servers answered the request, which adapts the limit.
     pub fn note_answer(&mut self, latency: Duration) {
         self.sample = Some(latency);
@@ -170,9 +181,16 @@
 
 impl Drop for OverloadPermit {
     fn drop(&mut self) {
-        if self.armed {
-            self.limiter.release(self.sample);
+        if !self.armed {
+            return;
         }
+        // A request that was given up counts with the time it took so far; without it a service
+        // whose requests all pass their deadlines would look fast.
+        let given_up = || {
+            let elapsed = self.routed?.elapsed();
+            (elapsed > self.limiter.service_time()).then_some(elapsed)
+        };
+        self.limiter.release(self.sample.or_else(given_up));
     }
 }
 
--- a/crates/entry/src/overload/queue.rs
+++ b/crates/entry/src/overload/queue.rs
@@ -86,6 +86,11 @@
         self.gradient.note_refused();
     }
 
+    /// Returns the average time in which backend servers answer.
+    pub fn service_time(&self) -> Duration {
+        self.gradient.service_time()
+    }
+
     /// Returns the current state.
     pub fn status(&self) -> LimiterStatus {
         LimiterStatus {
--- a/crates/entry/src/routing/answer.rs
+++ b/crates/entry/src/routing/answer.rs
@@ -67,6 +67,8 @@
     Lost(String),
     /// The answer belongs to another request or names none.
     Crossed,
+    /// The backend answered with a server error that names no request.
+    Unnamed(StatusCode),
     /// No whole answer came in time.
     TimedOut,
 }
@@ -85,6 +87,8 @@
             Self::NotSent { .. } => "connect",
             Self::Lost(_) => "lost",
             Self::Crossed => "crossed",
+            Self::Unnamed(StatusCode::SERVICE_UNAVAILABLE) => "busy",
+            Self::Unnamed(_) => "server-error",
             Self::TimedOut => "timeout",
         }
     }
@@ -102,6 +106,7 @@
             }
             Self::Lost(cause) => write!(formatter, "the answer was lost ({cause})"),
             Self::Crossed => formatter.write_str("the answer does not belong to the request"),
+            Self::Unnamed(status) => write!(formatter, "the backend server answered {status}"),
             Self::TimedOut => formatter.write_str("no whole answer came before the deadline"),
         }
     }
@@ -160,8 +165,11 @@
     if headers.get(X_LEAVING).is_some_and(|value| value == "true") {
         backend.note_leaving();
     }
-    if headers.get(X_REQUEST_ID).is_none_or(|value| value.as_bytes() != id.as_bytes()) {
-        return Err(TryError::Crossed);
+    match headers.get(X_REQUEST_ID) {
+        Some(echoed) if echoed.as_bytes() == id.as_bytes() => {}
+        // Servers and proxies refuse work without looking at its headers.
+        None if status.is_server_error() => return Err(TryError::Unnamed(status)),
+        _ => return Err(TryError::Crossed),
     }
     let bodiless = exchange.method == Method::HEAD
         || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
--- a/crates/entry/src/routing/router.rs
+++ b/crates/entry/src/routing/router.rs
@@ -205,7 +205,8 @@
         self.ended = true;
         let latency = since(self.started);
         match outcome {
-            Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE => {
+            Ok(BackendAnswer { status: StatusCode::SERVICE_UNAVAILABLE, .. })
+            | Err(TryError::Unnamed(StatusCode::SERVICE_UNAVAILABLE)) => {
                 self.pool.limiter.note_refused();
                 self.fail(Verdict::Busy, latency);
             }
@@ -215,7 +216,12 @@
                 self.used.backend().note_success(latency);
             }
             Err(TryError::NotSent { gone: true, .. }) => self.fail(Verdict::Gone, latency),
-            Err(TryError::NotSent { .. } | TryError::Lost(_) | TryError::Crossed) => {
+            Err(
+                TryError::NotSent { .. }
+                | TryError::Lost(_)
+                | TryError::Crossed
+                | TryError::Unnamed(_),
+            ) => {
                 self.fail(Verdict::Failed, latency);
             }
             Err(TryError::TimedOut) => self.note_abandoned(latency),
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -30,8 +30,9 @@
 const MAX_CONNECTIONS: usize = 8192;
 /// Requests at a time on one HTTP/2 connection.
 const MAX_STREAMS: u32 = 256;
-/// Time for a caller to send the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for a caller to send the head of a request, counted from the end of the one before. Load
+/// balancers keep idle connections for up to 60 s, and closing one earlier would race with its use.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(75);
 /// Buffer for reading on one HTTP/1 connection, in bytes.
 const READ_BUFFER_BYTES: usize = 64 << 10;
 /// Time after which an HTTP/2 connection without a sign of life is closed.
--- /dev/null
+++ b/crates/entry/tests/answers.rs
@@ -0,0 +1,118 @@
+//! Guards against callers that see part of an answer, another request's answer, or a success that
+//! did not happen (I4), and against untrue outcomes (I5).
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use lacewingrail_entry::backend::connection::HttpChoice;
+use lacewingrail_model::config::PolicyOverlay;
+use lacewingrail_standins::{BackendFaults, FaultProxy, LinkSelection, LinkSpec};
+use support::{SERVICE, TestSystem, answers, outcome, request, runs_of, wait_for};
+
+const PROTOCOLS: [HttpChoice; 2] = [HttpChoice::Http2, HttpChoice::Http1];
+
+/// Guards against truncated, crossed and broken answers that are passed on, and against a repeatable
+/// request that fails although another backend server works.
+#[tokio::test]
+async fn damaged_answers_are_retried_elsewhere() {
+    let none = BackendFaults::default();
+    for http in PROTOCOLS {
+        for faults in [
+            BackendFaults { truncated: 1.0, ..none },
+            BackendFaults { crossed: 1.0, ..none },
+            BackendFaults { dropped: 1.0, ..none },
+        ] {
+            let system = TestSystem::new(PolicyOverlay::default()).await;
+            let bad = system.backend("bad", |_| {}).await;
+            let good = system.backend("good", |_| {}).await;
+            bad.set_faults(faults);
+            let entry = system.start(|settings| settings.http = http).await;
+            let client = reqwest::Client::new();
+            for number in 0..8 {
+                let body = format!("body {number}");
+                let response = request(&client, &entry, "/x").body(body.clone()).send().await;
+                let response = response.unwrap();
+                assert_eq!((response.status().as_u16(), outcome(&response)), (200, "done".into()));
+                assert!(answers(&response.json().await.unwrap(), body.as_bytes()));
+            }
+            assert!(bad.counts().runs > 0 && good.counts().runs > 0);
+        }
+    }
+}
+
+/// Guards against a damaged answer that is reported as success or as "not run" when no retry helps.
+#[tokio::test]
+async fn damaged_answers_without_retry_are_unknown() {
+    let none = BackendFaults::default();
+    for faults in [
+        BackendFaults { truncated: 1.0, ..none },
+        BackendFaults { crossed: 1.0, ..none },
+        BackendFaults { dropped: 1.0, ..none },
+        BackendFaults { late: 1.0, late_ms: 2_000, ..none },
+        BackendFaults { hang: 1.0, ..none },
+    ] {
+        let system = TestSystem::new(PolicyOverlay::default()).await;
+        let only = system.backend("only", |_| {}).await;
+        only.set_faults(faults);
+        let entry = system.start(|_| {}).await;
+        let client = reqwest::Client::new();
+        let response = request(&client, &entry, "/x").header("x-deadline-ms", "500").send().await;
+        let response = response.unwrap();
+        assert!(response.status().is_server_error());
+        assert_eq!(outcome(&response), "unknown", "{faults:?}");
+    }
+}
+
+/// Guards against a request that is lost, or said not to have run, when its backend server dies.
+#[tokio::test]
+async fn backend_killed_during_request() {
+    let system = TestSystem::new(PolicyOverlay::default()).await;
+    let dying = system.backend("dying", |settings| settings.median_ms = 3_000.0).await;
+    let entry = system.start(|_| {}).await;
+    let client = reqwest::Client::new();
+    let repeatable = tokio::spawn(request(&client, &entry, "/x").body("a").send());
+    let once = request(&client, &entry, "/x").header("x-non-repeatable", "true");
+    let once = tokio::spawn(once.header("idempotency-key", "k").send());
+    wait_for(|| dying.counts().runs == 2).await;
+    let other = system.backend("other", |_| {}).await;
+    wait_for(|| entry.pools().get(SERVICE).unwrap().backends().len() == 2).await;
+    drop(dying);
+    let (repeatable, once) = (repeatable.await.unwrap().unwrap(), once.await.unwrap().unwrap());
+    assert_eq!(outcome(&repeatable), "done");
+    assert!(answers(&repeatable.json().await.unwrap(), b"a"));
+    assert_eq!((once.status().as_u16(), outcome(&once)), (502, "unknown".into()));
+    assert_eq!((other.counts().runs, runs_of(&[&other], "k")), (1, 0));
+}
+
+/// Guards against requests that keep meeting a connection on which nothing moves any more.
+#[tokio::test]
+async fn silent_connection_is_replaced() {
+    for http in PROTOCOLS {
+        let overlay = PolicyOverlay { hedging: Some(false), ..PolicyOverlay::default() };
+        let system = TestSystem::new(overlay).await;
+        let backend = system.backend("backend", |_| {}).await;
+        let proxy = FaultProxy::new(1);
+        let target = backend.handle().address().to_string();
+        let address = proxy.add_link(LinkSpec::new("link", "entry", "backend", target)).await;
+        let address = format!("http://{}", address.unwrap());
+        system.list.change(|entries| entries[0].address = address);
+        let entry = system.start(|settings| settings.http = http).await;
+        let client = reqwest::Client::new();
+        for _ in 0..8 {
+            let response = request(&client, &entry, "/x").send().await.unwrap();
+            assert_eq!(outcome(&response), "done");
+        }
+        proxy.silence(&LinkSelection::all());
+        let silenced = Instant::now();
+        // A request that waits on the silent connection, as callers have them at such a moment.
+        let waiting = request(&client, &entry, "/x").header("x-deadline-ms", "1900").send();
+        let waiting = waiting.await.unwrap();
+        assert!(["done", "unknown"].contains(&outcome(&waiting).as_str()));
+        tokio::time::sleep(Duration::from_secs(2).saturating_sub(silenced.elapsed())).await;
+        for _ in 0..8 {
+            let response = request(&client, &entry, "/x").header("x-deadline-ms", "500").send();
+            assert_eq!(outcome(&response.await.unwrap()), "done", "{http:?}");
+        }
+    }
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unreachable_pub)]
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -13,10 +14,13 @@
 };
 use lacewingrail_model::instance::{InstanceEntry, InstanceError, InstanceList, InstanceRole};
 use lacewingrail_model::keys::CONFIG_TREE;
-use lacewingrail_model::store::KeyValueService;
+use lacewingrail_model::store::{
+    KeyValueService, LeaseId, Revision, StoreEntry, StoreError, WatchBatch,
+};
 use lacewingrail_model::timer::TimerService;
 use lacewingrail_model::worker::WorkerSpec;
 use lacewingrail_platform::MemoryStore;
+use lacewingrail_standins::{BackendServer, BackendSettings};
 
 /// Service of the tests.
 pub const SERVICE: &str = "desk";
@@ -61,6 +65,7 @@
 }
 
 /// Holds what the entry processes of a test share.
+#[derive(Clone)]
 pub struct TestSystem {
     pub store: MemoryStore,
     pub list: TestList,
@@ -132,6 +137,38 @@
     }
 }
 
+impl TestSystem {
+    /// Starts a backend server and lists it.
+    pub async fn backend(
+        &self,
+        name: &str,
+        change: impl FnOnce(&mut BackendSettings),
+    ) -> BackendServer {
+        let mut settings = BackendSettings {
+            name: name.into(),
+            service: SERVICE.into(),
+            domain: DOMAIN.into(),
+            median_ms: 2.0,
+            sigma: 0.0,
+            ..BackendSettings::default()
+        };
+        change(&mut settings);
+        let server = BackendServer::spawn("127.0.0.1:0", settings).await.unwrap();
+        self.list.change(|entries| entries.push(server.entry()));
+        server
+    }
+}
+
+/// Returns the runs of a key over all servers.
+pub fn runs_of(servers: &[&BackendServer], key: &str) -> u32 {
+    servers.iter().filter_map(|server| server.runs().by_key.get(key).copied()).sum()
+}
+
+/// Returns whether an answer of the backend stand-in names the request that it answers.
+pub fn answers(body: &serde_json::Value, request_body: &[u8]) -> bool {
+    body["body_digest"] == lacewingrail_model::hash::digest(request_body)
+}
+
 pub fn backend_entry(name: &str, domain: &str, address: &str) -> InstanceEntry {
     InstanceEntry {
         name: name.into(),
@@ -159,3 +196,97 @@
 pub fn outcome(response: &reqwest::Response) -> String {
     response.headers()["x-outcome"].to_str().unwrap().to_owned()
 }
+
+pub async fn wait_for(condition: impl Fn() -> bool) {
+    for _ in 0..1_000 {
+        if condition() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("the condition does not come true");
+}
+
+/// Runs a future within a runtime that a test can end, and awaits it from another one.
+pub async fn run_in<T>(
+    runtime: &tokio::runtime::Runtime,
+    future: impl Future<Output = T> + Send + 'static,
+) -> T
+where
+    T: Send + 'static,
+{
+    runtime.spawn(future).await.unwrap()
+}
+
+/// Passes calls on to a store and can hold the answers of writes after they took effect.
+pub struct GatedStore {
+    inner: MemoryStore,
+    holding: AtomicBool,
+    held: AtomicUsize,
+}
+
+impl GatedStore {
+    pub fn new(inner: MemoryStore) -> Self {
+        Self { inner, holding: AtomicBool::new(false), held: AtomicUsize::new(0) }
+    }
+
+    pub fn hold_answers(&self) {
+        self.holding.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns the writes that took effect and whose answers are held.
+    pub fn held(&self) -> usize {
+        self.held.load(Ordering::SeqCst)
+    }
+}
+
+#[async_trait]
+impl KeyValueService for GatedStore {
+    async fn get(&self, key: &str) -> Result<Option<StoreEntry>, StoreError> {
+        self.inner.get(key).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<StoreEntry>, StoreError> {
+        self.inner.list(prefix).await
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: String,
+        expected: Revision,
+        lease: Option<LeaseId>,
+    ) -> Result<Revision, StoreError> {
+        let result = self.inner.put(key, value, expected, lease).await;
+        if self.holding.load(Ordering::SeqCst) {
+            self.held.fetch_add(1, Ordering::SeqCst);
+            std::future::pending::<()>().await;
+        }
+        result
+    }
+
+    async fn delete(&self, key: &str, expected: Revision) -> Result<(), StoreError> {
+        self.inner.delete(key, expected).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<WatchBatch, StoreError> {
+        self.inner.watch(prefix, after, wait).await
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        self.inner.grant_lease(ttl).await
+    }
+
+    async fn renew_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        self.inner.renew_lease(lease).await
+    }
+
+    async fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        self.inner.revoke_lease(lease).await
+    }
+}
--- a/crates/standins/src/backend_server.rs
+++ b/crates/standins/src/backend_server.rs
@@ -102,6 +102,7 @@
             service: settings.service.clone(),
             domain: settings.domain.clone(),
             address: self.url(),
+            peer_address: String::new(),
             leaving: self.shared.lock().leaving_since.is_some(),
             slots: u32::try_from(settings.slots).unwrap_or(u32::MAX),
             connections: u32::try_from(settings.connections).unwrap_or(u32::MAX),
