Use fresh connections to a worker after a timeout

Cause: when the path to a worker goes silent, each of its idle connections costs one renewal its timeout of 1 s, which can use up the task lease of 10 s.

Change: after a timeout the calls to that worker use a client without idle connections until the idle ones of the shared pool have expired (16 s). The other workers keep their connections.

Conclusion: one timeout per silent worker, not one per connection.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -8,7 +8,7 @@
 /// Time to establish a connection; instances are at most a few milliseconds apart.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which an idle connection is kept.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+pub(crate) const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// States how an exchange failed.
 pub(crate) enum ExchangeError {
--- a/crates/platform/src/http_worker.rs
+++ b/crates/platform/src/http_worker.rs
@@ -4,9 +4,12 @@
 //! the network is refused. The client learns that clock from the header of earlier answers: the
 //! worker read its clock before the answer arrived, so reading plus time since arrival is a lower
 //! bound of the clock, and the permission never ends later than the caller meant.
+//!
+//! After a timeout the worker's calls use fresh connections until its idle ones have expired, because
+//! all of them may be silent and each would cost one call its timeout.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -19,7 +22,9 @@
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
-use crate::http::{ExchangeError, HttpAnswer, NO_ANSWER, build_client, exchange, join, millis};
+use crate::http::{
+    ExchangeError, HttpAnswer, IDLE_TIMEOUT, NO_ANSWER, build_client, exchange, join, millis,
+};
 use crate::protocol::{
     CheckpointAnswer, CommitBody, MemberBody, RenewBody, ReserveBody, StartBody, ThrottleBody,
     WORKER_CLOCK_HEADER,
@@ -30,17 +35,28 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest answer in bytes.
 const ANSWER_LIMIT: usize = 4_000_000;
+/// Time after a timeout during which no idle connection is used: until the last one has expired.
+const SUSPICION: Duration = IDLE_TIMEOUT.saturating_add(Duration::from_secs(1));
 /// Idle connections kept to each worker address.
 const IDLE_CONNECTIONS: usize = 64;
-/// Clock readings kept; past it all are dropped, and each returns with the worker's next answer.
-const CLOCK_READINGS: usize = 10_000;
+/// Workers whose contact is kept; past it all are dropped, and each returns with the next answer.
+const CONTACTS: usize = 10_000;
 
 /// Calls workers over HTTP.
 #[derive(Clone, Debug)]
 pub struct HttpWorkerClient {
     client: Client,
+    /// Keeps no idle connections.
+    fresh_client: Client,
     timeout: Duration,
-    clocks: Arc<Mutex<HashMap<WorkerId, ClockReading>>>,
+    contacts: Arc<Mutex<HashMap<WorkerId, WorkerContact>>>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct WorkerContact {
+    reading: Option<ClockReading>,
+    /// Time of the newest timeout.
+    timed_out: Option<Instant>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -60,8 +76,9 @@
     pub fn new() -> Self {
         Self {
             client: build_client(IDLE_CONNECTIONS),
+            fresh_client: build_client(0),
             timeout: CALL_TIMEOUT,
-            clocks: Arc::default(),
+            contacts: Arc::default(),
         }
     }
 
@@ -77,7 +94,7 @@
         T: DeserializeOwned,
     {
         let url = join(&worker.address, &["v1", call]).map_err(convert)?;
-        self.send(worker, self.client.post(url).json(body)).await
+        self.send(worker, self.client_for(&worker.id).post(url).json(body)).await
     }
 
     async fn send<T>(
@@ -88,7 +105,12 @@
     where
         T: DeserializeOwned,
     {
-        let answer = exchange(request, self.timeout, ANSWER_LIMIT).await.map_err(convert)?;
+        let answer = exchange(request, self.timeout, ANSWER_LIMIT).await.map_err(|error| {
+            if matches!(error, ExchangeError::TimedOut) {
+                self.change_contact(&worker.id, |contact| contact.timed_out = Some(Instant::now()));
+            }
+            convert(error)
+        })?;
         self.keep_clock(&worker.id, &answer);
         if answer.status == StatusCode::OK {
             return serde_json::from_slice(&answer.body)
@@ -109,26 +131,49 @@
         let Some(clock_ms) = header.and_then(|value| value.parse().ok()) else {
             return;
         };
-        let mut clocks = self.clocks.lock().unwrap_or_else(PoisonError::into_inner);
-        if clocks.len() >= CLOCK_READINGS && !clocks.contains_key(worker) {
-            clocks.clear();
-        }
-        clocks.insert(worker.clone(), ClockReading { clock_ms, arrived: Instant::now() });
+        let reading = ClockReading { clock_ms, arrived: Instant::now() };
+        self.change_contact(worker, |contact| contact.reading = Some(reading));
     }
 
     /// Returns the instant `remaining` from now on the worker's clock, never later than meant.
     fn on_clock(&self, worker: &WorkerId, remaining: Duration) -> Option<u64> {
-        let clocks = self.clocks.lock().unwrap_or_else(PoisonError::into_inner);
-        let reading = clocks.get(worker)?;
+        let reading = self.contact(worker).reading?;
         Some(reading.clock_ms + millis(reading.arrived.elapsed()) + millis(remaining))
     }
+
+    /// Returns the client whose connections to the worker are not suspected to be silent.
+    fn client_for(&self, worker: &WorkerId) -> &Client {
+        let timed_out = self.contact(worker).timed_out;
+        let suspected = timed_out.is_some_and(|at| at.elapsed() < SUSPICION);
+        if suspected { &self.fresh_client } else { &self.client }
+    }
+
+    fn contact(&self, worker: &WorkerId) -> WorkerContact {
+        self.lock().get(worker).copied().unwrap_or_default()
+    }
+
+    fn change_contact<F>(&self, worker: &WorkerId, change: F)
+    where
+        F: FnOnce(&mut WorkerContact),
+    {
+        let mut contacts = self.lock();
+        if contacts.len() >= CONTACTS && !contacts.contains_key(worker) {
+            contacts.clear();
+        }
+        change(contacts.entry(worker.clone()).or_default());
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<WorkerId, WorkerContact>> {
+        self.contacts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 #[async_trait]
 impl WorkerService for HttpWorkerClient {
     async fn report(&self, worker: &WorkerSpec, epoch: Epoch) -> Result<WorkerReport, WorkerError> {
         let url = join(&worker.address, &["v1", "tasks"]).map_err(convert)?;
-        self.send(worker, self.client.get(url).query(&[("epoch", epoch)])).await
+        let request = self.client_for(&worker.id).get(url).query(&[("epoch", epoch)]);
+        self.send(worker, request).await
     }
 
     async fn reserve(
--- a/crates/standins/tests/fault_proxy.rs
+++ b/crates/standins/tests/fault_proxy.rs
@@ -39,6 +39,32 @@
     HttpStore::new(format!("http://{address}")).with_timeout(TIMEOUT)
 }
 
+struct ProxiedWorker {
+    fleet: WorkerFleet,
+    proxy: FaultProxy,
+    worker: WorkerSpec,
+}
+
+/// Starts one worker behind a link from group `a` to group `d`.
+async fn proxied_worker() -> ProxiedWorker {
+    let layout = FleetLayout {
+        domain: "d".into(),
+        workers: 1,
+        per_rack: 1,
+        accelerators: 8,
+        cores: 8,
+        memory_mb: 8,
+    };
+    let fleet =
+        WorkerFleet::spawn("127.0.0.1:0", layout.specs(), FleetSettings::default()).await.unwrap();
+    let proxy = FaultProxy::new(1);
+    let target = fleet.handle().address().to_string();
+    let address = proxy.add_link(LinkSpec::new("w", "a", "d", target)).await.unwrap();
+    let direct = fleet.specs().remove(0);
+    let worker = WorkerSpec { address: format!("http://{address}/w/{}", direct.id), ..direct };
+    ProxiedWorker { fleet, proxy, worker }
+}
+
 /// Guards against a delay that is not applied, or only one way.
 #[tokio::test]
 async fn delay_applies_each_way() {
@@ -148,22 +174,7 @@
 /// Guards against a start that a partition held back and that takes effect after it healed.
 #[tokio::test]
 async fn held_start_is_refused_after_the_cut() {
-    let layout = FleetLayout {
-        domain: "d".into(),
-        workers: 1,
-        per_rack: 1,
-        accelerators: 8,
-        cores: 8,
-        memory_mb: 8,
-    };
-    let fleet =
-        WorkerFleet::spawn("127.0.0.1:0", layout.specs(), FleetSettings::default()).await.unwrap();
-    let proxy = FaultProxy::new(1);
-    let target = fleet.handle().address().to_string();
-    let address = proxy.add_link(LinkSpec::new("w", "a", "d", target)).await.unwrap();
-    let direct = fleet.specs().remove(0);
-    let worker =
-        WorkerSpec { address: format!("http://{address}/w/{}", direct.id), ..direct.clone() };
+    let ProxiedWorker { fleet, proxy, worker } = proxied_worker().await;
     let client = HttpWorkerClient::new().with_timeout(TIMEOUT);
     let member = MemberId { job: "j".into(), attempt: 1, index: 0 };
     let request = ReserveRequest {
@@ -194,6 +205,21 @@
     assert_eq!(fleet.journal().entries[0].started_ms, None);
 }
 
+/// Guards against a silent path that costs one timeout for each idle connection to a worker.
+#[tokio::test]
+async fn silent_worker_costs_one_timeout() {
+    let ProxiedWorker { fleet: _fleet, proxy, worker } = proxied_worker().await;
+    let client = HttpWorkerClient::new().with_timeout(TIMEOUT);
+    proxy.set_rule(&LinkSelection::all(), LinkRule::delay(20));
+    futures::future::join_all((0..4).map(|_| client.report(&worker, 1))).await;
+    proxy.set_rule(&LinkSelection::all(), LinkRule::default());
+    assert!(proxy.links()[0].connections >= 3);
+    proxy.silence(&LinkSelection::all());
+    assert_matches!(client.report(&worker, 1).await, Err(WorkerError::Unclear { .. }));
+    client.report(&worker, 1).await.unwrap();
+    client.report(&worker, 1).await.unwrap();
+}
+
 /// Guards against two links under one name and against links that outlive their removal.
 #[tokio::test]
 async fn links_are_named_and_removed() {
