Read job records of a job that moves between owners, and recent histories only

Cause: the scheduler keeps the records of both owners for a moment when a job moves, and its histories grow without bound. Change: a record is written back under the key it was read from, the new owner's record counts, and searches read the histories of yesterday and today.

--- a/crates/admin/src/job_store.rs
+++ b/crates/admin/src/job_store.rs
@@ -1,12 +1,14 @@
 //! Job records in the key-value service.
 //!
-//! A record lies under the failure domain that owns the job and moves when the owner changes, so a
-//! search looks at all domains and then at the histories of finished jobs.
+//! A record lies under the failure domain that owns the job. When the owner changes, the records of
+//! both owners exist for a moment, and the new owner's counts. A search looks at all domains and then
+//! at the recent histories of finished jobs.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use lacewingrail_model::clock::unix_millis;
-use lacewingrail_model::job::{JobRecord, JobState};
+use lacewingrail_model::job::{HistoryPage, JobRecord, JobState};
 use lacewingrail_model::store::{Revision, StoreEntry, StoreError};
 use lacewingrail_model::timer::TimerService;
 use lacewingrail_model::{DomainName, JobId, keys};
@@ -19,24 +21,43 @@
 /// Wait after an unclear answer or a lost race, which doubles with each attempt.
 const RETRY_WAIT: Duration = Duration::from_millis(20);
 
-/// Holds a record with the revision of its key; 0 for a record of a history.
+/// Milliseconds of a day.
+const DAY_MS: u64 = 86_400_000;
+
+/// Holds a record with its key and the key's revision; the key is empty for a record of a history.
 pub(crate) struct FoundJob {
     pub(crate) record: JobRecord,
+    key: String,
     revision: Revision,
 }
 
+impl FoundJob {
+    /// Returns whether the record lies under the owner that it names.
+    fn is_owned(&self) -> bool {
+        self.key == keys::job(&self.record.owner, &self.record.id)
+    }
+}
+
 /// Searches a job by its id.
 pub(crate) async fn find(state: &SharedState, id: &JobId) -> Result<Option<FoundJob>, ApiFailure> {
     if !is_job_id(id) {
         return Ok(None);
     }
     let store = state.context.store();
+    let mut former = None;
     for domain in state.context.config().domains.keys() {
         if let Some(entry) = store.get(&keys::job(domain, id)).await? {
-            return parse_entry(&entry).map(Some);
+            let found = parse_entry(&entry)?;
+            if found.is_owned() {
+                return Ok(Some(found));
+            }
+            former = Some(found);
         }
     }
-    find_moving(state, id).await
+    match former {
+        Some(found) => Ok(Some(found)),
+        None => find_moving(state, id).await,
+    }
 }
 
 /// Searches a job at one revision of the store, which a job on its way between two owners cannot
@@ -47,12 +68,21 @@
 ) -> Result<Option<FoundJob>, ApiFailure> {
     let suffix = format!("/{id}");
     let entries = state.context.store().list(keys::JOBS).await?;
-    if let Some(entry) = entries.iter().find(|entry| entry.key.ends_with(&suffix)) {
-        return parse_entry(entry).map(Some);
+    let mut former = None;
+    for entry in entries.iter().filter(|entry| entry.key.ends_with(&suffix)) {
+        let found = parse_entry(entry)?;
+        if found.is_owned() {
+            return Ok(Some(found));
+        }
+        former = Some(found);
     }
-    let ended = list_histories(state, keys::HISTORIES).await?;
+    if former.is_some() {
+        return Ok(former);
+    }
+    let config = state.context.config();
+    let ended = list_histories(state, config.domains.keys()).await?;
     let record = ended.into_iter().find(|record| record.id == *id);
-    Ok(record.map(|record| FoundJob { record, revision: 0 }))
+    Ok(record.map(|record| FoundJob { record, key: String::new(), revision: 0 }))
 }
 
 /// Lists the records of one failure domain, or of all.
@@ -63,25 +93,27 @@
 ) -> Result<Vec<JobRecord>, ApiFailure> {
     let prefix = domain.map_or_else(|| keys::JOBS.to_owned(), keys::jobs_of);
     let entries = state.context.store().list(&prefix).await?;
-    let mut records = Vec::with_capacity(entries.len());
+    let mut records = BTreeMap::new();
     for entry in &entries {
         match parse_entry(entry) {
-            Ok(found) => records.push(found.record),
+            Ok(found) if found.is_owned() => {
+                records.insert(found.record.id.clone(), found.record);
+            }
+            Ok(found) => {
+                records.entry(found.record.id.clone()).or_insert(found.record);
+            }
             // One damaged record must not hide all others.
             Err(failure) => log::error!("{}", failure.error().reason),
         }
     }
     if ended {
-        let prefix = match domain {
-            Some(domain) => format!("{}{domain}/", keys::HISTORIES),
-            None => keys::HISTORIES.to_owned(),
-        };
-        let known: std::collections::BTreeSet<JobId> =
-            records.iter().map(|record| record.id.clone()).collect();
-        let ended = list_histories(state, &prefix).await?;
-        records.extend(ended.into_iter().filter(|record| !known.contains(&record.id)));
+        let config = state.context.config();
+        let domains = config.domains.keys().filter(|name| domain.is_none_or(|only| only == *name));
+        for record in list_histories(state, domains).await? {
+            records.entry(record.id.clone()).or_insert(record);
+        }
     }
-    Ok(records)
+    Ok(records.into_values().collect())
 }
 
 /// Creates a record under an id that no other job has.
@@ -131,7 +163,7 @@
                 Err(failure) => return Err(failure),
             },
         };
-        let FoundJob { mut record, revision } = found;
+        let FoundJob { mut record, key, revision } = found;
         if record.state == JobState::Cancelled {
             return Ok(record);
         }
@@ -145,7 +177,6 @@
         record.state = JobState::Cancelled;
         record.ended_at = Some(unix_millis());
         record.mark.clone_from(&mark);
-        let key = keys::job(&record.owner, &id);
         match store.put(&key, encode(&record)?, revision, None).await {
             Ok(_) => return Ok(record),
             Err(StoreError::Conflict { .. }) => {}
@@ -177,32 +208,36 @@
         && text.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'-')
 }
 
-/// Histories hold the records of one day as a list.
-async fn list_histories(state: &SharedState, prefix: &str) -> Result<Vec<JobRecord>, ApiFailure> {
-    let entries = state.context.store().list(prefix).await?;
+/// Reads the histories of yesterday and today, and of tomorrow where clocks differ.
+///
+/// Older histories are not searched, because together they grow without bound.
+async fn list_histories<'a, I>(
+    state: &SharedState,
+    domains: I,
+) -> Result<Vec<JobRecord>, ApiFailure>
+where
+    I: Iterator<Item = &'a DomainName>,
+{
+    let store = state.context.store();
+    let today = unix_millis() / DAY_MS;
     let mut records = Vec::new();
-    for entry in entries {
-        match serde_json::from_str::<HistoryValue>(&entry.value) {
-            Ok(HistoryValue::List(list) | HistoryValue::Record { jobs: list }) => {
-                records.extend(list);
+    for domain in domains {
+        for day in today.saturating_sub(1)..=today + 1 {
+            for entry in store.list(&keys::history(domain, day)).await? {
+                match serde_json::from_str::<HistoryPage>(&entry.value) {
+                    Ok(page) => records.extend(page.jobs),
+                    Err(error) => log::error!("{} is malformed ({error}); restore it", entry.key),
+                }
             }
-            Err(error) => log::error!("{} is malformed ({error}); restore it", entry.key),
         }
     }
     Ok(records)
 }
 
-#[derive(serde::Deserialize)]
-#[serde(untagged)]
-enum HistoryValue {
-    List(Vec<JobRecord>),
-    Record { jobs: Vec<JobRecord> },
-}
-
 fn parse_entry(entry: &StoreEntry) -> Result<FoundJob, ApiFailure> {
     let record = serde_json::from_str(&entry.value)
         .map_err(|error| StoreError::Malformed(format!("{}: {error}", entry.key)))?;
-    Ok(FoundJob { record, revision: entry.revision })
+    Ok(FoundJob { record, key: entry.key.clone(), revision: entry.revision })
 }
 
 fn encode(record: &JobRecord) -> Result<String, ApiFailure> {
--- a/crates/admin/tests/api/jobs.rs
+++ b/crates/admin/tests/api/jobs.rs
@@ -5,7 +5,8 @@
 
 use lacewingrail_admin::SubmissionRecord;
 use lacewingrail_model::admin::DomainAnswer;
-use lacewingrail_model::job::{JobRecord, JobState};
+use lacewingrail_model::clock::unix_millis;
+use lacewingrail_model::job::{HistoryPage, JobRecord, JobState};
 use lacewingrail_model::keys;
 use lacewingrail_model::store::{KeyValueService, StoreError};
 use lacewingrail_platform::StoreFaults;
@@ -95,8 +96,9 @@
     let entry = context.store.list(keys::JOBS).await.expect("list").remove(0);
     let mut record: JobRecord = serde_json::from_str(&entry.value).expect("record");
     record.state = JobState::Finished;
-    let history = serde_json::to_string(&[&record]).expect("encode");
-    let key = keys::history(&record.owner, 1);
+    let page = HistoryPage { jobs: vec![record.clone()], mark: String::new() };
+    let history = serde_json::to_string(&page).expect("encode");
+    let key = keys::history(&record.owner, unix_millis() / 86_400_000);
     context.store.put(&key, history, 0, None).await.expect("put");
     context.store.delete(&entry.key, entry.revision).await.expect("delete");
     let again = submit(&context, &job(1, Some("k1"))).await;
@@ -218,3 +220,24 @@
     assert_eq!(context.get(READER, "/v1/jobs?colour=red").await.status, 400);
     assert_eq!(context.get(READER, "/v1/jobs?domain=..").await.status, 404);
 }
+
+/// Guards against a job that is listed twice, or cancelled under the wrong key, between two owners.
+#[tokio::test]
+async fn jobs_between_owners_count_once() {
+    let context = TestContext::with_tree().await;
+    context.set_free("a", 32);
+    let id = submit(&context, &job(1, None)).await.json()["id"].as_str().expect("id").to_owned();
+    let entry = context.store.list(keys::JOBS).await.expect("list").remove(0);
+    let mut record: JobRecord = serde_json::from_str(&entry.value).expect("record");
+    record.owner = "b".to_owned();
+    let value = serde_json::to_string(&record).expect("encode");
+    context.store.put(&entry.key, value.clone(), entry.revision, None).await.expect("put");
+    let path = format!("/v1/jobs/{id}");
+    assert_eq!(context.get(BANK, &path).await.status, 200, "only the former owner's record exists");
+    context.store.put(&keys::job(&record.owner, &id), value, 0, None).await.expect("put");
+    let listed = context.get(READER, "/v1/jobs").await.json();
+    assert_eq!(listed.as_array().map(Vec::len), Some(1));
+    assert_eq!(context.call(BANK, "DELETE", &path, &[], "").await.status, 200);
+    let states: Vec<JobState> = records(&context).await.into_iter().map(|job| job.state).collect();
+    assert_eq!(states, [JobState::Queued, JobState::Cancelled]);
+}
--- a/crates/model/src/keys.rs
+++ b/crates/model/src/keys.rs
@@ -6,8 +6,6 @@
 pub const CONFIG_TREE: &str = "config/tree";
 /// Prefix of the first submissions under each idempotency key.
 pub const SUBMISSIONS: &str = "submissions/";
-/// Prefix of all histories of finished jobs.
-pub const HISTORIES: &str = "history/";
 /// Prefix of all job records.
 pub const JOBS: &str = "jobs/";
 
