--- a/crates/model/src/keys.rs
+++ b/crates/model/src/keys.rs
@@ -6,8 +6,6 @@
 pub const CONFIG_TREE: &str = "config/tree";
 /// Prefix of the first submissions under each idempotency key.
 pub const SUBMISSIONS: &str = "submissions/";
-/// Prefix of all histories of finished jobs.
-pub const HISTORIES: &str = "history/";
 /// Prefix of all job records.
 pub const JOBS: &str = "jobs/";
 
@@ -46,6 +44,11 @@
     format!("claims/{service}/{shard:04}")
 }
 
+/// Returns the key of the number of shards of a service.
+pub fn claim_layout(service: &str) -> String {
+    format!("claims/{service}/layout")
+}
+
 /// Returns the key of a recorded answer that is too large for its claim.
 pub fn answer(service: &str, hash: u64) -> String {
     format!("answers/{service}/{hash:016x}")
