--- a/crates/scheduler/src/gang_controller.rs
+++ b/crates/scheduler/src/gang_controller.rs
@@ -109,6 +109,8 @@
     answered: Option<Instant>,
     /// Calls that failed since.
     failures: u32,
+    /// Whether a call before the next period is due.
+    poll_due: bool,
 }
 
 /// Sets the workers of the domain.
@@ -147,6 +149,8 @@
 /// Asks how many workers answered lately, and how many there are.
 pub struct CountReached;
 
+pub(crate) struct Poll(WorkerId);
+
 pub(crate) struct WorkerAnswered {
     worker: WorkerId,
     sent: Instant,
@@ -299,6 +303,8 @@
                 let now = Instant::now();
                 (track.phase, track.since) = (GangPhase::Running, now);
                 track.running_since = Some(now);
+                let workers: Vec<WorkerId> = track.by_worker().into_keys().cloned().collect();
+                workers.iter().for_each(|worker| self.poll_at_end(worker));
                 self.emit(GangEvent::Started { job: message.job, attempt: message.attempt });
             }
         }
@@ -385,7 +391,7 @@
 
 impl WorkerLink {
     fn new(spec: Arc<WorkerSpec>) -> Self {
-        Self { spec, in_flight: false, answered: None, failures: 0 }
+        Self { spec, in_flight: false, answered: None, failures: 0, poll_due: false }
     }
 }
 
--- a/crates/scheduler/src/gang_controller/renewal.rs
+++ b/crates/scheduler/src/gang_controller/renewal.rs
@@ -6,16 +6,18 @@
 use kameo::message::{Context, Message};
 use lacewingrail_model::invariant::{InvariantName, check};
 use lacewingrail_model::worker::{
-    MemberPhase, RenewItem, TASK_LEASE_TTL, TaskReport, WorkerError, WorkerReport,
+    MemberPhase, RENEW_PERIOD, RenewItem, TASK_LEASE_TTL, TaskReport, WorkerError, WorkerReport,
 };
 use lacewingrail_model::{JobId, WorkerId};
 
-use super::{GangController, GangEvent, RenewTick, WorkerAnswered, is_probe};
+use super::{GangController, GangEvent, Poll, RenewTick, WorkerAnswered, is_probe};
 use crate::gang::{GangEnd, GangPhase, GangTrack, lease_limit};
 use crate::metrics::DomainLabel;
 
 /// Longest time of one renewal call, below the renewal period so that calls do not pile up.
 const RENEW_LIMIT: Duration = Duration::from_millis(1_500);
+/// Shortest time between two calls because of an expected end.
+const SHORTEST_POLL: Duration = Duration::from_millis(100);
 /// Time without an answer after which a worker's members count as lost.
 const SILENT_AFTER: Duration = Duration::from_secs(4);
 /// Failed calls that are needed besides, so that a pause of the coordinator ends no gang.
@@ -36,6 +38,17 @@
     }
 }
 
+impl Message<Poll> for GangController {
+    type Reply = ();
+
+    async fn handle(&mut self, message: Poll, _context: &mut Context<Self, ()>) {
+        if let Some(link) = self.workers.get_mut(&message.0) {
+            link.poll_due = false;
+            self.renew(&message.0);
+        }
+    }
+}
+
 impl Message<WorkerAnswered> for GangController {
     type Reply = ();
 
@@ -48,8 +61,8 @@
             Ok(report) => {
                 link.answered = Some(message.sent);
                 link.failures = 0;
-                let report = report.clone();
-                self.take_report(&message.worker, message.sent, &report);
+                self.take_report(&message.worker, message.sent, report);
+                self.poll_at_end(&message.worker);
             }
             Err(WorkerError::StaleEpoch { seen }) => {
                 let seen = *seen;
@@ -100,6 +113,36 @@
         });
     }
 
+    /// Asks a worker again when its next member should end, since the period alone would leave
+    /// accelerators idle and the end unnoticed for up to 2 s.
+    pub(super) fn poll_at_end(&mut self, worker: &WorkerId) {
+        let ends = self.gangs.values().filter(|track| track.phase == GangPhase::Running);
+        let ends = ends.flat_map(|track| {
+            let members = track
+                .members
+                .iter()
+                .filter(|member| !member.finished && member.place.worker.id == *worker);
+            // A member that works longer than declared is left to the period.
+            members.filter_map(|member| track.plan.work_ms.checked_sub(member.progress_ms))
+        });
+        let Some(left) = ends.filter(|left| *left > 0).min().map(Duration::from_millis) else {
+            return;
+        };
+        let Some(link) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if link.poll_due || left >= RENEW_PERIOD {
+            return;
+        }
+        link.poll_due = true;
+        let (me, timer, worker) =
+            (self.me.clone(), self.settings.context.timer.clone(), worker.clone());
+        tokio::spawn(async move {
+            timer.wait(left.max(SHORTEST_POLL)).await;
+            let _ = me.tell(Poll(worker)).try_send();
+        });
+    }
+
     /// Stops the gangs whose members run on workers that do not answer.
     fn drop_silent(&mut self) {
         let now = Instant::now();
--- a/crates/scheduler/src/rebuild.rs
+++ b/crates/scheduler/src/rebuild.rs
@@ -195,7 +195,9 @@
         cores: spec.map_or(0, |spec| spec.cores),
         memory_mb: spec.map_or(0, |spec| spec.memory_mb),
         command: spec.map(|spec| spec.command.clone()).unwrap_or_default(),
-        work_ms: 0,
+        work_ms: found.as_ref().map_or(0, |found| {
+            found.record.spec.declared_ms.saturating_sub(found.record.checkpoint_ms)
+        }),
     };
     let reports = members.into_iter().map(|member| (member.task, member.sent)).collect();
     AdoptedGang { found, plan, reports, resume }
--- a/crates/scheduler/tests/support/gates.rs
+++ b/crates/scheduler/tests/support/gates.rs
@@ -54,6 +54,8 @@
     gate: watch::Sender<GateState>,
     lose: AtomicU32,
     filter: Mutex<Option<CallFilter>>,
+    /// Beginning of the ids of workers that cannot be reached.
+    unreachable: Mutex<Option<String>>,
 }
 
 impl GatedStore {
@@ -88,7 +90,13 @@
 impl GatedWorkers {
     pub fn new(inner: Arc<dyn WorkerService>) -> Self {
         let gate = watch::Sender::new(GateState::Open);
-        Self { inner, gate, lose: AtomicU32::new(0), filter: Mutex::new(None) }
+        Self {
+            inner,
+            gate,
+            lose: AtomicU32::new(0),
+            filter: Mutex::new(None),
+            unreachable: Mutex::default(),
+        }
     }
 
     pub fn set(&self, state: GateState) {
@@ -104,11 +112,20 @@
         *self.filter.lock().expect("a filter") = Some(filter);
     }
 
+    /// Cuts the caller from the workers whose ids begin with a prefix.
+    pub fn cut_off(&self, prefix: &str) {
+        *self.unreachable.lock().expect("a prefix") = Some(prefix.to_owned());
+    }
+
     async fn pass(&self, call: WorkerCall, worker: &WorkerSpec) -> Result<(), WorkerError> {
         let filter = self.filter.lock().expect("a filter").clone();
         if filter.is_some_and(|filter| !filter(call, &worker.id)) {
             std::future::pending::<()>().await;
         }
+        let prefix = self.unreachable.lock().expect("a prefix").clone();
+        if prefix.is_some_and(|prefix| worker.id.starts_with(&prefix)) {
+            return Err(WorkerError::Unreachable { reason: "cut".to_owned() });
+        }
         match pass(&self.gate).await {
             true => Ok(()),
             false => Err(WorkerError::Unreachable { reason: "cut".to_owned() }),
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -208,6 +208,11 @@
         self.find(id).await.map(|(record, _)| record)
     }
 
+    /// Returns the number of jobs of a domain that have not ended.
+    pub async fn store_jobs(&self, domain: &str) -> usize {
+        self.store.list(&format!("jobs/{domain}/")).await.expect("records").len()
+    }
+
     /// Returns the records of all ended jobs.
     pub async fn history(&self) -> Vec<JobRecord> {
         let pages = self.store.list("history/").await.expect("pages");
