--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -263,6 +263,14 @@
         running.collect()
     }
 
+    /// Returns the number of members that run now.
+    pub fn held(&self) -> usize {
+        let records = self.fleet.journal().entries;
+        let running =
+            |record: &&HoldingRecord| record.started_ms.is_some() && record.ended_ms.is_none();
+        records.iter().filter(running).count()
+    }
+
     /// Asserts from the workers' ground truth that gangs were whole, nothing ran twice and no worker
     /// held more than it has.
     pub fn assert_truth(&self) {
