--- /dev/null
+++ b/crates/scheduler/tests/soak.rs
@@ -0,0 +1,276 @@
+//! Seeded randomised runs with faults in pairs, judged by the workers' ground truth.
+//!
+//! The seed is printed and repeats the choice of faults. A longer run:
+//! `LACEWINGRAIL_STRICT=1 SOAK_SEEDS=100-139 cargo test -p lacewingrail-scheduler --release --test
+//! soak -- --ignored --nocapture`
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use lacewingrail_model::invariant::violations;
+use lacewingrail_model::job::{JobSpec, JobState};
+use lacewingrail_platform::StoreFaults;
+use lacewingrail_standins::worker_fleet::faults::{WorkerFaults, WorkerSelection};
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use support::gates::GateState;
+use support::{Bench, SchedulerHost, gang};
+
+const DOMAINS: [&str; 2] = ["a", "b"];
+const WORKERS: u32 = 4;
+const HOSTS: usize = 4;
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fault {
+    CrashHost,
+    PauseHost,
+    CutHost,
+    CutDomain,
+    StoreOut,
+    StoreLoses,
+    HostLoses,
+    WorkerSilent,
+    WorkerDead,
+    WorkerRestarts,
+    WorkerFailsStarts,
+    WorkerSlow,
+    DomainOut,
+    Cancellations,
+    Burst,
+}
+
+const FAULTS: [Fault; 15] = [
+    Fault::CrashHost,
+    Fault::PauseHost,
+    Fault::CutHost,
+    Fault::CutDomain,
+    Fault::StoreOut,
+    Fault::StoreLoses,
+    Fault::HostLoses,
+    Fault::WorkerSilent,
+    Fault::WorkerDead,
+    Fault::WorkerRestarts,
+    Fault::WorkerFailsStarts,
+    Fault::WorkerSlow,
+    Fault::DomainOut,
+    Fault::Cancellations,
+    Fault::Burst,
+];
+
+struct SoakRun {
+    seed: u64,
+    random: ChaCha8Rng,
+    bench: Bench,
+    hosts: Vec<SchedulerHost>,
+    submitted: Vec<String>,
+    cancelled: usize,
+    /// Domain and fleet times between which it was out.
+    outs: Vec<(String, u64, u64)>,
+}
+
+impl SoakRun {
+    async fn new(seed: u64) -> Self {
+        let bench = Bench::new(2, WORKERS).await;
+        let mut hosts = Vec::new();
+        for index in 0..HOSTS {
+            hosts.push(bench.start(DOMAINS[index % 2], index).await);
+        }
+        let random = ChaCha8Rng::seed_from_u64(seed);
+        let (submitted, outs) = (Vec::new(), Vec::new());
+        Self { seed, random, bench, hosts, submitted, cancelled: 0, outs }
+    }
+
+    async fn submit(&mut self, count: usize) {
+        for _ in 0..count {
+            let members = self.random.random_range(1..=WORKERS);
+            let accelerators = *[1, 2, 4, 8].choose(&mut self.random).expect("a size");
+            let work_ms = self.random.random_range(200..6_000);
+            let checkpointable = self.random.random_bool(0.7);
+            let spec = JobSpec { checkpointable, ..gang(members, accelerators, work_ms) };
+            let id = format!("job-{}", self.submitted.len());
+            let domain = *DOMAINS.choose(&mut self.random).expect("a domain");
+            self.bench.submit(domain, &id, spec).await;
+            self.submitted.push(id);
+        }
+    }
+
+    async fn run(mut self, rounds: usize) {
+        self.submit(12).await;
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        for round in 0..rounds {
+            let first = *FAULTS.choose(&mut self.random).expect("a fault");
+            let others: Vec<Fault> =
+                FAULTS.iter().copied().filter(|fault| *fault != first).collect();
+            let second = *others.choose(&mut self.random).expect("a fault");
+            let hold = Duration::from_millis(self.random.random_range(500..9_000));
+            println!("seed {} round {round}: {first:?} and {second:?} for {hold:?}", self.seed);
+            self.submit(4).await;
+            // An operator's write needs the store, so it goes first.
+            let mut pair = [first, second];
+            pair.sort_by_key(|fault| matches!(fault, Fault::StoreOut | Fault::StoreLoses));
+            for fault in pair {
+                self.inject(fault).await;
+            }
+            tokio::time::sleep(hold).await;
+            self.heal().await;
+            tokio::time::sleep(Duration::from_millis(self.random.random_range(0..3_000))).await;
+        }
+        self.settle().await;
+    }
+
+    async fn inject(&mut self, fault: Fault) {
+        let host = self.random.random_range(0..HOSTS);
+        let domain = *DOMAINS.choose(&mut self.random).expect("a domain");
+        let worker = format!("{domain}-w{:03}", self.random.random_range(0..WORKERS));
+        let selection = WorkerSelection::worker(&worker);
+        let none = WorkerFaults::default();
+        let out = StoreFaults { unavailable: true, ..StoreFaults::default() };
+        let fleet = &self.bench.fleet;
+        match fault {
+            Fault::CrashHost => {
+                self.hosts[host].crash();
+            }
+            Fault::PauseHost => {
+                self.hosts[host].store.set(GateState::Held);
+                self.hosts[host].workers.set(GateState::Held);
+            }
+            Fault::CutHost => self.hosts[host].store.set(GateState::Cut),
+            Fault::CutDomain => {
+                for (index, host) in self.hosts.iter().enumerate() {
+                    if DOMAINS[index % 2] == domain {
+                        host.store.set(GateState::Cut);
+                    } else {
+                        host.workers.cut_off(&format!("{domain}-"));
+                    }
+                }
+            }
+            Fault::StoreOut => self.bench.store.set_faults(out),
+            Fault::StoreLoses => self.hosts.iter().for_each(|host| host.store.lose_every(3)),
+            Fault::HostLoses => self.hosts[host].workers.lose_every(3),
+            Fault::WorkerSilent => {
+                fleet.set_faults(&selection, WorkerFaults { silent: true, ..none });
+            }
+            Fault::WorkerDead => {
+                fleet.set_faults(&selection, WorkerFaults { dead: true, ..none });
+            }
+            Fault::WorkerRestarts => {
+                fleet.restart(&selection, false);
+            }
+            Fault::WorkerFailsStarts => {
+                fleet.set_faults(&selection, WorkerFaults { fail_starts: true, ..none });
+            }
+            Fault::WorkerSlow => {
+                fleet.set_faults(&selection, WorkerFaults { delay_ms: 300, ..none });
+            }
+            Fault::DomainOut => {
+                let out_ms = self.bench.set_out(domain, true).await;
+                self.outs.push((domain.to_owned(), out_ms, u64::MAX));
+            }
+            Fault::Cancellations => {
+                for id in self.submitted.clone() {
+                    if self.random.random_bool(0.3) {
+                        self.bench.cancel(&id).await;
+                        self.cancelled += 1;
+                    }
+                }
+            }
+            Fault::Burst => self.submit(20).await,
+        }
+    }
+
+    async fn heal(&mut self) {
+        self.bench.store.set_faults(StoreFaults::default());
+        self.bench.fleet.set_faults(&WorkerSelection::default(), WorkerFaults::default());
+        for index in 0..HOSTS {
+            let host = &self.hosts[index];
+            host.store.set(GateState::Open);
+            host.store.lose_every(0);
+            host.workers.set(GateState::Open);
+            host.workers.lose_every(0);
+            host.workers.cut_off("none");
+            if host.process.is_none() {
+                let host = self.bench.start(DOMAINS[index % 2], index).await;
+                self.hosts[index] = host;
+            }
+        }
+        for index in 0..self.outs.len() {
+            if self.outs[index].2 == u64::MAX {
+                let domain = self.outs[index].0.clone();
+                self.bench.set_out(&domain, false).await;
+                self.outs[index].2 = self.bench.fleet.now_ms();
+            }
+        }
+    }
+
+    /// Waits until every job has ended and judges the run.
+    async fn settle(self) {
+        let begun = Instant::now();
+        loop {
+            let left = self.bench.store_jobs("a").await + self.bench.store_jobs("b").await;
+            if left == 0 {
+                break;
+            }
+            if begun.elapsed() > Duration::from_secs(60) {
+                for id in &self.submitted {
+                    if let Some(record) = self.bench.record(id).await {
+                        let why = self.why(&record.owner, id).await;
+                        println!("seed {}: {id} is left: {record:?}: {why}", self.seed);
+                    }
+                }
+                panic!("seed {}: {left} jobs are left", self.seed);
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        self.bench.assert_truth();
+        for (domain, out_ms, back_ms) in &self.outs {
+            self.bench.assert_no_late_start(domain, *out_ms, *back_ms);
+        }
+        let mut history = self.bench.history().await;
+        history.sort_by(|one, other| one.id.cmp(&other.id));
+        let mut ids = self.submitted.clone();
+        ids.sort();
+        let recorded: Vec<String> = history.iter().map(|record| record.id.clone()).collect();
+        assert_eq!(recorded, ids, "seed {}: each job ends once", self.seed);
+        let ended = |state: &JobState| {
+            matches!(state, JobState::Finished)
+                || (self.cancelled > 0 && *state == JobState::Cancelled)
+        };
+        for record in history.iter().filter(|record| !ended(&record.state)) {
+            println!("seed {}: {} ended as {:?}", self.seed, record.id, record.state);
+        }
+        assert!(violations().is_empty(), "seed {}: {:?}", self.seed, violations());
+        println!("seed {}: {} jobs in {:?}", self.seed, ids.len(), begun.elapsed());
+    }
+
+    async fn why(&self, domain: &str, id: &str) -> String {
+        use lacewingrail_admin::AdminContext;
+        use lacewingrail_model::admin::DomainQuery;
+        let query = DomainQuery::Why { job: id.to_owned() };
+        let admin = self.hosts[0].process().admin();
+        format!("{:?}", admin.ask(&domain.to_owned(), query).await)
+    }
+}
+
+/// Guards against partial gangs, double runs, late starts, and lost or repeated jobs under pairs of
+/// faults that no single test combines.
+#[tokio::test(flavor = "multi_thread")]
+async fn pairs_of_faults_break_nothing() {
+    join_all([1, 2, 3].map(|seed| async move { SoakRun::new(seed).await.run(3).await })).await;
+}
+
+/// Guards against the same over many seeds; `SOAK_SEEDS` selects them, four run at a time.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "takes minutes; see the head of the file"]
+async fn long_soak() {
+    let range = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "100-111".to_owned());
+    let (first, last) = range.split_once('-').expect("SOAK_SEEDS=FIRST-LAST");
+    let seeds: Vec<u64> =
+        (first.parse().expect("a seed")..=last.parse().expect("a seed")).collect();
+    for seeds in seeds.chunks(4) {
+        join_all(seeds.iter().map(|seed| async move { SoakRun::new(*seed).await.run(8).await }))
+            .await;
+    }
+}
