--- a/crates/scheduler/src/gang_start.rs
+++ b/crates/scheduler/src/gang_start.rs
@@ -169,14 +169,18 @@
                 self.workers.commit(worker, self.epoch, &member.id, TASK_LEASE_TTL).await
             }
             Step::Start => {
-                let not_after = match self.permission.remaining() {
-                    Ok(remaining) => remaining,
-                    Err(_) => return Err(WorkerError::PermissionExpired),
+                let Ok((number, not_after)) = self.permission.open_call() else {
+                    return Err(WorkerError::PermissionExpired);
                 };
                 check(InvariantName::DomainOutNoStart, not_after <= PERMISSION_TTL, || {
                     format!("the start of {} is permitted for {not_after:?}", member.id)
                 });
-                self.workers.start(worker, self.epoch, &member.id, not_after).await
+                let result = self.workers.start(worker, self.epoch, &member.id, not_after).await;
+                // After a lost answer the call may still arrive until its permission ends.
+                if !matches!(result, Err(WorkerError::Unclear { .. })) {
+                    self.permission.close_call(number);
+                }
+                result
             }
         }
     }
--- a/crates/scheduler/src/hook.rs
+++ b/crates/scheduler/src/hook.rs
@@ -51,13 +51,16 @@
         let Some(tenure) = self.tenure(domain) else {
             return false;
         };
-        // From here on the permission refuses every start, also those already decided. A start call
-        // that is on its way carries the rest of its permission.
-        let denied = tenure.permission.remaining().is_err();
         if let Some(jobs) = &tenure.jobs {
             let _ = jobs.tell(SettingsChanged).try_send();
         }
-        denied
+        // From here on the permission refuses every start, also those already decided. Calls that
+        // are on their way are waited for, so that a confirmation is true.
+        if tenure.permission.remaining().is_ok() {
+            return false;
+        }
+        tenure.permission.settle().await;
+        true
     }
 
     async fn answer(&self, domain: &DomainName, request: &str) -> (u16, String) {
--- a/crates/scheduler/src/job_controller.rs
+++ b/crates/scheduler/src/job_controller.rs
@@ -50,6 +50,8 @@
 
 /// Ticks after which the planner is asked although nothing happened, since waiting times matter too.
 const QUIET_TICKS: u32 = 4;
+/// Ticks between checks of the planner's invariants.
+const AUDIT_TICKS: u32 = 20;
 
 /// Holds what a controller works with.
 pub struct JobSettings {
@@ -69,8 +71,8 @@
     pub issuer: Arc<MarkIssuer>,
     /// Writer of ends.
     pub ends: mpsc::UnboundedSender<EndedJob>,
-    /// What the rebuild found.
-    pub plan: RebuildPlan,
+    /// What the rebuild found, until the workers are known.
+    pub plan: Option<RebuildPlan>,
 }
 
 /// Decides over the jobs of one failure domain.
@@ -93,6 +95,7 @@
     denial: Option<String>,
     /// Ticks since the newest decision.
     quiet_ticks: u32,
+    ticks: u32,
     starts: u64,
     preemptions: u64,
 }
@@ -115,6 +118,8 @@
     failures: u32,
     /// Workers on which the job failed lately.
     avoided: Vec<WorkerId>,
+    /// Time until which it may run on a worker that did not answer the rebuild.
+    unreachable_until: Option<Instant>,
 }
 
 struct GangPlaces {
@@ -158,8 +163,11 @@
     Preempted,
     /// The customer cancelled the job.
     Cancelled,
-    /// Operators took the domain out; the job moves if it can.
-    DomainOut,
+    /// Operators took the domain out; the job moves if it can, with or without a checkpoint.
+    DomainOut {
+        /// Whether a checkpoint is written first.
+        checkpoint: bool,
+    },
     /// The job fails on every worker.
     Faulty(String),
     /// Remains of earlier attempts; the job then waits.
@@ -209,6 +217,7 @@
             out_handled: false,
             denial: None,
             quiet_ticks: 0,
+            ticks: 0,
             starts: 0,
             preemptions: 0,
         };
@@ -224,9 +233,15 @@
         let SetCapacities(capacities, specs) = message;
         self.planner.set_workers(capacities.clone());
         self.capacities = capacities;
+        // A worker that left the list may be in a place that was decided before.
+        let mut former = std::mem::take(&mut self.specs);
+        let used = self.jobs.values().flat_map(|entry| &entry.gang);
+        let used = used.flat_map(|gang| &gang.members).map(|place| &place.worker);
+        self.specs = used.filter_map(|worker| former.remove_entry(worker)).collect();
         self.specs.extend(specs.into_iter().map(|spec| (spec.id.clone(), spec)));
-        let plan = std::mem::take(&mut self.settings.plan);
-        self.take_plan(plan);
+        if let Some(plan) = self.settings.plan.take() {
+            self.take_plan(plan);
+        }
         self.request_pump();
     }
 }
@@ -268,7 +283,7 @@
         let free: Vec<JobId> =
             self.jobs.iter().filter(|(_, entry)| due(entry)).map(|(job, _)| job.clone()).collect();
         for job in free {
-            self.enqueue(&job);
+            self.admit(&job);
         }
         self.retry_writes();
         self.hand_over();
@@ -276,6 +291,11 @@
         let settings = &self.settings;
         settings.context.membership.set_scheduling(&settings.domain, settings.epoch, free);
         self.quiet_ticks += 1;
+        self.ticks = self.ticks.wrapping_add(1);
+        if self.ticks.is_multiple_of(AUDIT_TICKS) {
+            // Violations are logged and counted by the planner.
+            let _ = self.planner.check_invariants();
+        }
         if self.denial.is_some() || !self.deferred.is_empty() || self.quiet_ticks >= QUIET_TICKS {
             self.request_pump();
         }
@@ -303,15 +323,13 @@
         }
         for (found, remains) in plan.waiting {
             let job = found.record.id.clone();
-            let blocked = found.blocked;
+            let until = found.blocked.then(|| Instant::now() + UNREACHABLE_WAIT);
             let mut entry = JobEntry::new(found, self.settings.context.now());
+            entry.unreachable_until = until;
             if let Some(remains) = remains {
                 entry.phase = JobPhase::Stopping(StopReason::Remains);
                 self.jobs.insert(job, entry);
                 let _ = self.settings.gangs.tell(StopRemains(remains)).try_send();
-            } else if blocked {
-                entry.phase = JobPhase::Unreachable(Instant::now() + UNREACHABLE_WAIT);
-                self.jobs.insert(job, entry);
             } else {
                 self.jobs.insert(job.clone(), entry);
                 self.admit(&job);
@@ -333,6 +351,9 @@
         for (worker, member) in plan.orphans {
             let _ = self.settings.gangs.tell(StopOrphan(worker, member)).try_send();
         }
+        // What was adopted in a domain that is out is to follow the policy too.
+        self.out_handled = false;
+        self.follow_out();
     }
 
     fn adopt(&mut self, gang: AdoptedGang) {
@@ -387,6 +408,8 @@
         };
         if entry.record.state.is_final() {
             self.end(job);
+        } else if let Some(until) = entry.unreachable_until.take() {
+            entry.phase = JobPhase::Unreachable(until);
         } else if entry.record.arrival.is_some() {
             entry.phase = JobPhase::Arriving;
             self.receive(job);
@@ -434,6 +457,7 @@
             failed_starts: 0,
             failures: 0,
             avoided: Vec::new(),
+            unreachable_until: None,
         }
     }
 }
--- a/crates/scheduler/src/job_controller/decisions.rs
+++ b/crates/scheduler/src/job_controller/decisions.rs
@@ -181,7 +181,10 @@
             JobPhase::Active => {
                 let spec = &entry.record.spec;
                 let policy = config.policy(domain, Some(&spec.customer), None);
-                let keeps = matches!(reason, StopReason::Preempted | StopReason::DomainOut);
+                let keeps = matches!(
+                    reason,
+                    StopReason::Preempted | StopReason::DomainOut { checkpoint: true }
+                );
                 let grace = (keeps && spec.checkpointable)
                     .then(|| policy.preemption_grace.0.min(crate::MAX_PREEMPTION_GRACE));
                 entry.phase = JobPhase::Stopping(reason);
--- a/crates/scheduler/src/job_controller/ends.rs
+++ b/crates/scheduler/src/job_controller/ends.rs
@@ -154,7 +154,7 @@
                 self.enqueue(&job);
             }
             Some(StopReason::Remains) => self.admit(&job),
-            Some(StopReason::DomainOut) => {
+            Some(StopReason::DomainOut { .. }) => {
                 self.enqueue(&job);
                 self.hand_over();
             }
--- a/crates/scheduler/src/job_controller/leaving.rs
+++ b/crates/scheduler/src/job_controller/leaving.rs
@@ -17,7 +17,7 @@
 /// Pause before a failed step is repeated.
 const RETRY: Duration = Duration::from_millis(500);
 /// Jobs that leave in one round, so that a burst does not fill the store's write rate.
-const MAX_LEAVING: usize = 64;
+const MAX_LEAVING: usize = 32;
 
 pub(crate) struct Sent {
     job: JobId,
--- a/crates/scheduler/src/job_controller/outs.rs
+++ b/crates/scheduler/src/job_controller/outs.rs
@@ -65,8 +65,9 @@
                 affected.push((job.clone(), action));
             }
         }
-        for (job, _) in affected {
-            self.stop(&job, StopReason::DomainOut);
+        for (job, action) in affected {
+            let checkpoint = action != DomainOutAction::Stop;
+            self.stop(&job, StopReason::DomainOut { checkpoint });
         }
         let pending: Vec<JobId> = self
             .jobs
--- a/crates/scheduler/src/lease_controller.rs
+++ b/crates/scheduler/src/lease_controller.rs
@@ -149,7 +149,7 @@
 
     async fn handle(&mut self, message: StaleSeen, _context: &mut Context<Self, ()>) {
         if self.epoch() == Some(message.epoch) && message.seen > message.epoch {
-            self.step_down(&format!("a worker has seen epoch {}", message.seen));
+            self.release(&format!("a worker has seen epoch {}", message.seen)).await;
         }
     }
 }
@@ -171,7 +171,7 @@
                 let renewed = Instant::now();
                 self.state = LeaseState::Active { held, renewed, tenure: Box::new(tenure) };
             }
-            Err(seen) => self.step_down(&format!("a worker has seen epoch {seen}")),
+            Err(seen) => self.release(&format!("a worker has seen epoch {seen}")).await,
         }
     }
 }
--- a/crates/scheduler/src/permission.rs
+++ b/crates/scheduler/src/permission.rs
@@ -5,6 +5,7 @@
 //! they do not reach it either. Its age counts from the time at which the read was sent, because the
 //! answer may have waited in a queue.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -13,6 +14,7 @@
 use lacewingrail_membership::Membership;
 use lacewingrail_model::DomainName;
 use lacewingrail_model::invariant::{InvariantName, check};
+use tokio::sync::Notify;
 
 use crate::ramp::ReturnRamp;
 
@@ -28,6 +30,15 @@
     membership: Membership,
     state: Mutex<PermissionState>,
     revoked: AtomicBool,
+    calls: Mutex<StartCalls>,
+    settled: Notify,
+}
+
+/// Start calls whose outcome is not known yet, each with the time at which its permission ends.
+#[derive(Debug, Default)]
+struct StartCalls {
+    next: u64,
+    open: BTreeMap<u64, Instant>,
 }
 
 #[derive(Debug, Default)]
@@ -78,7 +89,14 @@
 impl StartPermission {
     /// Creates a permission without evidence.
     pub fn new(domain: DomainName, membership: Membership) -> Self {
-        Self { domain, membership, state: Mutex::default(), revoked: AtomicBool::new(false) }
+        Self {
+            domain,
+            membership,
+            state: Mutex::default(),
+            revoked: AtomicBool::new(false),
+            calls: Mutex::default(),
+            settled: Notify::new(),
+        }
     }
 
     /// Forbids all further starts, because this process is not the active scheduler any more.
@@ -118,6 +136,45 @@
         Ok(remaining)
     }
 
+    /// Registers a start call; returns its number and the time for which it is permitted.
+    ///
+    /// # Errors
+    /// States why no task may start now.
+    pub fn open_call(&self) -> Result<(u64, Duration), PermissionDenial> {
+        // The lock is taken first, so that a call cannot pass between a veto and its wait.
+        let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        let remaining = self.remaining()?;
+        calls.next += 1;
+        let number = calls.next;
+        calls.open.insert(number, Instant::now() + remaining);
+        Ok((number, remaining))
+    }
+
+    /// Notes that the outcome of a start call is known.
+    pub fn close_call(&self, number: u64) {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner).open.remove(&number);
+        self.settled.notify_waiters();
+    }
+
+    /// Waits until no start call from before can take effect any more.
+    pub async fn settle(&self) {
+        loop {
+            let notified = self.settled.notified();
+            tokio::pin!(notified);
+            notified.as_mut().enable();
+            let now = Instant::now();
+            let last = {
+                let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+                calls.open.retain(|_, until| *until > now);
+                calls.open.values().max().copied()
+            };
+            let Some(last) = last else {
+                return;
+            };
+            let _ = tokio::time::timeout(last - now, notified).await;
+        }
+    }
+
     /// Returns whether starts are permitted only because the store is out for every domain.
     pub fn is_outage(&self) -> bool {
         let now = Instant::now();
--- a/crates/scheduler/src/tenure.rs
+++ b/crates/scheduler/src/tenure.rs
@@ -216,7 +216,7 @@
                 workers: workers.clone(),
                 issuer: issuer.clone(),
                 ends,
-                plan,
+                plan: Some(plan),
             },
             mailbox::unbounded(),
         );
--- a/crates/scheduler/src/worker_controller/probe.rs
+++ b/crates/scheduler/src/worker_controller/probe.rs
@@ -51,8 +51,12 @@
     workers.reserve(spec, epoch, request).await?;
     workers.commit(spec, epoch, &member, TASK_LEASE_TTL).await?;
     // A probe is a task too, so it needs the permission to start.
-    let remaining = starter.permission.remaining().map_err(|_| WorkerError::PermissionExpired)?;
+    let opened = starter.permission.open_call().map_err(|_| WorkerError::PermissionExpired);
+    let (number, remaining) = opened?;
     let started = workers.start(spec, epoch, &member, remaining).await;
+    if !matches!(started, Err(WorkerError::Unclear { .. })) {
+        starter.permission.close_call(number);
+    }
     let _ = workers.stop(spec, epoch, &member).await;
     started
 }
--- /dev/null
+++ b/crates/scheduler/tests/handover.rs
@@ -0,0 +1,148 @@
+//! The change of a job's owner, interrupted after every step.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use assert_matches::assert_matches;
+use lacewingrail_membership::{Membership, MembershipSettings};
+use lacewingrail_model::instance::InstanceRole;
+use lacewingrail_model::job::{JobRecord, JobState};
+use lacewingrail_model::keys;
+use lacewingrail_model::mark::MarkIssuer;
+use lacewingrail_model::store::KeyValueService;
+use lacewingrail_model::timer::TimerService;
+use lacewingrail_platform::HttpWorkerClient;
+use lacewingrail_scheduler::context::ProcessContext;
+use lacewingrail_scheduler::handover::{ArrivalOutcome, receive, send};
+use lacewingrail_scheduler::metrics::SchedulerMetrics;
+use lacewingrail_scheduler::process::decoder;
+use lacewingrail_telemetry::MetricsRegistry;
+use support::gates::GatedStore;
+use support::{Bench, gang};
+
+struct HandoverBench {
+    bench: Bench,
+    context: ProcessContext,
+    issuer: MarkIssuer,
+    gate: Arc<GatedStore>,
+}
+
+impl HandoverBench {
+    /// Creates a job that domain `a` has handed to `b` in its own record.
+    async fn new() -> Self {
+        let bench = Bench::new(2, 1).await;
+        let gate = Arc::new(GatedStore::new(Arc::new(bench.store.clone())));
+        let settings = MembershipSettings {
+            instance: "test".to_owned(),
+            role: InstanceRole::Scheduler,
+            domain: "a".to_owned(),
+            address: "127.0.0.1:1".to_owned(),
+            peers: Vec::new(),
+        };
+        let timer = TimerService::new();
+        let membership = Membership::new(settings, gate.clone(), None, decoder(), timer.clone());
+        let context = ProcessContext {
+            membership,
+            store: gate.clone(),
+            workers: Arc::new(HttpWorkerClient::new()),
+            list: bench.list.clone(),
+            timer,
+            metrics: SchedulerMetrics::new(&MetricsRegistry::new()),
+            started: Instant::now(),
+        };
+        bench.submit("a", "job-1", gang(1, 1, 100)).await;
+        let test = Self { bench, context, issuer: MarkIssuer::new("test".to_owned()), gate };
+        test.name_owner("b", JobState::Queued).await;
+        test
+    }
+
+    /// Writes the former record so that it names an owner, as step 1 does.
+    async fn name_owner(&self, owner: &str, state: JobState) {
+        let (mut record, revision) = self.stored("a").await.expect("the former record");
+        (record.owner, record.state) = (owner.to_owned(), state);
+        let value = serde_json::to_string(&record).expect("a record");
+        let key = keys::job(&"a".to_owned(), &record.id);
+        self.bench.store.put(&key, value, revision, None).await.expect("a write");
+    }
+
+    async fn stored(&self, domain: &str) -> Option<(JobRecord, u64)> {
+        let key = keys::job(&domain.to_owned(), &"job-1".to_owned());
+        let entry = self.bench.store.get(&key).await.expect("a read")?;
+        Some((serde_json::from_str(&entry.value).expect("a record"), entry.revision))
+    }
+
+    async fn delete(&self, domain: &str) {
+        let (_, revision) = self.stored(domain).await.expect("a record");
+        let key = keys::job(&domain.to_owned(), &"job-1".to_owned());
+        self.bench.store.delete(&key, revision).await.expect("a deletion");
+    }
+
+    async fn send(&self, record: &JobRecord) {
+        send(&self.context, &self.issuer, &"a".to_owned(), record).await.expect("a sent job");
+    }
+
+    async fn receive(&self) -> ArrivalOutcome {
+        receive(&self.context, &self.issuer, &"b".to_owned(), &"job-1".to_owned()).await
+    }
+}
+
+/// Guards against a job that is lost or doubled when its former or new owner repeats a step.
+#[tokio::test]
+async fn every_step_may_be_repeated() {
+    let test = HandoverBench::new().await;
+    let (record, _) = test.stored("a").await.expect("the former record");
+    test.send(&record).await;
+    test.send(&record).await;
+    assert_matches!(test.receive().await, ArrivalOutcome::Confirmed(_));
+    assert!(test.stored("a").await.is_none(), "the former record is deleted");
+    test.send(&record).await;
+    let outcome = test.receive().await;
+    assert_matches!(outcome, ArrivalOutcome::Confirmed(found) if found.0.owner == "b");
+}
+
+/// Guards against a finished job that runs again because a write of its former owner was delayed.
+#[tokio::test]
+async fn a_delayed_write_does_not_run_a_job_again() {
+    let test = HandoverBench::new().await;
+    let (record, _) = test.stored("a").await.expect("the former record");
+    test.send(&record).await;
+    assert_matches!(test.receive().await, ArrivalOutcome::Confirmed(_));
+    test.delete("b").await;
+    test.send(&record).await;
+    assert_eq!(test.receive().await, ArrivalOutcome::Ghost);
+    assert!(test.stored("b").await.is_none());
+}
+
+/// Guards against a cancellation that is lost because it reached the former record.
+#[tokio::test]
+async fn a_cancellation_moves_along() {
+    let test = HandoverBench::new().await;
+    let (record, _) = test.stored("a").await.expect("the former record");
+    test.send(&record).await;
+    test.name_owner("b", JobState::Cancelled).await;
+    let outcome = test.receive().await;
+    assert_matches!(outcome, ArrivalOutcome::Confirmed(found) if found.0.state == JobState::Cancelled);
+}
+
+/// Guards against steps that stop half-way when answers are lost after they took effect.
+#[tokio::test]
+async fn lost_answers_delay_but_do_not_double() {
+    for period in [1, 2, 3] {
+        let test = HandoverBench::new().await;
+        let (record, _) = test.stored("a").await.expect("the former record");
+        test.gate.lose_every(period);
+        test.send(&record).await;
+        let mut outcome = test.receive().await;
+        for _ in 0..5 {
+            if matches!(outcome, ArrivalOutcome::Confirmed(_)) {
+                break;
+            }
+            outcome = test.receive().await;
+        }
+        assert_matches!(outcome, ArrivalOutcome::Confirmed(_));
+        assert!(test.stored("a").await.is_none());
+        assert!(test.stored("b").await.is_some());
+    }
+}
--- /dev/null
+++ b/crates/scheduler/tests/rebuild.rs
@@ -0,0 +1,143 @@
+//! What a new active scheduler makes of records and reports.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use lacewingrail_model::job::{JobRecord, JobState, WorkClass};
+use lacewingrail_model::shape::{AdjacencyLevel, GangShape};
+use lacewingrail_model::worker::{MemberId, MemberPhase, TaskReport, WorkerReport, WorkerSpec};
+use lacewingrail_scheduler::rebuild::{RebuildPlan, WorkerAnswer, assess};
+use proptest::prelude::*;
+
+const PHASES: [MemberPhase; 6] = [
+    MemberPhase::Reserved,
+    MemberPhase::Committed,
+    MemberPhase::Running,
+    MemberPhase::Finished,
+    MemberPhase::Failed,
+    MemberPhase::Stopped,
+];
+
+fn record(attempt: u32, state: JobState) -> (JobRecord, u64) {
+    let spec = serde_json::json!({
+        "customer": "bank",
+        "shape": GangShape { members: 2, accelerators: 8, adjacency: AdjacencyLevel::Domain },
+        "class": WorkClass::Normal,
+        "declared_ms": 1000,
+    });
+    let record = serde_json::json!({
+        "id": "job-1", "spec": spec, "state": state, "owner": "a", "attempt": attempt, "epoch": 1,
+        "checkpoint_ms": 0, "preemptions": 0, "submitted_at": 0, "started_at": null,
+        "ended_at": null, "mark": "m",
+    });
+    (serde_json::from_value(record).expect("a record"), 7)
+}
+
+/// Answers of one worker for each member; no phase means that the worker does not know the member.
+fn answers(
+    attempt: u32,
+    phases: &[Option<MemberPhase>],
+    silent: Option<usize>,
+) -> Vec<WorkerAnswer> {
+    let answer = |(index, phase): (usize, &Option<MemberPhase>)| {
+        let number = u32::try_from(index).expect("a small index");
+        let task = |phase: MemberPhase| TaskReport {
+            member: MemberId { job: "job-1".to_owned(), attempt, index: number },
+            gang_members: 2,
+            phase,
+            accelerators: 8,
+            progress_ms: 0,
+            checkpoint_ms: 0,
+            usage: 0.0,
+            failure: None,
+        };
+        let report = WorkerReport {
+            worker: format!("w{index}"),
+            epoch: 2,
+            incarnation: 1,
+            healthy_accelerators: 8,
+            tasks: phase.map(task).into_iter().collect(),
+        };
+        let spec = WorkerSpec {
+            id: format!("w{index}"),
+            domain: "a".to_owned(),
+            rack: "r".to_owned(),
+            accelerators: 8,
+            cores: 8,
+            memory_mb: 8,
+            address: String::new(),
+        };
+        let report = (silent != Some(index)).then_some(report);
+        WorkerAnswer { spec: Arc::new(spec), sent: Instant::now(), report }
+    };
+    phases.iter().enumerate().map(answer).collect()
+}
+
+/// Returns how often the plan deals with the job.
+fn dealt(plan: &RebuildPlan) -> usize {
+    plan.adopted.len() + plan.waiting.len() + plan.ended.len() + plan.foreign.len()
+}
+
+proptest! {
+    /// Guards against combinations of record and reports in which a job is lost, dealt with twice,
+    /// adopted although it is partial, or started while a member may still run.
+    #[test]
+    fn every_combination_is_dealt_with_once(
+        recorded in 0_u32..4,
+        running in any::<bool>(),
+        seen in 1_u32..4,
+        one in prop::option::of(prop::sample::select(&PHASES[..])),
+        two in prop::option::of(prop::sample::select(&PHASES[..])),
+        silent in prop::option::of(0_usize..2),
+        trusted in any::<bool>(),
+    ) {
+        let state = if running { JobState::Running } else { JobState::Queued };
+        let phases = [one, two];
+        let plan = assess(
+            &"a".to_owned(),
+            Some(vec![record(recorded, state)]),
+            &answers(seen, &phases, silent),
+            trusted,
+        );
+        prop_assert_eq!(dealt(&plan), 1);
+        let visible: Vec<MemberPhase> = phases
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| silent != Some(*index))
+            .filter_map(|(_, phase)| *phase)
+            .collect();
+        let held = |phase: &&MemberPhase| {
+            [MemberPhase::Reserved, MemberPhase::Committed, MemberPhase::Running].contains(phase)
+        };
+        let holding = visible.iter().filter(held).count();
+        for gang in &plan.adopted {
+            prop_assert_eq!(visible.len(), 2, "an adopted gang is whole");
+            prop_assert!(gang.plan.attempt >= recorded);
+            prop_assert!(!visible.contains(&MemberPhase::Reserved));
+            prop_assert!(!visible.contains(&MemberPhase::Failed));
+            prop_assert!(!visible.contains(&MemberPhase::Stopped));
+        }
+        for (found, remains) in &plan.waiting {
+            let stopped = remains.as_ref().map_or(0, |plan| plan.members.len());
+            prop_assert_eq!(stopped, holding, "every member that holds accelerators is stopped");
+            prop_assert!(found.record.attempt >= recorded);
+            prop_assert!(found.blocked || silent.is_none() || (trusted && !running));
+            prop_assert!(visible.is_empty() || found.record.attempt >= seen);
+        }
+        for found in &plan.ended {
+            prop_assert_eq!(&found.record.state, &JobState::Finished);
+            prop_assert_eq!(&visible, &[MemberPhase::Finished, MemberPhase::Finished]);
+        }
+    }
+}
+
+/// Guards against starts in renew-only mode: a gang that is not running whole is stopped.
+#[test]
+fn renew_only_adopts_only_what_runs() {
+    let whole = [Some(MemberPhase::Running), Some(MemberPhase::Finished)];
+    let plan = assess(&"a".to_owned(), None, &answers(1, &whole, None), false);
+    assert_eq!((plan.adopted.len(), plan.orphans.len()), (1, 0));
+    let committed = [Some(MemberPhase::Running), Some(MemberPhase::Committed)];
+    let plan = assess(&"a".to_owned(), None, &answers(1, &committed, None), false);
+    assert_eq!((plan.adopted.len(), plan.orphans.len()), (0, 2));
+}
