--- a/crates/placement/tests/support/scene.rs
+++ b/crates/placement/tests/support/scene.rs
@@ -140,6 +140,7 @@
             submitted_at: 0,
             started_at: None,
             ended_at: None,
+            arrival: None,
             mark: Default::default(),
         };
         self.push(WaitingEntry { record, since: self.now });
--- a/crates/scheduler/src/tenure.rs
+++ b/crates/scheduler/src/tenure.rs
@@ -31,7 +31,9 @@
 use crate::permission::StartPermission;
 use crate::rebuild::{self, WorkerAnswer};
 use crate::records;
-use crate::worker_controller::{LIST_PERIOD, ListTick, WorkerController, WorkerSeen, WorkerSettings};
+use crate::worker_controller::{
+    LIST_PERIOD, ListTick, WorkerController, WorkerSeen, WorkerSettings,
+};
 use crate::{evidence, history, usage};
 
 /// Workers asked at a time.
