--- a/crates/admin/src/access.rs
+++ b/crates/admin/src/access.rs
@@ -98,6 +98,13 @@
     let known = digest.and_then(|digest| Some((digest, config.tokens.get(digest)?)));
     let Some((digest, role)) = known else {
         limit(state, UNKNOWN_CALLERS)?;
+        if config.version == 0 {
+            return Err(ApiFailure::new(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "the process knows no settings yet and therefore no token",
+                "wait until it is ready, or write the first tree with `lacewingrail config init`",
+            ));
+        }
         return Err(ApiFailure::unauthorized());
     };
     limit(state, digest)?;
--- a/crates/admin/src/page.rs
+++ b/crates/admin/src/page.rs
@@ -29,7 +29,7 @@
 h1{font-size:1.4rem;margin:.2rem 0}h2{font-size:1.1rem;margin:1.6rem 0 .4rem}
 .wide{overflow-x:auto}table{border-collapse:collapse;width:100%}
 th,td{text-align:left;padding:.25rem .6rem .25rem 0;border-bottom:1px solid var(--line);vertical-align:top}
-th{font-weight:600;white-space:nowrap}td.n,th.n{text-align:right}
+th{font-weight:600;white-space:nowrap}
 .bad{color:var(--bad)}.good{color:var(--good)}
 .racks{display:grid;grid-template-columns:repeat(auto-fill,minmax(17rem,1fr));gap:.8rem}
 .rack{border:1px solid var(--line);border-radius:.4rem;padding:.5rem}
--- a/crates/admin/tests/api/config.rs
+++ b/crates/admin/tests/api/config.rs
@@ -84,10 +84,11 @@
 async fn first_tree_needs_a_token_that_it_names() {
     let context = TestContext::empty();
     let headers = [("if-version", "0")];
-    for token in ["", READER, "stranger"] {
+    for (token, status) in [("", 503), (READER, 401), ("stranger", 401)] {
         let answer = context.call(token, "PUT", "/v1/config", &headers, tree()).await;
-        assert_eq!(answer.status, 401, "{token}");
+        assert_eq!(answer.status, status, "{token}");
     }
+    assert_eq!(context.get(OPERATOR, "/v1/status").await.status, 503, "no token is known");
     let restarted = TestContext::empty();
     let answer = context.call(OPERATOR, "PUT", "/v1/config", &headers, tree()).await;
     assert_eq!(answer.status, 200, "{}", answer.text);
--- a/crates/ctl/src/failure.rs
+++ b/crates/ctl/src/failure.rs
@@ -58,9 +58,8 @@
                 for attempt in attempts {
                     writeln!(formatter, "{attempt}")?;
                 }
-                formatter.write_str(
-                    "error: no server gave an answer; check the addresses and the servers' logs",
-                )
+                formatter
+                    .write_str("error: no server carried out the command; follow the lines above")
             }
             Self::Settings(errors) => write!(formatter, "{errors}"),
         }
