Add the capacity measurement; bound the calls to workers under way

Cause: the scheduler of 190 workers kept 54 MB of own memory, 39 MB at the target's 127, over the 32 MB allowed for a node. Each member of a gang had its own call under way, so that the start of a full domain opened 1,752 connections of some 30 KB, and the allocator kept the memory. Ruled out: the size of the plan and of the records, which give 0.08 MB a worker together. Change: at most 128 calls to workers at a time.

--- /dev/null
+++ b/crates/experiment/src/capacity.rs
@@ -0,0 +1,166 @@
+//! Slopes of every role, for docs/CAPACITY.md.
+//!
+//! Each quantity is measured at five or more sizes. The largest size is predicted from the others
+//! and then compared, so that the page shows how far the extrapolation can be trusted.
+
+mod bursts;
+mod entry;
+mod membership;
+mod placement;
+mod scheduler;
+mod settings;
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::report::{format_number, format_table, plot_series, write_json, write_text};
+use crate::slope::{LineFit, MeasuredSeries};
+
+/// Sets what is measured and where the results go.
+#[derive(Clone, Debug)]
+pub struct CapacityOptions {
+    /// Folder for JSON, tables and plots.
+    pub out: PathBuf,
+    /// Measurement to run; all without it.
+    pub only: Option<String>,
+    /// Seconds for each point.
+    pub seconds: u64,
+}
+
+/// Holds the results of one measurement.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct CapacityResult {
+    /// Series, fitted where they have enough points.
+    pub series: Vec<MeasuredSeries>,
+    /// Single figures of bursts.
+    pub figures: Vec<BurstFigure>,
+}
+
+/// Holds one measured figure of a burst.
+#[derive(Clone, Debug, Serialize)]
+pub struct BurstFigure {
+    /// What was measured.
+    pub name: String,
+    /// Value.
+    pub value: f64,
+    /// Unit.
+    pub unit: String,
+}
+
+#[derive(Serialize)]
+struct SeriesRecord<'a> {
+    series: &'a MeasuredSeries,
+    fit: Option<LineFit>,
+}
+
+impl CapacityOptions {
+    /// Returns the time of each point.
+    pub fn window(&self) -> Duration {
+        Duration::from_secs(self.seconds.max(1))
+    }
+
+    fn wants(&self, name: &str) -> bool {
+        self.only.as_deref().is_none_or(|only| only == name)
+    }
+}
+
+impl CapacityResult {
+    /// Adds a figure.
+    pub fn note(&mut self, name: &str, value: f64, unit: &str) {
+        println!("  {name}: {} {unit}", format_number(value));
+        let (name, unit) = (name.to_owned(), unit.to_owned());
+        self.figures.push(BurstFigure { name, value, unit });
+    }
+}
+
+/// Runs the measurements and writes the results.
+pub async fn run(options: &CapacityOptions) -> Result<(), String> {
+    let names = ["settings", "placement", "membership", "entry", "scheduler", "bursts"];
+    if let Some(only) = &options.only
+        && !names.contains(&only.as_str())
+    {
+        return Err(format!("{only:?} is no measurement; choose one of {}", names.join(", ")));
+    }
+    for name in names.iter().filter(|name| options.wants(name)) {
+        println!("measuring: {name}");
+        let result = match *name {
+            "settings" => settings::measure()?,
+            "placement" => placement::measure(),
+            "membership" => membership::measure(options).await?,
+            "entry" => entry::measure(options).await?,
+            "scheduler" => scheduler::measure(options).await?,
+            _ => bursts::measure(options).await?,
+        };
+        write(options, name, &result)?;
+    }
+    Ok(())
+}
+
+fn write(options: &CapacityOptions, name: &str, result: &CapacityResult) -> Result<(), String> {
+    let records: Vec<SeriesRecord<'_>> =
+        result.series.iter().map(|series| SeriesRecord { series, fit: series.fit() }).collect();
+    let json = serde_json::json!({ "series": records, "figures": result.figures });
+    write_json(&options.out.join(format!("{name}.json")), &json)?;
+    let text = render(result);
+    println!("{text}");
+    write_text(&options.out.join(format!("{name}.md")), &text)?;
+    for series in &result.series {
+        let file: String = series.name.chars().map(file_character).collect();
+        plot_series(&options.out.join(format!("{file}.svg")), series)?;
+    }
+    Ok(())
+}
+
+fn render(result: &CapacityResult) -> String {
+    let mut text = String::new();
+    if !result.series.is_empty() {
+        let rows: Vec<Vec<String>> = result.series.iter().map(describe).collect();
+        let head = [
+            "quantity",
+            "unit",
+            "slope",
+            "per",
+            "base",
+            "spread",
+            "check at",
+            "predicted",
+            "measured",
+            "error",
+        ];
+        text.push_str(&format_table(&head, &rows));
+    }
+    if !result.figures.is_empty() {
+        let row = |figure: &BurstFigure| {
+            vec![figure.name.clone(), format_number(figure.value), figure.unit.clone()]
+        };
+        let rows: Vec<Vec<String>> = result.figures.iter().map(row).collect();
+        text.push('\n');
+        text.push_str(&format_table(&["figure", "value", "unit"], &rows));
+    }
+    text
+}
+
+fn describe(series: &MeasuredSeries) -> Vec<String> {
+    let mut row = vec![series.name.clone(), series.unit.clone()];
+    let Some(fit) = series.fit() else {
+        row.extend(vec!["too few points".to_owned(); 8]);
+        return row;
+    };
+    row.extend([
+        format_number(fit.slope),
+        series.size_unit.clone(),
+        format_number(fit.base),
+        format_number(fit.spread),
+        format_number(fit.check_size),
+        format_number(fit.predicted),
+        format_number(fit.measured),
+        format!("{:+.0}%", fit.error() * 100.0),
+    ]);
+    row
+}
+
+fn file_character(character: char) -> char {
+    if character.is_ascii_alphanumeric() { character.to_ascii_lowercase() } else { '-' }
+}
--- /dev/null
+++ b/crates/experiment/src/capacity/entry.rs
@@ -0,0 +1,130 @@
+//! Cost of an entry process by the rate of requests and by the number of backend servers.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use lacewingrail_standins::instance_server::InstanceChange;
+use lacewingrail_standins::{BackendServer, BackendSettings};
+use tokio::task::JoinSet;
+
+use crate::capacity::{CapacityOptions, CapacityResult};
+use crate::harness::load::{domain_names, tree_text};
+use crate::harness::process::MeasuredProcess;
+use crate::harness::site::{MeasuredSite, start_process};
+use crate::slope::MeasuredSeries;
+
+/// Requests a second; the largest checks the line.
+const RATES: [u64; 6] = [0, 50, 100, 200, 400, 800];
+/// Backend servers at a fixed rate; the largest checks the line.
+const BACKENDS: [usize; 5] = [8, 16, 32, 50, 100];
+const FIXED_RATE: u64 = 50;
+const FIXED_BACKENDS: usize = 16;
+/// Time for first connections and the settings tree.
+const SETTLE: Duration = Duration::from_secs(4);
+
+struct EntryBench {
+    process: MeasuredProcess,
+    callers: SocketAddr,
+    _site: MeasuredSite,
+    _backends: Vec<BackendServer>,
+}
+
+struct EntryPoint {
+    cpu: f64,
+    memory: f64,
+    failed: u64,
+}
+
+/// Measures processor time and memory.
+pub async fn measure(options: &CapacityOptions) -> Result<CapacityResult, String> {
+    let rate_series = |name: &str, unit: &str| MeasuredSeries::new(name, "requests/s", unit);
+    let mut cpu = rate_series("entry: processor time by rate", "% of a core");
+    let mut memory = rate_series("entry: own memory by rate", "MB");
+    let mut failures = 0;
+    let bench = start(FIXED_BACKENDS).await?;
+    for rate in RATES {
+        let point = measure_point(&bench, rate, options.window()).await?;
+        cpu.push(rate as f64, point.cpu);
+        memory.push(rate as f64, point.memory);
+        failures += point.failed;
+        println!("  {rate} requests/s: {:.2}% of a core", point.cpu);
+    }
+    drop(bench);
+    let count_series = |name: &str, unit: &str| MeasuredSeries::new(name, "backend servers", unit);
+    let mut cpu_backends =
+        count_series("entry: processor time at 50 requests/s by backend servers", "% of a core");
+    let mut memory_backends = count_series("entry: own memory by backend servers", "MB");
+    for count in BACKENDS {
+        let bench = start(count).await?;
+        let point = measure_point(&bench, FIXED_RATE, options.window()).await?;
+        cpu_backends.push(count as f64, point.cpu);
+        memory_backends.push(count as f64, point.memory);
+        failures += point.failed;
+        println!("  {count} backend servers: {:.2}% of a core", point.cpu);
+    }
+    let mut result = CapacityResult {
+        series: vec![cpu, memory, cpu_backends, memory_backends],
+        figures: Vec::new(),
+    };
+    result.note("entry: requests without a success in these runs", failures as f64, "requests");
+    Ok(result)
+}
+
+async fn start(backends: usize) -> Result<EntryBench, String> {
+    let domains = domain_names(1);
+    let site = MeasuredSite::start(&domains, 6, &tree_text(&domains, 6, 4)).await?;
+    let mut servers = Vec::new();
+    for number in 0..backends {
+        let settings = BackendSettings {
+            name: format!("backend-{number:03}"),
+            service: "previews".to_owned(),
+            domain: domains[0].clone(),
+            median_ms: 5.0,
+            seed: number as u64,
+            ..BackendSettings::default()
+        };
+        let server = BackendServer::spawn("127.0.0.1:0", settings).await;
+        let server = server.map_err(|error| format!("a backend server does not start: {error}"))?;
+        site.list.change(InstanceChange::AddInstance(server.entry()));
+        servers.push(server);
+    }
+    let plan = site.entry(&domains[0], "entry")?;
+    let callers = plan.callers.ok_or("the entry process has no address for callers")?;
+    let process = start_process(&plan).await?;
+    tokio::time::sleep(SETTLE).await;
+    Ok(EntryBench { process, callers, _site: site, _backends: servers })
+}
+
+async fn measure_point(
+    bench: &EntryBench,
+    rate: u64,
+    window: Duration,
+) -> Result<EntryPoint, String> {
+    let client = reqwest::Client::new();
+    let url = format!("http://{}/previews/fit", bench.callers);
+    // A short run first, so that connections and buffers exist.
+    send(&client, &url, rate, Duration::from_secs(2)).await;
+    let meter = bench.process.meter();
+    let (before, start) = (meter.cpu_seconds(), Instant::now());
+    let failed = send(&client, &url, rate, window).await;
+    let elapsed = start.elapsed().as_secs_f64();
+    let cpu = (meter.cpu_seconds() - before) / elapsed * 100.0;
+    Ok(EntryPoint { cpu, memory: meter.memory_mb(), failed })
+}
+
+/// Sends requests at an even rate and returns how many did not succeed.
+async fn send(client: &reqwest::Client, url: &str, rate: u64, window: Duration) -> u64 {
+    if rate == 0 {
+        tokio::time::sleep(window).await;
+        return 0;
+    }
+    let mut ticks = tokio::time::interval(Duration::from_secs(1) / rate as u32);
+    let mut calls = JoinSet::new();
+    let total = (window.as_secs_f64() * rate as f64) as u64;
+    for _ in 0..total {
+        ticks.tick().await;
+        let request = client.get(url).header("x-customer", "team-000").send();
+        calls.spawn(async move { request.await.is_ok_and(|answer| answer.status().is_success()) });
+    }
+    calls.join_all().await.into_iter().filter(|succeeded| !succeeded).count() as u64
+}
--- /dev/null
+++ b/crates/experiment/src/capacity/membership.rs
@@ -0,0 +1,216 @@
+//! Spreading of configuration and cost of liveness by the number of processes.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
+
+use lacewingrail_membership::{Membership, MembershipSettings};
+use lacewingrail_model::instance::{InstanceEntry, InstanceList, InstanceRole};
+use lacewingrail_model::keys::CONFIG_TREE;
+use lacewingrail_model::message::{Heartbeat, PeerFrame, PeerRequest, PeerResponse, SchedulerSeen};
+use lacewingrail_model::store::KeyValueService;
+use lacewingrail_model::timer::TimerService;
+use lacewingrail_platform::{HttpInstanceList, HttpStore, MemoryStore};
+use lacewingrail_settings::StoredTree;
+use lacewingrail_standins::instance_server::{InstanceChange, InstanceListServer};
+use lacewingrail_standins::store_server::StoreServer;
+use lacewingrail_wire::{PeerHandler, PeerServer, codec};
+
+use crate::capacity::{CapacityOptions, CapacityResult};
+use crate::harness::load::{domain_names, tree_text};
+use crate::harness::meter::ProcessMeter;
+use crate::slope::MeasuredSeries;
+
+/// Processes; the target has about 232 in 7 failure domains.
+const PROCESSES: [usize; 6] = [28, 56, 84, 112, 168, 232];
+const DOMAINS: u32 = 7;
+const CUSTOMERS: u32 = 180;
+/// Changes whose spreading is timed at each size.
+const CHANGES: u64 = 5;
+/// Longest wait for one change to be everywhere, the bound of the target.
+const SPREAD_LIMIT: Duration = Duration::from_secs(11);
+
+/// Runs many memberships within this process, with real connections between them.
+pub struct MemberGroup {
+    /// Key-value service.
+    pub store: StoreServer,
+    members: Vec<Membership>,
+    list: InstanceListServer,
+    _servers: Vec<PeerServer>,
+}
+
+struct LateHandler(OnceLock<Arc<dyn PeerHandler>>);
+
+#[async_trait::async_trait]
+impl PeerHandler for LateHandler {
+    async fn handle(&self, frame: PeerFrame) -> PeerResponse {
+        match self.0.get() {
+            Some(handler) => handler.handle(frame).await,
+            None => PeerResponse::Refused { reason: "the process is starting".to_owned() },
+        }
+    }
+}
+
+impl MemberGroup {
+    /// Starts processes, half of them schedulers, spread evenly over the failure domains.
+    pub async fn start(count: usize) -> Result<Self, String> {
+        let fail = |error: std::io::Error| format!("a stand-in does not start: {error}");
+        let store =
+            StoreServer::spawn_store("127.0.0.1:0", MemoryStore::new()).await.map_err(fail)?;
+        let list = InstanceListServer::spawn("127.0.0.1:0").await.map_err(fail)?;
+        let mut group = Self { store, members: Vec::new(), list, _servers: Vec::new() };
+        group.write_tree(1).await?;
+        let domains = domain_names(DOMAINS);
+        for number in 0..count {
+            let domain = &domains[number % domains.len()];
+            let role = match number / domains.len() % 2 {
+                0 => InstanceRole::Scheduler,
+                _ => InstanceRole::Entry,
+            };
+            group.add(domain, role, number).await?;
+        }
+        Ok(group)
+    }
+
+    async fn add(&mut self, domain: &str, role: InstanceRole, number: usize) -> Result<(), String> {
+        let handler = Arc::new(LateHandler(OnceLock::new()));
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = PeerServer::bind(any, handler.clone()).await;
+        let server = server.map_err(|error| error.to_string())?;
+        let address = server.address().to_string();
+        let name = format!("{domain}-{number:03}");
+        self.list.change(InstanceChange::AddInstance(InstanceEntry {
+            name: name.clone(),
+            role,
+            service: String::new(),
+            domain: domain.to_owned(),
+            address: String::new(),
+            peer_address: address.clone(),
+            leaving: false,
+            slots: 0,
+            connections: 0,
+        }));
+        let settings = MembershipSettings {
+            instance: name,
+            role,
+            domain: domain.to_owned(),
+            address,
+            peers: Vec::new(),
+        };
+        let decoder = Arc::new(|text: &str| {
+            let tree = StoredTree::decode(text).map_err(|errors| errors.to_string())?;
+            tree.view().map_err(|errors| errors.to_string())
+        });
+        let store: Arc<dyn KeyValueService> = Arc::new(HttpStore::new(self.store.url()));
+        let list: Arc<dyn InstanceList> = Arc::new(HttpInstanceList::new(self.list.url()));
+        let membership = Membership::new(settings, store, Some(list), decoder, TimerService::new());
+        let _ = handler.0.set(membership.handler());
+        membership.start();
+        self.members.push(membership);
+        self._servers.push(server);
+        Ok(())
+    }
+
+    /// Writes a settings tree with a version.
+    pub async fn write_tree(&self, version: u64) -> Result<(), String> {
+        let text = tree_text(&domain_names(DOMAINS), 127, CUSTOMERS);
+        let mark = format!("experiment#{version}");
+        let tree =
+            StoredTree::first(&text, "experiment", mark).map_err(|errors| errors.to_string())?;
+        let value = StoredTree { version, ..tree }.encode().map_err(|errors| errors.to_string())?;
+        let store = self.store.store();
+        let entry = store.get(CONFIG_TREE).await.map_err(|error| error.to_string())?;
+        let revision = entry.map_or(0, |entry| entry.revision);
+        let put = store.put(CONFIG_TREE, value, revision, None).await;
+        put.map(drop).map_err(|error| error.to_string())
+    }
+
+    /// Waits until all processes follow a version; returns the time or an error after the limit.
+    pub async fn wait_version(&self, version: u64, limit: Duration) -> Result<Duration, String> {
+        let start = Instant::now();
+        loop {
+            let behind = self.members.iter().filter(|member| member.current().version < version);
+            let behind = behind.count();
+            if behind == 0 {
+                return Ok(start.elapsed());
+            }
+            if start.elapsed() > limit {
+                return Err(format!("{behind} processes do not follow version {version}"));
+            }
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+}
+
+/// Measures spreading, store calls and processor time.
+pub async fn measure(options: &CapacityOptions) -> Result<CapacityResult, String> {
+    let mut spread = MeasuredSeries::new(
+        "configuration: change in force everywhere, slowest of 5",
+        "processes",
+        "ms",
+    );
+    let mut calls =
+        MeasuredSeries::new("configuration: store calls without changes", "processes", "calls/s");
+    let mut watches = MeasuredSeries::new("configuration: waiting watches", "processes", "watches");
+    let mut cpu = MeasuredSeries::new(
+        "membership: processor time of one process",
+        "processes",
+        "% of a core",
+    );
+    for count in PROCESSES {
+        let group = MemberGroup::start(count).await?;
+        group.wait_version(1, Duration::from_secs(30)).await?;
+        // Until every process knows the schedulers of its domain and spare watches have ended.
+        tokio::time::sleep(Duration::from_secs(20)).await;
+        let (meter, size) = (ProcessMeter::own(), count as f64);
+        let (cpu_before, calls_before) = (meter.cpu_seconds(), group.store.store().stats().total());
+        let start = Instant::now();
+        tokio::time::sleep(options.window()).await;
+        let elapsed = start.elapsed().as_secs_f64();
+        let used = (meter.cpu_seconds() - cpu_before) / elapsed;
+        cpu.push(size, used * 100.0 / size);
+        let made = group.store.store().stats().total() - calls_before;
+        calls.push(size, made as f64 / elapsed);
+        watches.push(size, group.store.store().stats().waiting_watches as f64);
+        let mut slowest = Duration::ZERO;
+        for version in 2..2 + CHANGES {
+            group.write_tree(version).await?;
+            slowest = slowest.max(group.wait_version(version, SPREAD_LIMIT).await?);
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+        spread.push(size, slowest.as_secs_f64() * 1e3);
+        println!("  {count} processes: {slowest:?} for the slowest change");
+    }
+    let bytes = heartbeat_bytes()?;
+    Ok(CapacityResult { series: vec![spread, calls, watches, cpu, bytes], figures: Vec::new() })
+}
+
+/// Measures the size of an encoded heartbeat by the number of failure domains.
+fn heartbeat_bytes() -> Result<MeasuredSeries, String> {
+    let mut bytes = MeasuredSeries::new("membership: heartbeat", "failure domains", "bytes");
+    for count in [1, 2, 4, 5, 7, 14] {
+        let seen = |domain: String| {
+            let address = "10.101.102.103:40000".to_owned();
+            (
+                domain,
+                SchedulerSeen { epoch: 1_000, address, free_accelerators: 200, update: 100_000 },
+            )
+        };
+        let heartbeat = Heartbeat {
+            from: "om-north-a-entry-1~0123abcd".to_owned(),
+            address: "10.101.102.103:40000".to_owned(),
+            domain: "domain-1".to_owned(),
+            role: Some(InstanceRole::Scheduler),
+            config_version: 100_000,
+            config_hash: u64::MAX,
+            store_reached: Some(true),
+            schedulers: domain_names(count).into_iter().map(seen).collect(),
+            leaving: false,
+        };
+        let request = PeerRequest::Heartbeat(heartbeat);
+        let frame = PeerFrame { traceparent: String::new(), request };
+        let encoded = codec::encode(&frame).map_err(|error| error.to_string())?;
+        bytes.push(f64::from(count), encoded.len() as f64);
+    }
+    Ok(bytes)
+}
--- /dev/null
+++ b/crates/experiment/src/capacity/placement.rs
@@ -0,0 +1,165 @@
+//! Time of one placement decision by the number of workers.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use lacewingrail_model::config::PlacementChoice;
+use lacewingrail_model::job::{JobRecord, JobSpec, JobState, WorkClass};
+use lacewingrail_model::shape::{AdjacencyLevel, GangShape};
+use lacewingrail_placement::entry::{CustomerShare, PlacementAction, WaitingEntry, WorkerCapacity};
+use lacewingrail_placement::health::WorkerHealth;
+use lacewingrail_placement::planner::DomainPlanner;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::capacity::CapacityResult;
+use crate::harness::load::{RACK_WORKERS, WORKER_ACCELERATORS, WORKER_TASKS};
+use crate::slope::MeasuredSeries;
+
+/// Workers of one planner; a failure domain of the target has 127, all domains together 890.
+const WORKERS: [u32; 6] = [64, 127, 254, 445, 890, 1_780];
+/// Decisions measured at each size.
+const DECISIONS: u32 = 400;
+/// Longest time that the histogram tells apart, in nanoseconds.
+const LONGEST_NANOS: u64 = 10_000_000_000;
+const CUSTOMERS: u32 = 180;
+const SEED: u64 = 20_261_204;
+
+/// Measures p50 and p99 of a decision after one arrival and one end.
+pub fn measure() -> CapacityResult {
+    let mut middle = MeasuredSeries::new("placement: decision p50", "workers", "ms");
+    let mut tail = MeasuredSeries::new("placement: decision p99", "workers", "ms");
+    println!("  seed {SEED}");
+    for workers in WORKERS {
+        let histogram = measure_size(workers);
+        let milliseconds = |quantile: f64| histogram.value_at_quantile(quantile) as f64 / 1e6;
+        middle.push(f64::from(workers), milliseconds(0.5));
+        tail.push(f64::from(workers), milliseconds(0.99));
+    }
+    CapacityResult { series: vec![middle, tail], figures: Vec::new() }
+}
+
+fn measure_size(workers: u32) -> Histogram<u64> {
+    let mut random = ChaCha8Rng::seed_from_u64(SEED);
+    let mut planner = DomainPlanner::new("domain-1".to_owned(), PlacementChoice::Shape, SEED);
+    planner.set_workers((0..workers).map(worker).collect());
+    planner.set_customers((0..CUSTOMERS).map(customer).collect::<BTreeMap<_, _>>());
+    let mut now = Duration::ZERO;
+    let mut running = Vec::new();
+    let mut number = 0;
+    let tasks = f64::from(workers) * WORKER_TASKS;
+    let accelerators = f64::from(workers * WORKER_ACCELERATORS) * 0.95;
+    // Fills the planner as the target is filled: most tasks use processors only.
+    let mut filled = 0.0;
+    while filled < accelerators {
+        let members = random.random_range(1..=8);
+        filled += f64::from(members);
+        planner.enqueue(waiting(&mut number, members, 1, now));
+    }
+    let mut placed = filled;
+    while placed < tasks {
+        planner.enqueue(waiting(&mut number, 16, 0, now));
+        placed += 16.0;
+    }
+    loop {
+        now += Duration::from_millis(10);
+        let actions = planner.decide(now);
+        let started = settle(&mut planner, actions, &mut running);
+        if started == 0 {
+            break;
+        }
+    }
+    let bounds = Histogram::new_with_bounds(1, LONGEST_NANOS, 3);
+    let mut histogram = bounds.unwrap_or_else(|error| panic!("histogram: {error}"));
+    for _ in 0..DECISIONS {
+        now += Duration::from_millis(200);
+        if !running.is_empty() {
+            let ended: String = running.swap_remove(random.random_range(0..running.len()));
+            planner.release(&ended);
+        }
+        let members = random.random_range(1..=8);
+        planner.enqueue(waiting(&mut number, members, random.random_range(0..=1), now));
+        let start = Instant::now();
+        let actions = planner.decide(now);
+        let elapsed = u64::try_from(start.elapsed().as_nanos()).unwrap_or(u64::MAX);
+        histogram.saturating_record(elapsed);
+        settle(&mut planner, actions, &mut running);
+    }
+    histogram
+}
+
+fn settle(
+    planner: &mut DomainPlanner,
+    actions: Vec<PlacementAction>,
+    running: &mut Vec<String>,
+) -> usize {
+    let mut started = 0;
+    for action in actions {
+        match action {
+            PlacementAction::Start { job, .. } => {
+                planner.confirm_started(&job);
+                running.push(job);
+                started += 1;
+            }
+            PlacementAction::Preempt { victims, .. } => {
+                for victim in victims {
+                    running.retain(|job| *job != victim);
+                    planner.release(&victim);
+                }
+            }
+            PlacementAction::Refuse { .. } => {}
+        }
+    }
+    started
+}
+
+fn worker(number: u32) -> WorkerCapacity {
+    WorkerCapacity {
+        id: format!("worker-{number:04}"),
+        rack: format!("rack-{:03}", number / RACK_WORKERS),
+        accelerators: WORKER_ACCELERATORS,
+        cores: 64,
+        memory_mb: 512_000,
+        speed: 1.0,
+        health: WorkerHealth::Healthy,
+    }
+}
+
+fn customer(number: u32) -> (String, CustomerShare) {
+    let share = CustomerShare { weight: 1.0, quota: 100_000, in_use_elsewhere: 0 };
+    (format!("team-{number:03}"), share)
+}
+
+fn waiting(number: &mut u32, members: u32, accelerators: u32, now: Duration) -> WaitingEntry {
+    *number += 1;
+    let spec = JobSpec {
+        customer: format!("team-{:03}", *number % CUSTOMERS),
+        shape: GangShape { members, accelerators, adjacency: AdjacencyLevel::Domain },
+        class: WorkClass::Normal,
+        declared_ms: 3_600_000,
+        cores: 1,
+        memory_mb: 256,
+        checkpointable: true,
+        domains: Vec::new(),
+        command: String::new(),
+        idempotency_key: None,
+    };
+    let record = JobRecord {
+        id: format!("job-{number}"),
+        spec,
+        state: JobState::Queued,
+        owner: "domain-1".to_owned(),
+        attempt: 0,
+        epoch: 1,
+        checkpoint_ms: 0,
+        preemptions: 0,
+        guaranteed: false,
+        submitted_at: 0,
+        started_at: None,
+        ended_at: None,
+        arrival: None,
+        mark: String::new(),
+    };
+    WaitingEntry { record, since: now }
+}
--- /dev/null
+++ b/crates/experiment/src/harness/meter.rs
@@ -0,0 +1,58 @@
+//! Processor time and memory of a process, read from the kernel.
+
+use std::fs;
+use std::path::PathBuf;
+
+/// Reads what the kernel counts for one process.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessMeter {
+    id: u32,
+}
+
+impl ProcessMeter {
+    /// Creates a meter for a process id.
+    pub fn new(id: u32) -> Self {
+        Self { id }
+    }
+
+    /// Creates a meter for the own process.
+    pub fn own() -> Self {
+        Self::new(std::process::id())
+    }
+
+    /// Returns the processor time of all live threads in seconds.
+    pub fn cpu_seconds(&self) -> f64 {
+        let Ok(threads) = fs::read_dir(self.path("task")) else {
+            return 0.0;
+        };
+        let nanos = threads.flatten().filter_map(|thread| {
+            let text = fs::read_to_string(thread.path().join("schedstat")).ok()?;
+            text.split_whitespace().next()?.parse::<f64>().ok()
+        });
+        nanos.sum::<f64>() / 1e9
+    }
+
+    /// Returns the memory that the process alone occupies, in megabytes.
+    ///
+    /// Pages of the executable that are mapped from its file are left out, since the kernel can drop
+    /// them.
+    pub fn memory_mb(&self) -> f64 {
+        self.status("RssAnon:") / 1024.0
+    }
+
+    /// Returns all resident memory in megabytes, pages of the executable included.
+    pub fn resident_mb(&self) -> f64 {
+        self.status("VmRSS:") / 1024.0
+    }
+
+    fn status(&self, key: &str) -> f64 {
+        let text = fs::read_to_string(self.path("status")).unwrap_or_default();
+        let line = text.lines().find(|line| line.starts_with(key));
+        let value = line.and_then(|line| line.split_whitespace().nth(1));
+        value.and_then(|value| value.parse().ok()).unwrap_or(0.0)
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        PathBuf::from(format!("/proc/{}/{name}", self.id))
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/harness/process.rs
@@ -0,0 +1,111 @@
+//! A process of the product under measurement.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+use crate::harness::meter::ProcessMeter;
+
+/// Runs a binary of the product; dropping it ends the process.
+#[derive(Debug)]
+pub struct MeasuredProcess {
+    child: Child,
+    file: PathBuf,
+}
+
+/// Holds the settings of a process under measurement.
+#[derive(Clone, Debug)]
+pub struct ProcessPlan {
+    /// Name of the binary, such as `lacewingrail-entry`.
+    pub binary: &'static str,
+    /// Name of the process.
+    pub name: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Address for callers, for an entry process.
+    pub callers: Option<SocketAddr>,
+    /// Address of the administration API, for a scheduler process.
+    pub admin: Option<SocketAddr>,
+    /// Address for peers.
+    pub peer: SocketAddr,
+    /// Addresses of peers.
+    pub peers: Vec<SocketAddr>,
+    /// Base address of the key-value service.
+    pub store: String,
+    /// Base address of the instance list.
+    pub instances: String,
+}
+
+impl MeasuredProcess {
+    /// Starts a process.
+    pub fn start(plan: &ProcessPlan) -> Result<Self, String> {
+        let binary = find_binary(plan.binary)?;
+        let file = std::env::temp_dir().join(format!("{}-{}.yaml", plan.name, std::process::id()));
+        let fail = |error: std::io::Error| format!("cannot start {}: {error}", plan.binary);
+        std::fs::File::create(&file)
+            .and_then(|mut output| output.write_all(plan.render().as_bytes()))
+            .map_err(fail)?;
+        let child = Command::new(binary)
+            .arg("--settings")
+            .arg(&file)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .map_err(fail)?;
+        Ok(Self { child, file })
+    }
+
+    /// Returns the meter of the process.
+    pub fn meter(&self) -> ProcessMeter {
+        ProcessMeter::new(self.child.id())
+    }
+
+    /// Returns whether the process still runs.
+    pub fn is_alive(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+}
+
+impl Drop for MeasuredProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+impl ProcessPlan {
+    fn render(&self) -> String {
+        let mut listen = vec![format!("peers: {}", self.peer)];
+        listen.extend(self.callers.map(|address| format!("callers: {address}")));
+        listen.extend(self.admin.map(|address| format!("admin: {address}")));
+        let peers: Vec<String> = self.peers.iter().map(SocketAddr::to_string).collect();
+        format!(
+            "name: {}\nregion: region-1\ndomain: {}\nlisten: {{ {} }}\npeers: [{}]\nstore: {}\n\
+             instances: {}\nlog_level: warn\n",
+            self.name,
+            self.domain,
+            listen.join(", "),
+            peers.join(", "),
+            self.store,
+            self.instances,
+        )
+    }
+}
+
+/// Returns a loopback address that was free a moment ago.
+pub fn free_address() -> Result<SocketAddr, String> {
+    TcpListener::bind("127.0.0.1:0")
+        .and_then(|listener| listener.local_addr())
+        .map_err(|error| format!("no free port: {error}"))
+}
+
+fn find_binary(name: &str) -> Result<PathBuf, String> {
+    let own = std::env::current_exe().map_err(|error| error.to_string())?;
+    let path = own.with_file_name(name);
+    if path.exists() {
+        return Ok(path);
+    }
+    Err(format!("{name} is not built; run `cargo build --release --workspace` first"))
+}
--- /dev/null
+++ b/crates/experiment/src/harness/site.rs
@@ -0,0 +1,160 @@
+//! The outside systems of one measurement, each reached through a counted link.
+
+use std::time::{Duration, Instant};
+
+use lacewingrail_model::job::{JobRecord, JobState};
+use lacewingrail_model::keys;
+use lacewingrail_model::store::KeyValueService;
+use lacewingrail_platform::MemoryStore;
+use lacewingrail_settings::StoredTree;
+use lacewingrail_standins::fault_proxy::FaultProxy;
+use lacewingrail_standins::fault_proxy::rules::LinkSpec;
+use lacewingrail_standins::instance_server::{InstanceChange, InstanceListServer};
+use lacewingrail_standins::store_server::StoreServer;
+use lacewingrail_standins::worker_fleet::{FleetLayout, FleetSettings, WorkerFleet};
+
+use crate::harness::load::{RACK_WORKERS, WORKER_ACCELERATORS};
+use crate::harness::process::{MeasuredProcess, ProcessPlan, free_address};
+
+/// Holds the outside systems.
+pub struct MeasuredSite {
+    /// Key-value service.
+    pub store: StoreServer,
+    /// Instance list.
+    pub list: InstanceListServer,
+    /// Workers.
+    pub fleet: WorkerFleet,
+    proxy: FaultProxy,
+    store_url: String,
+    list_url: String,
+}
+
+/// Counts bytes by link since the start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LinkBytes {
+    /// To and from the key-value service.
+    pub store: f64,
+    /// To and from the instance list.
+    pub list: f64,
+    /// To and from all workers.
+    pub workers: f64,
+}
+
+impl MeasuredSite {
+    /// Starts the outside systems with equal failure domains and a settings tree.
+    pub async fn start(domains: &[String], workers: u32, tree: &str) -> Result<Self, String> {
+        let fail = |error: std::io::Error| format!("a stand-in does not start: {error}");
+        let store =
+            StoreServer::spawn_store("127.0.0.1:0", MemoryStore::new()).await.map_err(fail)?;
+        let list = InstanceListServer::spawn("127.0.0.1:0").await.map_err(fail)?;
+        let layouts = domains.iter().map(|domain| FleetLayout {
+            domain: domain.clone(),
+            workers,
+            per_rack: RACK_WORKERS,
+            accelerators: WORKER_ACCELERATORS,
+            cores: 64,
+            memory_mb: 512_000,
+        });
+        let specs = layouts.flat_map(|layout| layout.specs()).collect();
+        let settings = FleetSettings::default();
+        let fleet = WorkerFleet::spawn("127.0.0.1:0", specs, settings).await.map_err(fail)?;
+        let proxy = FaultProxy::new(1);
+        let store_url = add_link(&proxy, "store", &store.url()).await?;
+        let list_url = add_link(&proxy, "list", &list.url()).await?;
+        let fleet_url = add_link(&proxy, "workers", &fleet.url()).await?;
+        let mut specs = fleet.specs();
+        for spec in &mut specs {
+            spec.address = spec.address.replace(&fleet.url(), &fleet_url);
+        }
+        for spec in specs {
+            list.change(InstanceChange::AddWorker(spec));
+        }
+        let text = StoredTree::first(tree, "experiment", "experiment#tree".to_owned())
+            .and_then(|tree| tree.encode())
+            .map_err(|errors| errors.to_string())?;
+        let put = store.store().put(keys::CONFIG_TREE, text, 0, None).await;
+        put.map_err(|error| error.to_string())?;
+        Ok(Self { store, list, fleet, proxy, store_url, list_url })
+    }
+
+    /// Describes a scheduler process of a failure domain.
+    pub fn scheduler(&self, domain: &str, name: &str) -> Result<ProcessPlan, String> {
+        Ok(ProcessPlan {
+            binary: "lacewingrail-scheduler",
+            name: name.to_owned(),
+            domain: domain.to_owned(),
+            callers: None,
+            admin: Some(free_address()?),
+            peer: free_address()?,
+            peers: Vec::new(),
+            store: self.store_url.clone(),
+            instances: self.list_url.clone(),
+        })
+    }
+
+    /// Describes an entry process of a failure domain.
+    pub fn entry(&self, domain: &str, name: &str) -> Result<ProcessPlan, String> {
+        Ok(ProcessPlan {
+            binary: "lacewingrail-entry",
+            callers: Some(free_address()?),
+            admin: None,
+            ..self.scheduler(domain, name)?
+        })
+    }
+
+    /// Returns the bytes carried so far.
+    pub fn bytes(&self) -> LinkBytes {
+        let links = self.proxy.links();
+        let sum = |name: &str| {
+            let link = links.iter().find(|link| link.spec.name == name);
+            link.map_or(0.0, |link| (link.bytes_forward + link.bytes_backward) as f64)
+        };
+        LinkBytes { store: sum("store"), list: sum("list"), workers: sum("workers") }
+    }
+
+    /// Returns the number of jobs in a state chosen by the filter.
+    pub async fn count_jobs<F>(&self, matches: F) -> usize
+    where
+        F: Fn(&JobState) -> bool,
+    {
+        let entries = self.store.store().list(keys::JOBS).await.unwrap_or_default();
+        let records =
+            entries.iter().filter_map(|entry| serde_json::from_str::<JobRecord>(&entry.value).ok());
+        records.filter(|record| matches(&record.state)).count()
+    }
+
+    /// Waits until a number of jobs runs; returns the time it took.
+    pub async fn wait_running(&self, jobs: u32, limit: Duration) -> Result<Duration, String> {
+        let start = Instant::now();
+        loop {
+            let running = self.count_jobs(|state| *state == JobState::Running).await;
+            if running >= jobs as usize {
+                return Ok(start.elapsed());
+            }
+            if start.elapsed() > limit {
+                return Err(format!("{running} of {jobs} jobs run after {limit:?}"));
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    /// Counts the calls to the store so far, a waiting watch not included.
+    pub fn store_calls(&self) -> u64 {
+        self.store.store().stats().total()
+    }
+}
+
+/// Starts a process and checks that it stays up.
+pub async fn start_process(plan: &ProcessPlan) -> Result<MeasuredProcess, String> {
+    let mut process = MeasuredProcess::start(plan)?;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    if process.is_alive() { Ok(process) } else { Err(format!("{} ended at once", plan.binary)) }
+}
+
+async fn add_link(proxy: &FaultProxy, name: &str, url: &str) -> Result<String, String> {
+    let target = url.trim_start_matches("http://").trim_end_matches('/');
+    let address = proxy.add_link(LinkSpec::new(name, "control", name, target)).await;
+    address
+        .map(|address| format!("http://{address}"))
+        .map_err(|error| format!("the link {name} does not start: {error}"))
+}
--- /dev/null
+++ b/crates/experiment/src/report.rs
@@ -0,0 +1,82 @@
+//! Tables, JSON and plots of measurements.
+
+use std::fmt::Write as _;
+use std::path::Path;
+
+use plotters::prelude::*;
+use serde::Serialize;
+
+use crate::slope::MeasuredSeries;
+
+/// Width and height of a plot in pixels.
+const PLOT_SIZE: (u32, u32) = (640, 360);
+
+/// Writes a value as indented JSON.
+pub fn write_json<T>(path: &Path, value: &T) -> Result<(), String>
+where
+    T: Serialize,
+{
+    let text = serde_json::to_string_pretty(value).map_err(|error| error.to_string())?;
+    write_text(path, &(text + "\n"))
+}
+
+/// Writes a text file and the folders above it.
+pub fn write_text(path: &Path, text: &str) -> Result<(), String> {
+    let fail = |error: std::io::Error| format!("cannot write {}: {error}", path.display());
+    if let Some(folder) = path.parent() {
+        std::fs::create_dir_all(folder).map_err(fail)?;
+    }
+    std::fs::write(path, text).map_err(fail)
+}
+
+/// Formats a table in Markdown.
+pub fn format_table(head: &[&str], rows: &[Vec<String>]) -> String {
+    let mut text = format!("| {} |\n|{}\n", head.join(" | "), "---|".repeat(head.len()));
+    for row in rows {
+        let _ = writeln!(text, "| {} |", row.join(" | "));
+    }
+    text
+}
+
+/// Formats a number with three significant digits.
+pub fn format_number(value: f64) -> String {
+    let magnitude = value.abs();
+    match magnitude {
+        0.0 => "0".to_owned(),
+        _ if magnitude >= 100.0 => format!("{value:.0}"),
+        _ if magnitude >= 10.0 => format!("{value:.1}"),
+        _ if magnitude >= 1.0 => format!("{value:.2}"),
+        _ if magnitude >= 0.001 => format!("{value:.4}"),
+        _ => format!("{value:.2e}"),
+    }
+}
+
+/// Plots the points of a series with its line as SVG.
+pub fn plot_series(path: &Path, series: &MeasuredSeries) -> Result<(), String> {
+    let fail = |error: String| format!("cannot plot {}: {error}", path.display());
+    let largest = |values: &mut dyn Iterator<Item = f64>| values.fold(0.0, f64::max);
+    let right = largest(&mut series.points.iter().map(|point| point.size)) * 1.05;
+    let top = largest(&mut series.points.iter().map(|point| point.value)) * 1.15 + f64::EPSILON;
+    let area = SVGBackend::new(path, PLOT_SIZE).into_drawing_area();
+    area.fill(&WHITE).map_err(|error| fail(error.to_string()))?;
+    let mut chart = ChartBuilder::on(&area)
+        .margin(12)
+        .caption(&series.name, ("sans-serif", 18))
+        .x_label_area_size(36)
+        .y_label_area_size(64)
+        .build_cartesian_2d(0.0..right, 0.0..top)
+        .map_err(|error| fail(error.to_string()))?;
+    chart
+        .configure_mesh()
+        .x_desc(&series.size_unit)
+        .y_desc(&series.unit)
+        .draw()
+        .map_err(|error| fail(error.to_string()))?;
+    let marks = series.points.iter().map(|point| Circle::new((point.size, point.value), 4, BLUE));
+    chart.draw_series(marks).map_err(|error| fail(error.to_string()))?;
+    if let Some(line) = series.fit() {
+        let ends = [(0.0, line.base), (right, line.at(right))];
+        chart.draw_series(LineSeries::new(ends, RED)).map_err(|error| fail(error.to_string()))?;
+    }
+    area.present().map_err(|error| fail(error.to_string()))
+}
--- a/crates/platform/src/http_worker.rs
+++ b/crates/platform/src/http_worker.rs
@@ -20,6 +20,7 @@
 use reqwest::{Client, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
 use crate::http::{
@@ -39,6 +40,13 @@
 const SUSPICION: Duration = IDLE_TIMEOUT.saturating_add(Duration::from_secs(1));
 /// Idle connections kept to each worker address.
 const IDLE_CONNECTIONS: usize = 64;
+/// Calls under way at a time.
+///
+/// Each call holds a connection of some 30 KB. Without a bound, the start of a full failure domain
+/// opened one for each of its 1,750 members, and the memory stayed with the process. The bound is
+/// above the workers of a domain, so that workers that do not answer delay the calls to others by
+/// one time-out at most.
+const CALLS: usize = 128;
 /// Workers whose contact is kept; past it all are dropped, and each returns with the next answer.
 const CONTACTS: usize = 10_000;
 
@@ -49,6 +57,7 @@
     /// Keeps no idle connections.
     fresh_client: Client,
     timeout: Duration,
+    calls: Arc<Semaphore>,
     contacts: Arc<Mutex<HashMap<WorkerId, WorkerContact>>>,
 }
 
@@ -78,6 +87,7 @@
             client: build_client(IDLE_CONNECTIONS),
             fresh_client: build_client(0),
             timeout: CALL_TIMEOUT,
+            calls: Arc::new(Semaphore::new(CALLS)),
             contacts: Arc::default(),
         }
     }
@@ -105,6 +115,7 @@
     where
         T: DeserializeOwned,
     {
+        let _permit = self.calls.acquire().await;
         let answer = exchange(request, self.timeout, ANSWER_LIMIT).await.map_err(|error| {
             if matches!(error, ExchangeError::TimedOut) {
                 self.change_contact(&worker.id, |contact| contact.timed_out = Some(Instant::now()));
