--- a/crates/placement/src/baseline.rs
+++ b/crates/placement/src/baseline.rs
@@ -82,7 +82,7 @@
             let entitled = total > 0 && total <= left;
             let anywhere = GangDemand { adjacency: AdjacencyLevel::Domain, ..candidate.demand };
             let free = board.floor.free();
-            if let Some(place) = board.floor.map.fit(&free, &anywhere, candidate.offset) {
+            if let Some(place) = board.floor.map.fit(free, &anywhere, candidate.offset) {
                 let decision =
                     PlaceDecision { place, guaranteed: entitled, ..PlaceDecision::default() };
                 board.settle(&candidate, decision, now, &mut actions);
@@ -204,11 +204,11 @@
             .find(|worker| slots(*worker) >= demand.members)
             .map(|worker| vec![PlacePart { worker, members: demand.members }]),
         AdjacencyLevel::Rack => {
-            board.floor.map.racks.iter().find_map(|rack| fill_first(rack, demand, &free))
+            board.floor.map.racks.iter().find_map(|rack| fill_first(rack, demand, free))
         }
         AdjacencyLevel::Domain => {
             let workers: Vec<usize> = (0..free.len()).collect();
-            fill_first(&workers, demand, &free)
+            fill_first(&workers, demand, free)
         }
     }
 }
--- a/crates/placement/src/board.rs
+++ b/crates/placement/src/board.rs
@@ -14,7 +14,7 @@
 use crate::entry::{GuaranteeEntry, MemberPlace, PlacementAction};
 use crate::floor::{FloorWorker, WorkerFloor};
 use crate::gang::{GangPhase, GangTable, PlacedGang};
-use crate::packing::{GangPlace, is_within};
+use crate::packing::GangPlace;
 use crate::plan::GuaranteePlan;
 use crate::queue::{CustomerLedger, JobQueue, QueueKey};
 use crate::reason::WaitReason;
@@ -175,13 +175,12 @@
                 spec.customer
             ));
         }
-        if job.possible || (self.floor.workers.is_empty() && self.floor.nominal.is_empty()) {
+        if job.possible || self.floor.is_unknown() {
             return None;
         }
-        let (map, room) = self.floor.nominal_room();
-        let reason = if map.fit(&room, &job.demand, 0).is_some() {
+        let reason = if self.floor.may_ever_fit(&job.demand) {
             None
-        } else if map.fit(&room, &GangDemand::of_shape(&spec.shape), 0).is_some() {
+        } else if self.floor.may_ever_fit(&GangDemand::of_shape(&spec.shape)) {
             Some(format!(
                 "no workers of {} have {} cores and {} MB for each member beside {}; request less",
                 self.domain, spec.cores, spec.memory_mb, spec.shape
@@ -281,8 +280,11 @@
                 self.leave(slot);
                 continue;
             }
-            let room: Vec<ResourceAmount> = self.floor.workers.iter().map(room_now).collect();
-            if !is_within(&room, &gang.place, &gang.demand.each) || self.waits_for_quota(gang) {
+            let ready = gang.place.iter().all(|part| {
+                let need = gang.demand.each.times(part.members);
+                room_now(&self.floor.workers[part.worker]).contains(&need)
+            });
+            if !ready || self.waits_for_quota(gang) {
                 continue;
             }
             let job = gang.job.clone();
--- a/crates/placement/src/floor.rs
+++ b/crates/placement/src/floor.rs
@@ -108,9 +108,11 @@
     pub workers: Vec<FloorWorker>,
     /// Racks.
     pub map: RackMap,
-    /// Nominal racks from settings, if known.
-    pub nominal: BTreeMap<RackName, Vec<u32>>,
+    nominal: BTreeMap<RackName, Vec<u32>>,
     index: BTreeMap<WorkerId, usize>,
+    // Kept beside the workers, since every search reads it and few events change it.
+    free: Vec<ResourceAmount>,
+    whole: Option<(RackMap, Vec<ResourceAmount>)>,
 }
 
 impl WorkerFloor {
@@ -150,7 +152,26 @@
             };
             self.index.insert(capacity.id, index);
         }
-        self.map = RackMap::new(self.workers.iter().map(|worker| worker.rack.as_str()));
+        self.rebuild_tables();
+    }
+
+    /// Takes the accelerators of each worker of the healthy domain.
+    pub fn set_nominal(&mut self, racks: BTreeMap<RackName, Vec<u32>>) {
+        self.nominal = racks;
+        self.whole = None;
+    }
+
+    /// Changes the health of a worker and returns whether it differed.
+    pub fn set_health(&mut self, worker: usize, health: WorkerHealth) -> bool {
+        let changed = self.workers[worker].health != health;
+        self.workers[worker].health = health;
+        self.free[worker] = self.workers[worker].free();
+        changed
+    }
+
+    /// Returns whether neither workers nor nominal racks are known.
+    pub fn is_unknown(&self) -> bool {
+        self.workers.is_empty() && self.nominal.is_empty()
     }
 
     /// Returns the index of a worker.
@@ -173,7 +194,7 @@
             health: WorkerHealth::Silent,
         }));
         self.index.insert(worker.clone(), self.workers.len() - 1);
-        self.map = RackMap::new(self.workers.iter().map(|worker| worker.rack.as_str()));
+        self.rebuild_tables();
         self.workers.len() - 1
     }
 
@@ -183,6 +204,7 @@
             let worker = &mut self.workers[part.worker];
             worker.account(gang.phase).add(gang.demand.each.times(part.members));
             worker.gangs.push(slot);
+            self.free[part.worker] = worker.free();
         }
     }
 
@@ -192,19 +214,37 @@
             let worker = &mut self.workers[part.worker];
             worker.account(gang.phase).subtract(gang.demand.each.times(part.members));
             worker.gangs.retain(|other| *other != slot);
+            self.free[part.worker] = worker.free();
         }
     }
 
     /// Returns what is free at once on each worker.
-    pub fn free(&self) -> Vec<ResourceAmount> {
-        self.workers.iter().map(FloorWorker::free).collect()
+    pub fn free(&self) -> &[ResourceAmount] {
+        &self.free
+    }
+
+    /// Returns whether a demand fits into the whole domain with every worker known or nominal.
+    pub fn may_ever_fit(&mut self, demand: &GangDemand) -> bool {
+        let (map, room) = match self.whole.take() {
+            Some(whole) => whole,
+            None => self.nominal_room(),
+        };
+        let fits = map.fit(&room, demand, 0).is_some();
+        self.whole = Some((map, room));
+        fits
+    }
+
+    fn rebuild_tables(&mut self) {
+        self.map = RackMap::new(self.workers.iter().map(|worker| worker.rack.as_str()));
+        self.free = self.workers.iter().map(FloorWorker::free).collect();
+        self.whole = None;
     }
 
     /// Returns the whole domain with every worker that is known or nominal, and its racks.
     ///
     /// Accelerators count as in the best state that was seen or configured, because a loss may be
     /// temporary.
-    pub fn nominal_room(&self) -> (RackMap, Vec<ResourceAmount>) {
+    fn nominal_room(&self) -> (RackMap, Vec<ResourceAmount>) {
         let mut racks: BTreeMap<&str, Vec<ResourceAmount>> = BTreeMap::new();
         for worker in &self.workers {
             racks.entry(&worker.rack).or_default().push(worker.best);
--- a/crates/placement/src/gang.rs
+++ b/crates/placement/src/gang.rs
@@ -3,7 +3,7 @@
 //! Gangs are kept in numbered slots, because the searches compare thousands of them and the number
 //! is cheaper than the job's name. The lowest free slot is used first, so that replays agree.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use lacewingrail_model::job::WorkClass;
@@ -105,7 +105,7 @@
 pub struct GangTable {
     slots: Vec<Option<PlacedGang>>,
     vacant: BTreeSet<usize>,
-    by_job: BTreeMap<JobId, usize>,
+    by_job: HashMap<JobId, usize>,
 }
 
 impl GangTable {
--- a/crates/placement/src/guaranteed.rs
+++ b/crates/placement/src/guaranteed.rs
@@ -122,7 +122,7 @@
 
     /// Moves the unit to a free place, if there is one, and returns the place.
     fn find_free(&self, board: &mut PlacementBoard, demand: &GangDemand) -> Option<GangPlace> {
-        let free = board.floor.free();
+        let free = board.floor.free().to_vec();
         let whole = GangDemand::of_shape(&board.plan.units[self.unit].shape);
         for accelerators in [own_room(board, self.unit), board.plan.open.clone()] {
             let allowed = self.mask(board, accelerators);
--- a/crates/placement/src/packing.rs
+++ b/crates/placement/src/packing.rs
@@ -284,6 +284,9 @@
         })
         .filter(|(_, _, _, count)| *count > 0)
         .collect();
+    if slots.iter().map(|(_, _, _, count)| count).sum::<u32>() < demand.members {
+        return None;
+    }
     slots.sort_unstable();
     let mut missing = demand.members;
     let mut place = GangPlace::new();
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -6,7 +6,7 @@
 //! may be borrowed, since borrowers can be stopped. As long as the footprints lie within the usable
 //! workers and do not overlap, every unused shape can be reclaimed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use lacewingrail_model::CustomerName;
 use lacewingrail_model::shape::{AdjacencyLevel, GangShape};
@@ -75,7 +75,7 @@
     pub outside: Vec<u32>,
     /// Accelerators of each worker outside the footprints of held units.
     pub open: Vec<u32>,
-    by_customer: BTreeMap<CustomerName, Vec<usize>>,
+    by_customer: HashMap<CustomerName, Vec<usize>>,
     by_slot: BTreeMap<usize, usize>,
 }
 
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -68,7 +68,7 @@
     /// Without them, a job is judged by the workers seen so far, and one that needs workers which
     /// were lost before this planner began would be refused. Call it before the first decision.
     pub fn set_nominal(&mut self, racks: BTreeMap<RackName, Vec<u32>>) {
-        self.board.floor.nominal = racks;
+        self.board.floor.set_nominal(racks);
     }
 
     /// Changes the health of a worker. Gangs on it stay until they are released.
@@ -76,9 +76,7 @@
         let Some(index) = self.board.floor.find(worker) else {
             return;
         };
-        let worker = &mut self.board.floor.workers[index];
-        self.board.dirty |= worker.health != health;
-        worker.health = health;
+        self.board.dirty |= self.board.floor.set_health(index, health);
     }
 
     /// Changes the measured speed of a worker, 1 for nominal.
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -7,7 +7,7 @@
 //! order.
 
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 use std::time::Duration;
 
 use lacewingrail_model::job::WorkClass;
@@ -23,6 +23,9 @@
 /// a busy queue before the fair order.
 pub const OVERDUE_WAIT: Duration = Duration::from_secs(2 * 60 * 60);
 
+/// Ranks of waiting jobs: overdue, urgent, normal and slow.
+const RANKS: usize = 4;
+
 /// Numbers waiting jobs in the order of their arrival here.
 pub type QueueKey = u64;
 
@@ -52,7 +55,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct JobQueue {
     jobs: BTreeMap<QueueKey, QueuedJob>,
-    by_job: BTreeMap<JobId, QueueKey>,
+    by_job: HashMap<JobId, QueueKey>,
     next: QueueKey,
 }
 
@@ -110,7 +113,7 @@
 pub struct CustomerLedger {
     /// Shares from settings.
     pub shares: BTreeMap<CustomerName, CustomerShare>,
-    in_use: BTreeMap<CustomerName, u32>,
+    in_use: HashMap<CustomerName, u32>,
 }
 
 impl CustomerLedger {
@@ -147,9 +150,16 @@
 
 /// Walks through the waiting jobs in order; uses change the order as it goes.
 pub struct QueueWalk {
-    lines: BTreeMap<(u8, CustomerName), VecDeque<(Duration, QueueKey)>>,
+    lines: Vec<WalkLine>,
     heap: BinaryHeap<LineHead>,
-    current: Option<(u8, CustomerName)>,
+    current: Option<usize>,
+}
+
+/// Jobs of one customer with the same rank, the longest wait first.
+struct WalkLine {
+    rank: u8,
+    customer: CustomerName,
+    jobs: VecDeque<(Duration, QueueKey)>,
 }
 
 struct LineHead {
@@ -157,7 +167,7 @@
     share: f64,
     since: Duration,
     key: QueueKey,
-    customer: CustomerName,
+    line: usize,
 }
 
 impl QueueWalk {
@@ -171,23 +181,23 @@
             let jobs = by_customer.entry(&job.entry.record.spec.customer).or_default();
             jobs.push((job.entry.since, key, rank));
         }
-        let mut walk = Self { lines: BTreeMap::new(), heap: BinaryHeap::new(), current: None };
+        let mut walk = Self { lines: Vec::new(), heap: BinaryHeap::new(), current: None };
         for (customer, mut jobs) in by_customer {
             jobs.sort_unstable();
             // A job that waits for its customer's own quota or teardown holds no overdue place.
             let overdue = jobs.iter().position(|(since, key, _)| {
-                let blocked = queue.get(*key).is_some_and(|job| job.reason.is_own_limit());
-                now.saturating_sub(*since) >= OVERDUE_WAIT && !blocked
+                now.saturating_sub(*since) >= OVERDUE_WAIT
+                    && queue.get(*key).is_some_and(|job| !job.reason.is_own_limit())
             });
+            let mut lines: [VecDeque<(Duration, QueueKey)>; RANKS] = Default::default();
             for (position, (since, key, rank)) in jobs.into_iter().enumerate() {
-                let rank = if overdue == Some(position) { 0 } else { rank };
-                let line = walk.lines.entry((rank, customer.clone())).or_default();
-                line.push_back((since, key));
+                let rank = if overdue == Some(position) { 0 } else { usize::from(rank) };
+                lines[rank].push_back((since, key));
+            }
+            for (rank, jobs) in (0..).zip(lines).filter(|(_, jobs)| !jobs.is_empty()) {
+                walk.lines.push(WalkLine { rank, customer: customer.clone(), jobs });
+                walk.push_head(walk.lines.len() - 1, ledger);
             }
-        }
-        let lines: Vec<(u8, CustomerName)> = walk.lines.keys().cloned().collect();
-        for line in lines {
-            walk.push_head(line, ledger);
         }
         walk
     }
@@ -198,18 +208,18 @@
             self.push_head(line, ledger);
         }
         let head = self.heap.pop()?;
-        self.current = Some((head.rank, head.customer));
+        self.current = Some(head.line);
         Some(head.key)
     }
 
-    fn push_head(&mut self, line: (u8, CustomerName), ledger: &CustomerLedger) {
-        let Some((since, key)) = self.lines.get_mut(&line).and_then(VecDeque::pop_front) else {
+    fn push_head(&mut self, line: usize, ledger: &CustomerLedger) {
+        let WalkLine { rank, customer, jobs } = &mut self.lines[line];
+        let Some((since, key)) = jobs.pop_front() else {
             return;
         };
-        let (rank, customer) = line;
         // Overdue jobs are ordered by their wait alone.
-        let share = if rank == 0 { 0.0 } else { ledger.weighted_share(&customer) };
-        self.heap.push(LineHead { rank, share, since, key, customer });
+        let share = if *rank == 0 { 0.0 } else { ledger.weighted_share(customer) };
+        self.heap.push(LineHead { rank: *rank, share, since, key, line });
     }
 }
 
--- a/crates/placement/src/shape_policy.rs
+++ b/crates/placement/src/shape_policy.rs
@@ -207,10 +207,10 @@
         board: &PlacementBoard,
         candidate: &JobCandidate,
     ) -> Option<ReclaimChoice> {
-        let mut free = board.floor.free();
-        if sum(&free) < candidate.demand.total() {
+        if sum(board.floor.free()) < candidate.demand.total() {
             return None;
         }
+        let mut free = board.floor.free().to_vec();
         let now = self.now;
         let choice = search(board, candidate, |gang| {
             let rested = now.saturating_sub(gang.started) >= MOVE_REST;
@@ -249,7 +249,7 @@
                 _ => {}
             }
         }
-        simple_reason(sum(&board.floor.free()), candidate)
+        simple_reason(sum(board.floor.free()), candidate)
     }
 
     fn explain_unfit(&self, board: &PlacementBoard, candidate: &JobCandidate) -> WaitReason {
@@ -261,10 +261,10 @@
         }
         let free = board.floor.free();
         let accelerators = GangDemand::of_shape(&candidate.shape);
-        if board.floor.map.fit(&free, &accelerators, 0).is_some() {
+        if board.floor.map.fit(free, &accelerators, 0).is_some() {
             return WaitReason::Processors { shape };
         }
-        simple_reason(sum(&free), candidate)
+        simple_reason(sum(free), candidate)
     }
 }
 
@@ -272,12 +272,12 @@
 fn find_free(board: &PlacementBoard, candidate: &JobCandidate) -> Option<PlaceDecision> {
     let map = &board.floor.map;
     let demand = &candidate.demand;
-    let mut free = board.floor.free();
+    // The widest choice first: most attempts in a busy domain fail here.
+    map.fit(board.floor.free(), demand, candidate.offset)?;
+    let mut free = board.floor.free().to_vec();
     for worker in &candidate.avoid {
         free[*worker] = ResourceAmount::default();
     }
-    // The widest choice first: most attempts in a busy domain fail here.
-    map.fit(&free, demand, candidate.offset)?;
     let mut unreserved = free.clone();
     if let Some(held) = board.reservation.as_ref().filter(|held| held.job != candidate.job) {
         take(&mut unreserved, &held.place, &held.demand.each);
@@ -312,7 +312,7 @@
     let mut calm = fast.clone();
     for (index, amount) in calm.iter_mut().enumerate() {
         let capacity = workers[index].usable_capacity().accelerators;
-        let occupied = capacity - board.floor.workers[index].free().accelerators.min(capacity);
+        let occupied = capacity - board.floor.free()[index].accelerators.min(capacity);
         let guaranteed = capacity.saturating_sub(board.plan.open[index]);
         let borrowed = occupied.saturating_sub(guaranteed);
         let outside = board.plan.outside[index].saturating_sub(borrowed);
