--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -208,6 +208,11 @@
         self.find(id).await.map(|(record, _)| record)
     }
 
+    /// Returns the number of jobs of a domain that have not ended.
+    pub async fn store_jobs(&self, domain: &str) -> usize {
+        self.store.list(&format!("jobs/{domain}/")).await.expect("records").len()
+    }
+
     /// Returns the records of all ended jobs.
     pub async fn history(&self) -> Vec<JobRecord> {
         let pages = self.store.list("history/").await.expect("pages");
@@ -258,6 +263,14 @@
         running.collect()
     }
 
+    /// Returns the number of members that run now.
+    pub fn held(&self) -> usize {
+        let records = self.fleet.journal().entries;
+        let running =
+            |record: &&HoldingRecord| record.started_ms.is_some() && record.ended_ms.is_none();
+        records.iter().filter(running).count()
+    }
+
     /// Asserts from the workers' ground truth that gangs were whole, nothing ran twice and no worker
     /// held more than it has.
     pub fn assert_truth(&self) {
