--- /dev/null
+++ b/crates/entry/examples/measure_requests.rs
@@ -0,0 +1,361 @@
+//! Measures the request path against stand-ins in the same process.
+//!
+//! `cargo run --release -p lacewingrail-entry --example measure_requests -- latency|balance|claims`
+//!
+//! `latency` compares calls through an entry process with direct calls to the same backend server,
+//! `balance` compares the ways to choose among unequal backend servers, and `claims` counts store
+//! writes with and without group commit. Each part of the system has a runtime of its own, so that
+//! processor time is known by thread name.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use lacewingrail_entry::claims::ledger::{ClaimError, ClaimLedger};
+use lacewingrail_entry::claims::shard_writer::{GROUP_PERIOD, WriterContext};
+use lacewingrail_entry::metrics::EntryMetrics;
+use lacewingrail_entry::{EntryHandle, EntryProcess, EntrySettings};
+use lacewingrail_model::config::{
+    ConfigView, CustomerConfig, DomainConfig, PolicyOverlay, RoutingChoice, ServiceConfig,
+};
+use lacewingrail_model::instance::InstanceEntry;
+use lacewingrail_model::keys::CONFIG_TREE;
+use lacewingrail_model::mark::MarkIssuer;
+use lacewingrail_model::store::KeyValueService;
+use lacewingrail_model::timer::TimerService;
+use lacewingrail_platform::{CallKind, HttpInstanceList, MemoryStore, StoreFaults};
+use lacewingrail_standins::{BackendServer, BackendSettings, InstanceChange, InstanceListServer};
+use lacewingrail_telemetry::MetricsRegistry;
+use reqwest::Client;
+use tokio::runtime::{Builder, Runtime};
+
+const SERVICE: &str = "service";
+const CUSTOMER: &str = "customer";
+const DOMAIN: &str = "domain-1";
+/// Seeds over which runs are repeated.
+const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
+
+fn main() {
+    let command = std::env::args().nth(1).unwrap_or_default();
+    match command.as_str() {
+        "latency" => measure_latency(),
+        "balance" => measure_balance(),
+        "claims" => measure_claims(),
+        _ => eprintln!("usage: measure_requests latency|balance|claims"),
+    }
+}
+
+fn runtime(name: &str, threads: usize) -> Runtime {
+    Builder::new_multi_thread()
+        .thread_name(name)
+        .worker_threads(threads)
+        .enable_all()
+        .build()
+        .unwrap()
+}
+
+/// Returns the processor time of all threads with a name.
+fn processor_time(name: &str) -> Duration {
+    let tasks = fs::read_dir("/proc/self/task").unwrap().filter_map(Result::ok);
+    let nanoseconds = tasks.filter_map(|task| {
+        let comm = fs::read_to_string(task.path().join("comm")).ok()?;
+        let stat = fs::read_to_string(task.path().join("schedstat")).ok()?;
+        let used = stat.split(' ').next()?.parse::<u64>().ok()?;
+        (comm.trim() == name).then_some(used)
+    });
+    Duration::from_nanos(nanoseconds.sum())
+}
+
+async fn start_entry(entries: Vec<InstanceEntry>, overlay: PolicyOverlay) -> EntryHandle {
+    let list = InstanceListServer::spawn("127.0.0.1:0").await.unwrap();
+    for entry in entries {
+        list.change(InstanceChange::AddInstance(entry));
+    }
+    let store = MemoryStore::new();
+    store.put(CONFIG_TREE, "{\"version\":1}".into(), 0, None).await.unwrap();
+    let any = "127.0.0.1:0".parse().unwrap();
+    let mut settings = EntrySettings::new("entry", DOMAIN, any, any);
+    let view = config_view(overlay);
+    settings.decoder = Arc::new(move |_| Ok(view.clone()));
+    let instances = Arc::new(HttpInstanceList::new(list.handle().url()));
+    let timer = TimerService::new();
+    let handle = EntryProcess::start(settings, Arc::new(store), instances, timer).await.unwrap();
+    while !handle.is_ready() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    std::mem::forget(list);
+    handle
+}
+
+fn config_view(overlay: PolicyOverlay) -> ConfigView {
+    let domain = DomainConfig {
+        region: "region".into(),
+        out: false,
+        out_since: 1,
+        overlay: PolicyOverlay::default(),
+        nominal_racks: BTreeMap::new(),
+    };
+    let customer = CustomerConfig {
+        precedence: 1,
+        weight: 1.0,
+        quota: 0,
+        guarantees: Vec::new(),
+        overlay: PolicyOverlay::default(),
+    };
+    ConfigView {
+        version: 1,
+        domains: [(DOMAIN.into(), domain)].into(),
+        customers: [(CUSTOMER.into(), customer)].into(),
+        services: [(SERVICE.into(), ServiceConfig { overlay })].into(),
+        ..ConfigView::default()
+    }
+}
+
+fn client() -> Client {
+    Client::builder().http2_prior_knowledge().no_proxy().tcp_nodelay(true).build().unwrap()
+}
+
+async fn call(client: &Client, url: &str, id: &str) -> bool {
+    let request = client.post(url).header("x-customer", CUSTOMER).header("x-request-id", id);
+    match request.body("0123456789").send().await {
+        Ok(response) => response.status().is_success() && response.bytes().await.is_ok(),
+        Err(_) => false,
+    }
+}
+
+/// Sends requests one after the other from each of `width` callers.
+async fn closed_loop(url: String, width: usize, count: usize) -> Histogram<u64> {
+    let client = client();
+    let callers = (0..width).map(|caller| {
+        let (client, url) = (client.clone(), url.clone());
+        tokio::spawn(async move {
+            let mut latency = Histogram::<u64>::new(3).unwrap();
+            for number in 0..count / width {
+                let sent = Instant::now();
+                assert!(call(&client, &url, &format!("{caller}-{number}")).await);
+                latency.record(sent.elapsed().as_nanos() as u64).unwrap();
+            }
+            latency
+        })
+    });
+    let mut all = Histogram::<u64>::new(3).unwrap();
+    for caller in callers.collect::<Vec<_>>() {
+        all.add(caller.await.unwrap()).unwrap();
+    }
+    all
+}
+
+fn measure_latency() {
+    let (servers, entries, callers) =
+        (runtime("servers", 2), runtime("entry", 2), runtime("callers", 2));
+    let settings = BackendSettings {
+        slots: 256,
+        queue: 4096,
+        median_ms: 0.0,
+        sigma: 0.0,
+        ..BackendSettings::default()
+    };
+    let backend =
+        servers.block_on(servers.spawn(BackendServer::spawn("127.0.0.1:0", settings))).unwrap();
+    let backend = backend.unwrap();
+    let listed = vec![backend.entry()];
+    let overlay = PolicyOverlay { hedging: Some(false), ..PolicyOverlay::default() };
+    let entry = entries.block_on(entries.spawn(start_entry(listed, overlay))).unwrap();
+    let direct = format!("{}/x", backend.url());
+    let through = format!("http://{}/{SERVICE}/x", entry.callers());
+    println!("width path     p50_us  p99_us  entry_cpu_us/request  servers+callers_cpu_us/request");
+    for (width, count) in [(1, 10_000), (32, 100_000)] {
+        for (name, url) in [("direct", &direct), ("entry", &through)] {
+            callers.block_on(callers.spawn(closed_loop(url.clone(), width, count / 10))).unwrap();
+            let before = ["entry", "servers", "callers"].map(processor_time);
+            let run = callers.spawn(closed_loop(url.clone(), width, count));
+            let latency = callers.block_on(run).unwrap();
+            let after = ["entry", "servers", "callers"].map(processor_time);
+            let used =
+                |index: usize| (after[index] - before[index]).as_secs_f64() * 1e6 / count as f64;
+            println!(
+                "{width:5} {name:8} {:6.0}  {:6.0}  {:20.1}  {:31.1}",
+                latency.value_at_quantile(0.5) as f64 / 1e3,
+                latency.value_at_quantile(0.99) as f64 / 1e3,
+                used(0),
+                used(1) + used(2),
+            );
+        }
+    }
+    std::process::exit(0);
+}
+
+/// Sends requests at a rate and returns the latency of the good ones and the number of the others.
+async fn open_loop(url: String, rate: f64, time: Duration) -> (Histogram<u64>, usize) {
+    let client = client();
+    let started = tokio::time::Instant::now();
+    let calls = tokio::spawn(async move {
+        let mut calls = Vec::new();
+        for number in 0..(rate * time.as_secs_f64()) as usize {
+            tokio::time::sleep_until(started + Duration::from_secs_f64(number as f64 / rate)).await;
+            let (client, url) = (client.clone(), url.clone());
+            calls.push(tokio::spawn(async move {
+                let sent = Instant::now();
+                call(&client, &url, &number.to_string()).await.then(|| sent.elapsed())
+            }));
+        }
+        calls
+    });
+    let mut latency = Histogram::<u64>::new(3).unwrap();
+    let mut failed = 0;
+    for call in calls.await.unwrap() {
+        match call.await.unwrap() {
+            Some(elapsed) => latency.record(elapsed.as_micros() as u64).unwrap(),
+            None => failed += 1,
+        }
+    }
+    (latency, failed)
+}
+
+fn measure_balance() {
+    // Speeds from half to twice the nominal one, in two groups as after a partial upgrade.
+    let speeds = [0.5, 0.5, 0.5, 1.0, 1.0, 1.0, 1.0, 2.0, 2.0, 2.0];
+    let (slots, median_ms, sigma): (usize, f64, f64) = (4, 20.0, 0.5);
+    let mean_ms = median_ms * (sigma * sigma / 2.0).exp();
+    let capacity = speeds.iter().sum::<f64>() * slots as f64 * 1_000.0 / mean_ms;
+    println!("load  routing            seed  p50_ms  p99_ms  failed");
+    for load in [0.5, 0.8] {
+        for routing in
+            [RoutingChoice::Adaptive, RoutingChoice::RoundRobin, RoutingChoice::LeastConnections]
+        {
+            let mut all = Vec::new();
+            for seed in SEEDS {
+                let servers = runtime("servers", 3);
+                let backends: Vec<BackendServer> = speeds
+                    .iter()
+                    .enumerate()
+                    .map(|(number, speed)| {
+                        let settings = BackendSettings {
+                            name: format!("b{number}"),
+                            slots,
+                            speed: *speed,
+                            median_ms,
+                            sigma,
+                            seed: seed * 100 + number as u64,
+                            ..BackendSettings::default()
+                        };
+                        let spawn = BackendServer::spawn("127.0.0.1:0", settings);
+                        servers.block_on(servers.spawn(spawn)).unwrap().unwrap()
+                    })
+                    .collect();
+                let listed = backends.iter().map(BackendServer::entry).collect();
+                let overlay = PolicyOverlay {
+                    hedging: Some(false),
+                    routing: Some(routing),
+                    ..PolicyOverlay::default()
+                };
+                let entries = runtime("entry", 3);
+                let entry = entries.block_on(entries.spawn(start_entry(listed, overlay))).unwrap();
+                let url = format!("http://{}/{SERVICE}/x", entry.callers());
+                let callers = runtime("callers", 2);
+                let rate = load * capacity;
+                let warm = open_loop(url.clone(), rate, Duration::from_secs(1));
+                callers.block_on(callers.spawn(warm)).unwrap();
+                let run = open_loop(url, rate, Duration::from_secs(4));
+                let (latency, failed) = callers.block_on(callers.spawn(run)).unwrap();
+                let quantile = |at| latency.value_at_quantile(at) as f64 / 1e3;
+                let (p50, p99) = (quantile(0.5), quantile(0.99));
+                let name = format!("{routing:?}");
+                println!("{load:4}  {name:17}  {seed:4}  {p50:6.1}  {p99:6.1}  {failed:6}");
+                all.push((p50, p99));
+                for runtime in [servers, entries, callers] {
+                    runtime.shutdown_background();
+                }
+            }
+            let middle = |values: Vec<f64>| {
+                let mut values = values;
+                values.sort_by(f64::total_cmp);
+                values[values.len() / 2]
+            };
+            let p50 = middle(all.iter().map(|run| run.0).collect());
+            let p99 = middle(all.iter().map(|run| run.1).collect());
+            println!("{load:4}  {routing:?} median of seeds: p50 {p50:.1} ms, p99 {p99:.1} ms");
+        }
+    }
+    std::process::exit(0);
+}
+
+fn measure_claims() {
+    let runtime = runtime("claims", 4);
+    println!("instances  claims/s  group_ms  writes/claim  reads/claim  p50_ms  p99_ms  refused");
+    for (instances, rate) in [(1, 20.0), (1, 200.0), (7, 20.0), (7, 200.0), (7, 800.0)] {
+        for group in [Duration::ZERO, GROUP_PERIOD] {
+            let run = run_claims(instances, rate, group);
+            let (writes, reads, latency, refused) = runtime.block_on(runtime.spawn(run)).unwrap();
+            println!(
+                "{instances:9}  {rate:8}  {:8}  {writes:12.2}  {reads:11.2}  {:6.1}  {:6.1}  {refused:7}",
+                group.as_millis(),
+                latency.value_at_quantile(0.5) as f64 / 1e3,
+                latency.value_at_quantile(0.99) as f64 / 1e3,
+            );
+        }
+    }
+    std::process::exit(0);
+}
+
+/// Takes and finishes claims as requests of 20 ms do; the store answers within 4 ms and takes 400
+/// writes and 2,000 reads a second.
+async fn run_claims(
+    instances: usize,
+    rate: f64,
+    group: Duration,
+) -> (f64, f64, Histogram<u64>, usize) {
+    let time = Duration::from_secs(5);
+    let store = MemoryStore::new();
+    store.set_faults(StoreFaults {
+        delay_ms: 4,
+        writes_per_second: 400,
+        reads_per_second: 2_000,
+        ..StoreFaults::default()
+    });
+    let ledgers: Vec<Arc<ClaimLedger>> = (0..instances)
+        .map(|number| {
+            let context = WriterContext {
+                store: Arc::new(store.clone()),
+                metrics: Arc::new(EntryMetrics::new(&MetricsRegistry::new())),
+                timer: TimerService::new(),
+                group,
+            };
+            Arc::new(ClaimLedger::new(context, MarkIssuer::new(format!("instance-{number}"))))
+        })
+        .collect();
+    let service: Arc<str> = SERVICE.into();
+    let started = tokio::time::Instant::now();
+    let count = (rate * time.as_secs_f64()) as usize;
+    let mut calls = Vec::new();
+    for number in 0..count {
+        tokio::time::sleep_until(started + Duration::from_secs_f64(number as f64 / rate)).await;
+        let (ledger, service) = (ledgers[number % instances].clone(), service.clone());
+        calls.push(tokio::spawn(async move {
+            let sent = Instant::now();
+            let deadline = tokio::time::Instant::now() + Duration::from_secs(5);
+            let claim = ledger.take(&service, &format!("key-{number}"), 1, 16, deadline).await?;
+            let elapsed = sent.elapsed();
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            let _ =
+                ledger.finish_done(&claim, 200, "text/plain", b"an answer of 24 bytes...").await;
+            Ok::<Duration, ClaimError>(elapsed)
+        }));
+    }
+    let mut latency = Histogram::<u64>::new(3).unwrap();
+    let mut refused = 0;
+    for call in calls {
+        match call.await.unwrap() {
+            Ok(elapsed) => latency.record(elapsed.as_micros() as u64).unwrap(),
+            Err(_) => refused += 1,
+        }
+    }
+    let calls_of = |kind: CallKind| {
+        let kinds = store.stats().kinds;
+        kinds.iter().find(|stats| stats.kind == kind).map_or(0, |stats| stats.total)
+    };
+    let per_claim = |calls: u64| calls as f64 / count as f64;
+    (per_claim(calls_of(CallKind::Put)), per_claim(calls_of(CallKind::Get)), latency, refused)
+}
