--- a/crates/entry/src/overload.rs
+++ b/crates/entry/src/overload.rs
@@ -119,6 +119,11 @@
         lock(&self.state).status().limit > 0
     }
 
+    /// Returns whether requests wait for a place.
+    pub fn is_saturated(&self) -> bool {
+        lock(&self.state).is_saturated()
+    }
+
     /// Returns the current state.
     pub fn status(&self) -> LimiterStatus {
         lock(&self.state).status()
--- a/crates/entry/src/overload/queue.rs
+++ b/crates/entry/src/overload/queue.rs
@@ -91,6 +91,11 @@
         self.gradient.service_time()
     }
 
+    /// Returns whether requests wait for a place.
+    pub fn is_saturated(&self) -> bool {
+        self.waiting_count() > 0
+    }
+
     /// Returns the current state.
     pub fn status(&self) -> LimiterStatus {
         LimiterStatus {
@@ -136,8 +141,8 @@
             let Some(ticket) = self.take_next(now) else {
                 break;
             };
-            // A request that cannot end in time is dropped, which refuses it.
-            if now + self.gradient.service_time() <= ticket.deadline {
+            // A request that will hardly end in time is dropped, which refuses it.
+            if now + self.gradient.service_time_high() <= ticket.deadline {
                 self.in_flight += 1;
                 self.grants = self.grants.wrapping_add(1);
                 granted.push(ticket.sender);
--- a/crates/entry/src/routing/router.rs
+++ b/crates/entry/src/routing/router.rs
@@ -99,7 +99,10 @@
                 end = tries.next() => end,
                 () = hedge => {
                     hedge_at = None;
-                    if let Some(extra) = self.start_extra("hedge") {
+                    // While requests wait, a hedge takes a place that one of them needs.
+                    if !self.pool.limiter.is_saturated()
+                        && let Some(extra) = self.start_extra("hedge")
+                    {
                         tries.push(extra);
                     }
                     continue;
--- /dev/null
+++ b/crates/entry/tests/routing.rs
@@ -0,0 +1,158 @@
+//! Guards against work for backend servers that must not get it (I7), retries that multiply an
+//! outage, and domains that fail with others.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use lacewingrail_model::config::PolicyOverlay;
+use lacewingrail_standins::{BackendFaults, FaultProxy, LinkSpec};
+use reqwest::Client;
+use support::{SERVICE, TestSystem, drive, outcome, request, wait_for};
+
+/// Guards against new work for a leaving backend server more than 3 s later, whether the instance
+/// list or the backend itself says so first.
+#[tokio::test]
+async fn leaving_backend_gets_no_new_work() {
+    for by_list in [true, false] {
+        let system = TestSystem::new(PolicyOverlay::default()).await;
+        let leaving = system.backend("leaving", |_| {}).await;
+        let _staying = system.backend("staying", |_| {}).await;
+        let entry = system.start(|_| {}).await;
+        let client = Client::new();
+        let load = drive(&client, &entry, 200.0, Duration::from_secs(4), |request, _| request);
+        let leave = async {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            if by_list {
+                system.list.change(|entries| entries[0].leaving = true);
+                tokio::time::sleep(Duration::from_millis(1_500)).await;
+            } else {
+                leaving.set_leaving(true);
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+            leaving.counts().runs
+        };
+        let (samples, runs) = tokio::join!(load, leave);
+        assert!(samples.iter().all(|sample| sample.outcome == "done"));
+        assert_eq!(leaving.counts().runs, runs, "by list: {by_list}");
+        let late = leaving.journal().entries.iter().filter_map(|run| run.leaving_ms).max();
+        assert!(late.is_none_or(|late| late < 3_000));
+    }
+}
+
+/// Guards against a failing backend server that keeps its share of requests, and against one that
+/// never gets work again after it works again.
+#[tokio::test]
+async fn failing_backend_is_ejected_and_returns() {
+    let system = TestSystem::new(PolicyOverlay::default()).await;
+    let failing = system.backend("failing", |_| {}).await;
+    let _others = [system.backend("b2", |_| {}).await, system.backend("b3", |_| {}).await];
+    let entry = system.start(|_| {}).await;
+    let client = Client::new();
+    failing.set_faults(BackendFaults { error: 1.0, ..BackendFaults::default() });
+    drive(&client, &entry, 200.0, Duration::from_secs(1), |request, _| request).await;
+    let ejected = |entry: &lacewingrail_entry::EntryHandle| {
+        let backends = entry.pools().get(SERVICE).unwrap().backends();
+        backends.iter().filter(|backend| backend.is_ejected()).count()
+    };
+    assert_eq!(ejected(&entry), 1);
+    assert!(failing.counts().runs < 20, "{}", failing.counts().runs);
+    failing.set_faults(BackendFaults::default());
+    let before = failing.counts().runs;
+    drive(&client, &entry, 200.0, Duration::from_secs(3), |request, _| request).await;
+    assert_eq!(ejected(&entry), 0);
+    assert!(failing.counts().runs > before + 20);
+}
+
+/// Guards against retries that multiply the load of an outage.
+#[tokio::test]
+async fn retries_stay_within_budget_in_outage() {
+    for refuse in [false, true] {
+        let system = TestSystem::new(PolicyOverlay::default()).await;
+        let mut backends = Vec::new();
+        for number in 0..6 {
+            backends.push(system.backend(&format!("b{number}"), |_| {}).await);
+        }
+        let entry = system.start(|_| {}).await;
+        let client = Client::new();
+        drive(&client, &entry, 300.0, Duration::from_secs(1), |request, _| request).await;
+        let service = SERVICE.into();
+        let (before, ..) = entry.metrics().tries(&service);
+        let requests_before: u64 = backends.iter().map(|backend| backend.counts().requests).sum();
+        if refuse {
+            backends.clear();
+        } else {
+            let faults = BackendFaults { dropped: 1.0, ..BackendFaults::default() };
+            backends.iter().for_each(|backend| backend.set_faults(faults));
+        }
+        let samples =
+            drive(&client, &entry, 300.0, Duration::from_secs(2), |request, _| request).await;
+        let (after, ..) = entry.metrics().tries(&service);
+        let share = (after - before) as f64 / samples.len() as f64;
+        assert!(share <= 1.1, "{share} tries per request, refused: {refuse}");
+        let expected = if refuse { "not-run" } else { "unknown" };
+        let count = samples.iter().filter(|sample| sample.outcome == expected).count();
+        assert!(count * 10 >= samples.len() * 9, "{count} of {}", samples.len());
+        if !refuse {
+            let requests: u64 = backends.iter().map(|backend| backend.counts().requests).sum();
+            let share = (requests - requests_before) as f64 / samples.len() as f64;
+            assert!(share <= 1.1, "{share} requests at backends per request");
+        }
+    }
+}
+
+/// Guards against requests that queue while another domain has free slots, and against local requests
+/// that fail when the other domain is cut off.
+#[tokio::test]
+async fn requests_spill_and_survive_a_cut() {
+    let system = TestSystem::new(PolicyOverlay::default()).await;
+    let local = system.backend("local", |settings| settings.median_ms = 100.0).await;
+    let remote = system
+        .backend("remote", |settings| {
+            (settings.median_ms, settings.domain) = (100.0, "domain-2".into());
+        })
+        .await;
+    let proxy = FaultProxy::new(1);
+    let target = remote.handle().address().to_string();
+    let address = proxy.add_link(LinkSpec::new("link", "domain-1", "domain-2", target)).await;
+    let address = format!("http://{}", address.unwrap());
+    system.list.change(|entries| entries[1].address = address);
+    let entry = system.start(|_| {}).await;
+    let client = Client::new();
+    let burst = |count: usize| {
+        let calls = (0..count).map(|_| {
+            let request = request(&client, &entry, "/x").header("x-deadline-ms", "3000");
+            async { outcome(&request.send().await.unwrap()) }
+        });
+        join_all(calls.collect::<Vec<_>>())
+    };
+    assert!(burst(6).await.iter().all(|outcome| outcome == "done"));
+    assert_eq!((local.counts().runs, remote.counts().runs), (6, 0));
+    let started = Instant::now();
+    assert!(burst(16).await.iter().all(|outcome| outcome == "done"));
+    assert!(started.elapsed() < Duration::from_millis(190), "the requests queued");
+    assert_eq!(remote.counts().runs, 8);
+
+    proxy.cut_between("domain-1", "domain-2");
+    for _ in 0..5 {
+        assert!(burst(8).await.iter().all(|outcome| outcome == "done"));
+    }
+    // More than the local slots: what spills into the cut comes back and is served.
+    let outcomes = burst(12).await;
+    let done = outcomes.iter().filter(|outcome| *outcome == "done").count();
+    assert!(done >= 8, "{done} of 12 done");
+}
+
+/// Guards against a list outage that empties the pools.
+#[tokio::test]
+async fn last_list_stays_in_force() {
+    let system = TestSystem::new(PolicyOverlay::default()).await;
+    let backend = system.backend("backend", |_| {}).await;
+    let entry = system.start(|_| {}).await;
+    system.list.set_down(true);
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let response = request(&Client::new(), &entry, "/x").send().await.unwrap();
+    assert_eq!(outcome(&response), "done");
+    wait_for(|| backend.counts().ended == 1).await;
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -290,3 +290,82 @@
         self.inner.revoke_lease(lease).await
     }
 }
+
+/// Describes how one request of a load ended.
+#[derive(Clone, Debug)]
+pub struct LoadSample {
+    pub class: String,
+    pub outcome: String,
+    pub elapsed: Duration,
+    /// Time from the start of the load to the end of the request.
+    pub ended: Duration,
+}
+
+/// Sends requests at a rate, whether or not earlier ones have ended.
+pub async fn drive(
+    client: &reqwest::Client,
+    entry: &EntryHandle,
+    rate: f64,
+    time: Duration,
+    change: impl Fn(reqwest::RequestBuilder, usize) -> reqwest::RequestBuilder,
+) -> Vec<LoadSample> {
+    let started = tokio::time::Instant::now();
+    let mut calls = Vec::new();
+    for number in 0..(rate * time.as_secs_f64()) as usize {
+        tokio::time::sleep_until(started + Duration::from_secs_f64(number as f64 / rate)).await;
+        let built = change(request(client, entry, "/x"), number).build().unwrap();
+        let client = client.clone();
+        calls.push(tokio::spawn(async move {
+            let class = built.headers().get("x-class");
+            let class = class.map_or("normal", |class| class.to_str().unwrap()).to_owned();
+            let sent = tokio::time::Instant::now();
+            let outcome = match client.execute(built).await {
+                Ok(response) => {
+                    let outcome = outcome(&response);
+                    response.bytes().await.map_or_else(|error| error.to_string(), |_| outcome)
+                }
+                Err(error) => error.to_string(),
+            };
+            LoadSample { class, outcome, elapsed: sent.elapsed(), ended: started.elapsed() }
+        }));
+    }
+    let mut samples = Vec::new();
+    for call in calls {
+        samples.push(call.await.unwrap());
+    }
+    samples
+}
+
+/// Stands for the platform's load balancer: sends each request to the next entry process on a
+/// connection of its own.
+#[derive(Clone, Default)]
+pub struct Balancer {
+    targets: Arc<Mutex<Vec<std::net::SocketAddr>>>,
+    next: Arc<AtomicUsize>,
+}
+
+impl Balancer {
+    pub fn add(&self, address: std::net::SocketAddr) {
+        self.targets.lock().unwrap().push(address);
+    }
+
+    pub fn remove(&self, address: std::net::SocketAddr) {
+        self.targets.lock().unwrap().retain(|target| *target != address);
+    }
+
+    pub async fn call(self) -> String {
+        let target = {
+            let targets = self.targets.lock().unwrap();
+            targets[self.next.fetch_add(1, Ordering::Relaxed) % targets.len()]
+        };
+        let client = reqwest::Client::builder().pool_max_idle_per_host(0).build().unwrap();
+        let request = client.post(format!("http://{target}/{SERVICE}/x"));
+        match request.header("x-customer", CUSTOMER).send().await {
+            Ok(response) => {
+                let outcome = outcome(&response);
+                response.bytes().await.map_or_else(|error| error.to_string(), |_| outcome)
+            }
+            Err(error) => format!("{error:?}"),
+        }
+    }
+}
