--- /dev/null
+++ b/crates/dev/src/system.rs
@@ -0,0 +1,259 @@
+//! Entry and scheduler processes of all instances, within this process.
+
+use std::fmt;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use lacewingrail_entry::{EntryHandle, EntryProcess, EntrySettings};
+use lacewingrail_model::DomainName;
+use lacewingrail_model::config::ConfigView;
+use lacewingrail_model::instance::{InstanceEntry, InstanceRole};
+use lacewingrail_model::timer::TimerService;
+use lacewingrail_platform::{HttpInstanceList, HttpStore, HttpWorkerClient};
+use lacewingrail_scheduler::SchedulerProcess;
+use lacewingrail_settings::{ListenSettings, LogLevel, ProcessSettings};
+use lacewingrail_standins::InstanceChange;
+
+use crate::api::{AdminClient, CallError};
+use crate::outside::OutsideWorld;
+
+/// Entry instances of both users' settings.
+const INSTANCES: usize = 7;
+/// Longest time until every process is ready.
+const READY_LIMIT: Duration = Duration::from_secs(15);
+/// Time between looks at a condition.
+const LOOK_PERIOD: Duration = Duration::from_millis(50);
+
+/// Runs one instance, which is an entry and a scheduler process.
+pub struct SystemInstance {
+    /// Name.
+    pub name: String,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Address for callers.
+    pub callers: String,
+    /// Address of the administration API.
+    pub admin: String,
+    entry: EntryHandle,
+    scheduler: SchedulerProcess,
+}
+
+/// Runs all instances; dropping it ends them as crashes would.
+pub struct DevSystem {
+    /// Instances in the order of their names.
+    pub instances: Vec<SystemInstance>,
+    timer: TimerService,
+}
+
+/// States why the system did not start.
+#[derive(Debug)]
+pub struct SystemError(
+    /// Cause.
+    pub String,
+);
+
+impl fmt::Display for SystemError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "the system did not start: {}", self.0)
+    }
+}
+
+impl std::error::Error for SystemError {}
+
+impl From<std::io::Error> for SystemError {
+    fn from(error: std::io::Error) -> Self {
+        Self(error.to_string())
+    }
+}
+
+impl From<CallError> for SystemError {
+    fn from(error: CallError) -> Self {
+        Self(error.to_string())
+    }
+}
+
+/// Holds the fixed addresses of the first instance, or free ones.
+#[derive(Clone, Debug)]
+pub struct OuterAddresses {
+    /// Address for callers.
+    pub callers: String,
+    /// Address of the administration API.
+    pub admin: String,
+}
+
+impl Default for OuterAddresses {
+    fn default() -> Self {
+        Self { callers: "127.0.0.1:0".to_owned(), admin: "127.0.0.1:0".to_owned() }
+    }
+}
+
+impl DevSystem {
+    /// Starts all instances, writes the first settings tree and waits until every process is ready.
+    ///
+    /// # Errors
+    /// Reports an address that cannot be listened on, and processes that do not become ready.
+    pub async fn start(
+        outside: &OutsideWorld,
+        view: &ConfigView,
+        tree: &str,
+        outer: &OuterAddresses,
+    ) -> Result<Self, SystemError> {
+        let timer = TimerService::new();
+        let domains: Vec<&DomainName> = view.domains.keys().collect();
+        let mut instances = Vec::with_capacity(INSTANCES);
+        // Each process knows those before it; the others learn of it from its heartbeats.
+        let mut peers = Vec::with_capacity(2 * INSTANCES);
+        for number in 0..INSTANCES {
+            let domain = domains[number % domains.len()];
+            let plan = InstancePlan {
+                name: format!("instance-{}", number + 1),
+                domain: domain.clone(),
+                region: view.domains[domain].region.clone(),
+            };
+            let outer = if number == 0 { outer.clone() } else { OuterAddresses::default() };
+            instances.push(plan.start(outside, &mut peers, &outer, &timer).await?);
+        }
+        let system = Self { instances, timer };
+        system.admin(0).put_tree(tree, 0).await?;
+        let domains = domains.len();
+        system
+            .wait(READY_LIMIT, || {
+                let ready = system.instances.iter().all(SystemInstance::is_ready);
+                ready && system.active_domains() == domains
+            })
+            .await
+            .map_err(|()| SystemError("the processes are not ready in time".to_owned()))?;
+        Ok(system)
+    }
+
+    /// Returns a client of the administration API of an instance.
+    pub fn admin(&self, number: usize) -> AdminClient {
+        AdminClient::new(self.instances[number].admin.clone())
+    }
+
+    /// Waits until a condition holds.
+    ///
+    /// # Errors
+    /// Reports that the time passed.
+    pub async fn wait<F>(&self, limit: Duration, condition: F) -> Result<(), ()>
+    where
+        F: Fn() -> bool,
+    {
+        let look = async {
+            while !condition() {
+                self.timer.wait(LOOK_PERIOD).await;
+            }
+        };
+        tokio::time::timeout(limit, look).await.map_err(drop)
+    }
+
+    /// Waits for a time.
+    pub async fn pause(&self, time: Duration) {
+        self.timer.wait(time).await;
+    }
+
+    /// Returns the number of failure domains that have an active scheduler.
+    pub fn active_domains(&self) -> usize {
+        self.instances.iter().map(|instance| instance.scheduler.tenures().len()).sum()
+    }
+
+    /// Ends all processes without interrupting a request.
+    pub async fn shut_down(self) {
+        let ends = self.instances.into_iter().map(|instance| async {
+            tokio::join!(instance.entry.shut_down(), instance.scheduler.shut_down());
+        });
+        futures::future::join_all(ends).await;
+    }
+}
+
+impl SystemInstance {
+    /// Returns whether both processes are ready.
+    pub fn is_ready(&self) -> bool {
+        self.entry.is_ready() && self.scheduler.membership().ready()
+    }
+}
+
+/// Describes an instance that is to start.
+struct InstancePlan {
+    name: String,
+    domain: DomainName,
+    region: String,
+}
+
+impl InstancePlan {
+    async fn start(
+        self,
+        outside: &OutsideWorld,
+        peers: &mut Vec<SocketAddr>,
+        outer: &OuterAddresses,
+        timer: &TimerService,
+    ) -> Result<SystemInstance, SystemError> {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let links = outside.link_platform(&self.name, &self.domain).await?;
+        let list = Arc::new(HttpInstanceList::new(&links.list));
+        let settings = ProcessSettings {
+            file: "built-in".to_owned(),
+            name: format!("{}-scheduler", self.name),
+            region: self.region.clone(),
+            domain: self.domain.clone(),
+            listen: ListenSettings { callers: None, admin: Some(any), peers: any },
+            peers: peers.clone(),
+            store: links.store.clone(),
+            instances: links.list.clone(),
+            otlp: None,
+            log_level: LogLevel::Info,
+        };
+        let scheduler = SchedulerProcess::start(
+            settings,
+            Arc::new(HttpStore::new(&links.store)),
+            Arc::new(HttpWorkerClient::new()),
+            list.clone(),
+            timer.clone(),
+        )
+        .await
+        .map_err(|error| SystemError(error.to_string()))?;
+        peers.push(scheduler.peer_address());
+        let entry_name = format!("{}-entry", self.name);
+        let mut settings = EntrySettings::new(&entry_name, &self.domain, any, any);
+        settings.peers = peers.iter().map(SocketAddr::to_string).collect();
+        let store = Arc::new(HttpStore::new(&links.store));
+        let entry = EntryProcess::start(settings, store, list, timer.clone())
+            .await
+            .map_err(|error| SystemError(error.to_string()))?;
+        peers.push(entry.peer_address());
+        let admin = scheduler
+            .admin_address()
+            .ok_or_else(|| SystemError("a scheduler has no administration API".to_owned()))?;
+        let (caller_link, admin_link) =
+            (format!("{}-callers", self.name), format!("{}-admin", self.name));
+        let callers =
+            outside.link_outer(&caller_link, &self.domain, &outer.callers, entry.callers()).await?;
+        let admin = outside.link_outer(&admin_link, &self.domain, &outer.admin, admin).await?;
+        for (role, address, peer) in [
+            (InstanceRole::Entry, &callers, entry.peer_address()),
+            (InstanceRole::Scheduler, &admin, scheduler.peer_address()),
+        ] {
+            let suffix = if role == InstanceRole::Entry { "entry" } else { "scheduler" };
+            outside.list.change(InstanceChange::AddInstance(InstanceEntry {
+                name: format!("{}-{suffix}", self.name),
+                role,
+                service: String::new(),
+                domain: self.domain.clone(),
+                address: address.clone(),
+                peer_address: peer.to_string(),
+                leaving: false,
+                slots: 0,
+                connections: 0,
+            }));
+        }
+        Ok(SystemInstance {
+            name: self.name,
+            domain: self.domain,
+            callers,
+            admin,
+            entry,
+            scheduler,
+        })
+    }
+}
