Let a process advertise another address to its peers

Cause: a process that listens on 0.0.0.0, or behind a translation of addresses, named an address in its heartbeats that no peer can reach; the fault proxy could not stand between peers either. Change: the optional setting listen.advertise of entry and scheduler processes. Conclusion: system tests can put each link between peers through the proxy.

--- a/crates/dev/src/system.rs
+++ b/crates/dev/src/system.rs
@@ -197,7 +197,7 @@
             name: format!("{}-scheduler", self.name),
             region: self.region.clone(),
             domain: self.domain.clone(),
-            listen: ListenSettings { callers: None, admin: Some(any), peers: any },
+            listen: ListenSettings { callers: None, admin: Some(any), peers: any, advertise: None },
             peers: peers.clone(),
             store: links.store.clone(),
             instances: links.list.clone(),
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -112,7 +112,7 @@
             instance: instance.clone(),
             role: InstanceRole::Entry,
             domain: settings.domain.clone(),
-            address: peer_address.to_string(),
+            address: settings.advertise.unwrap_or(peer_address).to_string(),
             peers: settings.peers.clone(),
         };
         let membership = Membership::new(
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -22,6 +22,8 @@
     pub callers: SocketAddr,
     /// Address for messages of other processes; port 0 selects a free one.
     pub peer_address: SocketAddr,
+    /// Address at which other processes reach the one above, where it differs.
+    pub advertise: Option<SocketAddr>,
     /// Addresses of other processes at start, as `ip:port`.
     pub peers: Vec<String>,
     /// Protocol towards backend servers.
@@ -45,6 +47,7 @@
             domain: domain.to_owned(),
             callers,
             peer_address,
+            advertise: None,
             peers: Vec::new(),
             http: HttpChoice::default(),
             drain_lag: DRAIN_LAG,
@@ -60,6 +63,7 @@
     pub fn from_process(settings: &ProcessSettings) -> Result<Self, SettingsErrors> {
         let (callers, peers) = (settings.callers()?, settings.listen.peers);
         let mut own = Self::new(&settings.name, &settings.domain, callers, peers);
+        own.advertise = settings.listen.advertise;
         own.peers = settings.peers.iter().map(SocketAddr::to_string).collect();
         Ok(own)
     }
--- a/crates/scheduler/src/process.rs
+++ b/crates/scheduler/src/process.rs
@@ -86,12 +86,13 @@
         let server = server.map_err(|error| {
             StartError(format!("cannot listen for peers: {error}; change listen.peers"))
         })?;
+        let address = settings.listen.advertise.unwrap_or(server.address());
         let membership = Membership::new(
             MembershipSettings {
                 instance: fresh_instance(&settings.name),
                 role: InstanceRole::Scheduler,
                 domain: settings.domain.clone(),
-                address: server.address().to_string(),
+                address: address.to_string(),
                 peers: settings.peers.iter().map(SocketAddr::to_string).collect(),
             },
             store.clone(),
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -129,7 +129,12 @@
             name: format!("{domain}{index}"),
             region: "north".to_owned(),
             domain: domain.to_owned(),
-            listen: ListenSettings { callers: None, admin: None, peers: self.peers[index] },
+            listen: ListenSettings {
+                callers: None,
+                admin: None,
+                peers: self.peers[index],
+                advertise: None,
+            },
             peers: self.peers.clone(),
             store: String::new(),
             instances: String::new(),
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -150,4 +150,10 @@
         "Administration API, metrics and readiness; required for a scheduler process.",
     ),
     key("peers", "ip:port", "required", "Messages of other processes."),
+    key(
+        "advertise",
+        "ip:port",
+        "the address peers",
+        "Address at which other processes reach `peers`, where it differs, as with 0.0.0.0.",
+    ),
 ];
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -55,6 +55,8 @@
     pub admin: Option<SocketAddr>,
     /// Messages of other processes over h2.
     pub peers: SocketAddr,
+    /// Address at which other processes reach `peers`, where it differs.
+    pub advertise: Option<SocketAddr>,
 }
 
 /// Holds the settings of one process.
@@ -192,7 +194,8 @@
     let callers = section.optional("callers", faults);
     let admin = section.optional("admin", faults);
     let peers = section.required("peers", faults);
-    Some(ListenSettings { callers, admin, peers: peers? })
+    let advertise = section.optional("advertise", faults);
+    Some(ListenSettings { callers, admin, peers: peers?, advertise })
 }
 
 fn read_name(section: &mut SectionReader, key: &str, faults: &mut FaultList) -> Option<String> {
