--- a/crates/placement/benches/support/load.rs
+++ b/crates/placement/benches/support/load.rs
@@ -257,6 +257,7 @@
             submitted_at: 0,
             started_at: None,
             ended_at: None,
+            arrival: None,
             mark: Default::default(),
         };
         self.specs.insert(record.id.clone(), record.clone());
