--- a/crates/scheduler/src/gang_controller/teardown.rs
+++ b/crates/scheduler/src/gang_controller/teardown.rs
@@ -7,6 +7,7 @@
 use lacewingrail_model::timer::TimerService;
 use lacewingrail_model::worker::{MemberId, WorkerError, WorkerService, WorkerSpec};
 use lacewingrail_model::{Epoch, JobId};
+use tracing::Instrument;
 
 use super::{CheckpointEnded, EventSink, GangController, GangEvent, TeardownEnded};
 use crate::gang::{GangEnd, GangPhase};
@@ -72,12 +73,14 @@
             })
             .collect();
         let (job, attempt, me) = (job.clone(), track.plan.attempt, self.me.clone());
-        tokio::spawn(async move {
+        let span = tracing::info_span!("gang_stop", job = %job, attempt);
+        let stop = async move {
             let stops =
                 members.iter().map(|(worker, member, until)| stopper.stop(worker, member, *until));
             join_all(stops).await;
             let _ = me.tell(TeardownEnded { job, attempt }).try_send();
-        });
+        };
+        tokio::spawn(stop.instrument(span));
     }
 
     /// Stops a member that belongs to no gang; a lost call is repeated after the next report.
--- a/crates/scheduler/src/job_controller/writes.rs
+++ b/crates/scheduler/src/job_controller/writes.rs
@@ -6,6 +6,7 @@
 use lacewingrail_model::job::{JobRecord, JobState};
 use lacewingrail_model::store::{Revision, StoreEvent};
 use lacewingrail_model::{JobId, keys};
+use tracing::Instrument;
 
 use super::{JobController, JobEntry, JobPhase, StopReason};
 use crate::rebuild::FoundJob;
@@ -99,11 +100,13 @@
         let (context, me) = (self.settings.context.clone(), self.me.clone());
         let key = keys::job(&self.settings.domain, job);
         let (job, record, revision) = (job.clone(), entry.record.clone(), entry.revision);
-        tokio::spawn(async move {
+        let span = tracing::info_span!("record_write", job = %job, attempt = record.attempt);
+        let write = async move {
             let (store, timer) = (&*context.store, &context.timer);
             let outcome = records::write(store, timer, &key, &record, revision).await;
             let _ = me.tell(RecordWritten { job, outcome }).try_send();
-        });
+        };
+        tokio::spawn(write.instrument(span));
     }
 
     /// Writes again what failed.
--- a/crates/scheduler/src/lease_controller.rs
+++ b/crates/scheduler/src/lease_controller.rs
@@ -18,6 +18,7 @@
 use lacewingrail_model::mark::MarkIssuer;
 use lacewingrail_model::store::StoreError;
 use lacewingrail_model::{DomainName, Epoch};
+use tracing::Instrument;
 
 use crate::context::ProcessContext;
 use crate::gang_controller::{CountReached, GangController};
@@ -269,10 +270,12 @@
             }),
         };
         let me = self.me.clone();
-        let task = tokio::spawn(async move {
+        let span = tracing::info_span!("rebuild", domain = %self.settings.domain, epoch);
+        let rebuild = async move {
             let outcome = Tenure::begin(settings).await;
             let _ = me.tell(Rebuilt { epoch, outcome }).try_send();
-        });
+        };
+        let task = tokio::spawn(rebuild.instrument(span));
         self.state = LeaseState::Rebuilding { held, epoch, task: task.abort_handle() };
     }
 
--- a/crates/scheduler/tests/domains.rs
+++ b/crates/scheduler/tests/domains.rs
@@ -6,6 +6,7 @@
 use crate::support::{Bench, gang};
 use futures::future::join_all;
 use lacewingrail_admin::{AdminContext, VetoOutcome};
+use lacewingrail_model::admin::{DomainAnswer, DomainQuery};
 use lacewingrail_model::job::{JobSpec, JobState};
 use lacewingrail_platform::StoreFaults;
 use lacewingrail_standins::worker_fleet::faults::{WorkerFaults, WorkerSelection};
@@ -74,6 +75,10 @@
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     submit_stream(&bench, "a", 20, 300).await;
     bench.set_out("a", true).await;
+    // The question is forwarded to the process that schedules the domain.
+    let answer = other.process().admin().ask(&"a".to_owned(), DomainQuery::Status).await;
+    let DomainAnswer::Status(status) = answer else { panic!("{answer:?}") };
+    assert_eq!((status.epoch, status.workers), (host.epoch("a"), 3));
     let begun = Instant::now();
     let outcome = other.process().admin().veto(&"a".to_owned(), 2).await;
     let confirmed_ms = bench.fleet.now_ms();
--- a/crates/scheduler/tests/gangs.rs
+++ b/crates/scheduler/tests/gangs.rs
@@ -7,6 +7,8 @@
 use crate::support::gates::WorkerCall;
 use crate::support::{Bench, gang};
 use futures::future::join_all;
+use lacewingrail_admin::AdminContext;
+use lacewingrail_model::admin::{DomainAnswer, DomainQuery};
 use lacewingrail_model::job::{JobSpec, JobState};
 use lacewingrail_standins::worker_fleet::faults::{WorkerFaults, WorkerSelection};
 
@@ -133,6 +135,28 @@
     .await;
 }
 
+/// Guards against a worker that fails every task and, since it is always free, draws one job after
+/// another.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_worker_fails_every_start() {
+    let bench = Bench::new(2, 4).await;
+    let host = bench.start("a", 0).await;
+    host.wait_schedules("a", LIMIT).await;
+    let faults = WorkerFaults { fail_starts: true, ..WorkerFaults::default() };
+    bench.fleet.set_faults(&WorkerSelection::worker("a-w001"), faults);
+    for index in 0..12 {
+        bench.submit("a", &format!("job-{index}"), gang(1, 8, 300)).await;
+    }
+    for index in 0..12 {
+        let record = bench.wait_ended(&format!("job-{index}"), LIMIT).await;
+        assert_eq!(record.state, JobState::Finished);
+    }
+    let answer = host.process().admin().ask(&"a".to_owned(), DomainQuery::Workers).await;
+    let DomainAnswer::Workers(workers) = answer else { panic!("{answer:?}") };
+    let health: Vec<&str> = workers.iter().map(|worker| worker.health.as_str()).collect();
+    assert_eq!(health, ["healthy", "quarantined", "healthy", "healthy"]);
+}
+
 /// Guards against endless attempts of a job that cannot start anywhere, and against good workers
 /// that are taken out of service because of it.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/scheduler/tests/leases.rs
+++ b/crates/scheduler/tests/leases.rs
@@ -9,7 +9,8 @@
 use lacewingrail_model::job::JobState;
 use lacewingrail_model::mark::MarkIssuer;
 use lacewingrail_model::store::KeyValueService;
-use lacewingrail_platform::{MemoryStore, StoreFaults};
+use lacewingrail_model::worker::{WorkerError, WorkerService};
+use lacewingrail_platform::{HttpWorkerClient, MemoryStore, StoreFaults};
 use lacewingrail_scheduler::lease::{self, AcquireOutcome};
 
 const LIMIT: Duration = Duration::from_secs(20);
@@ -62,6 +63,8 @@
     first.workers.set(GateState::Held);
     second.wait_schedules("a", Duration::from_secs(8)).await;
     assert!(second.epoch("a") > first.epoch("a"));
+    let stale = HttpWorkerClient::new().report(&bench.fleet.specs()[0], first.epoch("a")).await;
+    assert_eq!(stale, Err(WorkerError::StaleEpoch { seen: second.epoch("a") }));
     bench.submit("a", "job-2", gang(3, 4, 1_000)).await;
     bench.wait_running("job-2", 3, LIMIT).await;
     first.store.set(GateState::Open);
--- a/crates/scheduler/tests/main.rs
+++ b/crates/scheduler/tests/main.rs
@@ -5,6 +5,7 @@
 mod handover;
 mod jobs;
 mod leases;
+mod permission;
 mod process;
 mod rebuild;
 mod soak;
