--- a/crates/scheduler/src/admin_context.rs
+++ b/crates/scheduler/src/admin_context.rs
@@ -16,7 +16,7 @@
 
 use crate::context::ProcessContext;
 use crate::hook::TenureHook;
-use crate::lease;
+use crate::lease::{self, LeaseRecord};
 
 /// Longest time of a forwarded question.
 const FORWARD_LIMIT: Duration = Duration::from_millis(1_800);
@@ -68,7 +68,7 @@
             return answer;
         }
         let refused = |cause: String| DomainAnswer::Refused(cause);
-        let Some(seen) = self.context.membership.scheduler_of(domain) else {
+        let Some(address) = self.address(domain).await else {
             return refused(format!("no active scheduler of {domain} is known; try again later"));
         };
         let request = match serde_json::to_string(&query) {
@@ -76,7 +76,7 @@
             Err(error) => return refused(format!("the query cannot be encoded: {error}")),
         };
         let request = PeerRequest::AdminForward { domain: domain.clone(), request };
-        match self.context.membership.call(&seen.address, request, FORWARD_LIMIT).await {
+        match self.context.membership.call(&address, request, FORWARD_LIMIT).await {
             Ok(PeerResponse::Admin { status: 200, body }) => serde_json::from_str(&body)
                 .unwrap_or_else(|error| refused(format!("the answer cannot be read: {error}"))),
             Ok(PeerResponse::Admin { body, .. }) => refused(body),
@@ -96,8 +96,7 @@
             if self.hook.veto(domain, version).await && self.holds(domain).await {
                 return VetoOutcome::ConfirmedBy(membership.settings().instance.clone());
             }
-            let mut addresses: Vec<String> =
-                membership.scheduler_of(domain).map(|seen| seen.address).into_iter().collect();
+            let mut addresses: Vec<String> = self.address(domain).await.into_iter().collect();
             let peers = membership.peers();
             let others = peers.iter().filter(|peer| peer.domain == *domain && peer.alive);
             addresses.extend(others.map(|peer| peer.address.clone()));
@@ -106,11 +105,19 @@
                 membership.call(address, request.clone(), VETO_CALL).await
             });
             let responses = futures::future::join_all(calls).await;
-            let confirmed = responses.iter().any(|response| {
-                matches!(response, Ok(PeerResponse::VetoConfirmed { active: true }))
-            });
-            if confirmed && let Some(holder) = self.holder(domain).await {
-                return VetoOutcome::ConfirmedBy(holder);
+            let confirmed: Vec<&String> = addresses
+                .iter()
+                .zip(&responses)
+                .filter(|(_, response)| {
+                    matches!(response, Ok(PeerResponse::VetoConfirmed { active: true }))
+                })
+                .map(|(address, _)| address)
+                .collect();
+            if !confirmed.is_empty()
+                && let Some(record) = self.holder(domain).await
+                && confirmed.contains(&&record.address)
+            {
+                return VetoOutcome::ConfirmedBy(record.holder);
             }
             if Instant::now() + VETO_RETRY >= deadline {
                 self.context.timer.wait(deadline - Instant::now()).await;
@@ -148,13 +155,22 @@
     ///
     /// A confirmation counts only from the process that the store names, since a former holder may
     /// not know yet that it was replaced.
-    async fn holder(&self, domain: &DomainName) -> Option<InstanceId> {
+    async fn holder(&self, domain: &DomainName) -> Option<LeaseRecord> {
         let read = lease::holder(&*self.context.store, domain);
         let holder = tokio::time::timeout(lease::RENEW_LIMIT, read).await.ok()?.ok()?;
-        holder.map(|(record, _)| record.holder)
+        holder.map(|(record, _)| record)
     }
 
     async fn holds(&self, domain: &DomainName) -> bool {
-        self.holder(domain).await.as_ref() == Some(&self.context.membership.settings().instance)
+        let instance = &self.context.membership.settings().instance;
+        self.holder(domain).await.is_some_and(|record| record.holder == *instance)
+    }
+
+    /// Returns the address of the active scheduler of a domain, from peers or else from the store.
+    async fn address(&self, domain: &DomainName) -> Option<String> {
+        match self.context.membership.scheduler_of(domain) {
+            Some(seen) => Some(seen.address),
+            None => self.holder(domain).await.map(|record| record.address),
+        }
     }
 }
--- a/crates/scheduler/src/job_controller/leaving.rs
+++ b/crates/scheduler/src/job_controller/leaving.rs
@@ -100,10 +100,6 @@
             if entry.phase != JobPhase::Waiting || !(out || waited(entry, now)) {
                 continue;
             }
-            // Its guaranteed share is here and will be reclaimed for it.
-            if !out && self.planner.is_entitled(job) {
-                continue;
-            }
             let spec = &entry.record.spec;
             let need = spec.shape.total();
             let allowed =
@@ -112,7 +108,10 @@
                 .iter_mut()
                 .filter(|(name, free)| allowed(name) && (out || *free >= need.max(1)))
                 .max_by_key(|(_, free)| *free);
-            if let Some((name, free)) = target {
+            // A job within its guarantee stays, because its share here is reclaimed for it.
+            if let Some((name, free)) = target
+                && (out || !self.planner.is_entitled(job))
+            {
                 *free = free.saturating_sub(need);
                 moves.push((job.clone(), name.clone()));
             }
--- a/crates/scheduler/src/lease.rs
+++ b/crates/scheduler/src/lease.rs
@@ -28,12 +28,23 @@
 pub struct LeaseRecord {
     /// Process.
     pub holder: InstanceId,
+    /// Address on which the process takes messages of its peers, as `ip:port`.
+    pub address: String,
     /// Epoch; 0 while the holder acquires it.
     pub epoch: Epoch,
     /// Mark of the write.
     pub mark: WriteMark,
 }
 
+/// Names a process that competes for the lease.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LeaseHolder {
+    /// Process.
+    pub instance: InstanceId,
+    /// Address on which the process takes messages of its peers, as `ip:port`.
+    pub address: String,
+}
+
 /// Counts the acquisitions of a domain's scheduler lease.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EpochRecord {
@@ -90,10 +101,10 @@
     store: &dyn KeyValueService,
     issuer: &MarkIssuer,
     domain: &str,
-    instance: &InstanceId,
+    holder: &LeaseHolder,
 ) -> Result<AcquireOutcome, StoreError> {
     let lease = store.grant_lease(LEASE_TTL).await?;
-    let outcome = claim(store, issuer, domain, instance, lease).await;
+    let outcome = claim(store, issuer, domain, holder, lease).await;
     if !matches!(outcome, Ok(AcquireOutcome::Acquired(_))) {
         // A key whose write is still on its way would otherwise block the domain until it lapses.
         let _ = store.revoke_lease(lease).await;
@@ -105,10 +116,15 @@
     store: &dyn KeyValueService,
     issuer: &MarkIssuer,
     domain: &str,
-    instance: &InstanceId,
+    holder: &LeaseHolder,
     lease: LeaseId,
 ) -> Result<AcquireOutcome, StoreError> {
-    let record = |epoch| LeaseRecord { holder: instance.clone(), epoch, mark: issuer.issue() };
+    let record = |epoch| LeaseRecord {
+        holder: holder.instance.clone(),
+        address: holder.address.clone(),
+        epoch,
+        mark: issuer.issue(),
+    };
     let Some(revision) = write(store, domain, record(0), 0, lease).await? else {
         return Ok(AcquireOutcome::Taken);
     };
--- a/crates/scheduler/src/lease_controller.rs
+++ b/crates/scheduler/src/lease_controller.rs
@@ -23,7 +23,7 @@
 use crate::context::ProcessContext;
 use crate::gang_controller::{CountReached, GangController};
 use crate::job_controller::JobController;
-use crate::lease::{self, AcquireOutcome, HeldLease, LEASE_TTL, RENEW_LIMIT};
+use crate::lease::{self, AcquireOutcome, HeldLease, LEASE_TTL, LeaseHolder, RENEW_LIMIT};
 use crate::metrics::DomainLabel;
 use crate::permission::StartPermission;
 use crate::tenure::{Tenure, TenureSettings};
@@ -232,9 +232,10 @@
     async fn acquire(&mut self) {
         let context = self.settings.context.clone();
         let domain = self.settings.domain.clone();
-        let instance = context.membership.settings().instance.clone();
-        let issuer = self.settings.issuer.clone();
-        let call = lease::acquire(&*context.store, &issuer, &domain, &instance);
+        let settings = context.membership.settings();
+        let (instance, address) = (settings.instance.clone(), settings.address.clone());
+        let (holder, issuer) = (LeaseHolder { instance, address }, self.settings.issuer.clone());
+        let call = lease::acquire(&*context.store, &issuer, &domain, &holder);
         let held = match tokio::time::timeout(lease::ACQUIRE_LIMIT, call).await {
             Ok(Ok(AcquireOutcome::Acquired(held))) => held,
             Ok(Ok(AcquireOutcome::Taken)) => {
--- a/crates/scheduler/tests/leases.rs
+++ b/crates/scheduler/tests/leases.rs
@@ -11,7 +11,7 @@
 use lacewingrail_model::store::KeyValueService;
 use lacewingrail_model::worker::{WorkerError, WorkerService};
 use lacewingrail_platform::{HttpWorkerClient, MemoryStore, StoreFaults};
-use lacewingrail_scheduler::lease::{self, AcquireOutcome};
+use lacewingrail_scheduler::lease::{self, AcquireOutcome, LeaseHolder};
 
 const LIMIT: Duration = Duration::from_secs(20);
 
@@ -28,7 +28,8 @@
             async move {
                 let instance = format!("p{round}-{index}");
                 let issuer = MarkIssuer::new(instance.clone());
-                lease::acquire(&store, &issuer, "a", &instance).await
+                let holder = LeaseHolder { instance, address: String::new() };
+                lease::acquire(&store, &issuer, "a", &holder).await
             }
         });
         let outcomes = join_all(attempts).await;
