Spread renewals over the period and limit starts in progress

Cause: 31.5 MB resident after a burst of 300 gangs of 4, near the limit of 32 MB. Change: at most 128 members start at once; renewals go out in 8 parts of the 2 s period; the audit of the planner runs once a minute. Conclusion: the peak came from one connection for each call in flight.

--- a/crates/scheduler/src/gang_controller.rs
+++ b/crates/scheduler/src/gang_controller.rs
@@ -18,12 +18,19 @@
     MemberId, MemberPhase, TaskReport, WorkerError, WorkerReport, WorkerSpec,
 };
 use lacewingrail_model::{DomainName, Epoch, JobId, WorkerId};
+use tokio::sync::Semaphore;
 use tracing::Instrument;
 
 use crate::context::ProcessContext;
 use crate::gang::{GangEnd, GangPhase, GangPlan, GangTrack};
 use crate::gang_start::{GangStarter, StartReport};
 
+pub use renewal::RENEW_TICK;
+
+/// Members whose starts are in progress at the most. A burst of gangs would otherwise open a
+/// connection for each of its members at once.
+const MAX_STARTING: usize = 128;
+
 /// Takes the events of a controller.
 pub type EventSink = Arc<dyn Fn(GangEvent) + Send + Sync>;
 
@@ -99,6 +106,8 @@
     me: ActorRef<Self>,
     workers: BTreeMap<WorkerId, WorkerLink>,
     gangs: BTreeMap<JobId, GangTrack>,
+    renew_slot: usize,
+    starting: Arc<Semaphore>,
 }
 
 /// Follows the contact with one worker.
@@ -179,7 +188,14 @@
     type Error = std::convert::Infallible;
 
     async fn on_start(settings: GangSettings, me: ActorRef<Self>) -> Result<Self, Self::Error> {
-        Ok(Self { settings, me, workers: BTreeMap::new(), gangs: BTreeMap::new() })
+        Ok(Self {
+            settings,
+            me,
+            workers: BTreeMap::new(),
+            gangs: BTreeMap::new(),
+            renew_slot: 0,
+            starting: Arc::new(Semaphore::new(MAX_STARTING)),
+        })
     }
 }
 
@@ -367,7 +383,11 @@
         let (starter, me) = (self.settings.starter.clone(), self.me.clone());
         let (plan, cancel) = (track.plan.clone(), track.cancel.subscribe());
         let span = tracing::info_span!("gang_start", job = %plan.job, attempt = plan.attempt);
+        let members = u32::try_from(plan.members.len().min(MAX_STARTING)).unwrap_or(1);
+        let starting = self.starting.clone();
         let start = async move {
+            // The semaphore is never closed, so the wait cannot fail.
+            let _permit = starting.acquire_many_owned(members).await;
             let report = match resume {
                 true => starter.resume(&plan, cancel).await,
                 false => starter.run(&plan, cancel).await,
--- a/crates/scheduler/src/gang_controller/renewal.rs
+++ b/crates/scheduler/src/gang_controller/renewal.rs
@@ -14,6 +14,11 @@
 use crate::gang::{GangEnd, GangPhase, GangTrack, lease_limit};
 use crate::metrics::DomainLabel;
 
+/// Parts of the renewal period; each renews its share of the workers, so that calls, connections and
+/// buffers do not come all at once.
+const RENEW_SLOTS: usize = 8;
+/// Time between two parts of the renewal period.
+pub const RENEW_TICK: Duration = Duration::from_millis(250);
 /// Longest time of one renewal call, below the renewal period so that calls do not pile up.
 const RENEW_LIMIT: Duration = Duration::from_millis(1_500);
 /// Shortest time between two calls because of an expected end.
@@ -31,7 +36,10 @@
 
     async fn handle(&mut self, _tick: RenewTick, _context: &mut Context<Self, ()>) {
         self.drop_silent();
-        let workers: Vec<WorkerId> = self.workers.keys().cloned().collect();
+        let slot = self.renew_slot;
+        self.renew_slot = (slot + 1) % RENEW_SLOTS;
+        let workers = self.workers.keys().skip(slot).step_by(RENEW_SLOTS);
+        let workers: Vec<WorkerId> = workers.cloned().collect();
         for worker in workers {
             self.renew(&worker);
         }
--- a/crates/scheduler/src/job_controller.rs
+++ b/crates/scheduler/src/job_controller.rs
@@ -51,7 +51,7 @@
 /// Ticks after which the planner is asked although nothing happened, since waiting times matter too.
 const QUIET_TICKS: u32 = 4;
 /// Ticks between checks of the planner's invariants.
-const AUDIT_TICKS: u32 = 20;
+const AUDIT_TICKS: u32 = 120;
 
 /// Holds what a controller works with.
 pub struct JobSettings {
--- a/crates/scheduler/src/tenure.rs
+++ b/crates/scheduler/src/tenure.rs
@@ -13,7 +13,7 @@
 use lacewingrail_model::job::JobRecord;
 use lacewingrail_model::mark::MarkIssuer;
 use lacewingrail_model::store::Revision;
-use lacewingrail_model::worker::{RENEW_PERIOD, WorkerError, WorkerSpec};
+use lacewingrail_model::worker::{WorkerError, WorkerSpec};
 use lacewingrail_model::{DomainName, Epoch, keys};
 use lacewingrail_placement::WorkerCapacity;
 use tokio::sync::mpsc;
@@ -21,7 +21,8 @@
 
 use crate::context::ProcessContext;
 use crate::gang_controller::{
-    AdoptGang, GangController, GangEvent, GangSettings, RenewTick, SetWorkers, StopOrphan,
+    AdoptGang, GangController, GangEvent, GangSettings, RENEW_TICK, RenewTick, SetWorkers,
+    StopOrphan,
 };
 use crate::gang_start::GangStarter;
 use crate::job_controller::{
@@ -176,7 +177,7 @@
         );
         let specs = found.answers.iter().map(|answer| answer.spec.clone()).collect();
         let _ = gangs.tell(SetWorkers(specs)).try_send();
-        tasks.tick(&context, RENEW_PERIOD, &gangs, || RenewTick);
+        tasks.tick(&context, RENEW_TICK, &gangs, || RenewTick);
         if renew_only {
             for gang in plan.adopted {
                 let (plan, reports) = (gang.plan, gang.reports);
--- a/crates/scheduler/tests/process.rs
+++ b/crates/scheduler/tests/process.rs
@@ -145,6 +145,8 @@
     let bench = ProcessBench::new("size", 150).await;
     let child = bench.start(0);
     bench.wait_holder("a0", LIMIT).await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let idle = child.usage().0;
     for index in 0..300 {
         bench.bench.submit("a", &format!("job-{index}"), gang(4, 1, 3_600_000)).await;
     }
@@ -160,7 +162,10 @@
     }
     let (_, after) = child.usage();
     let share = (after - before).as_secs_f64() / 20.0;
-    let text = format!("{peak:.1} MB, {:.2}% of a core with 1,200 tasks\n", share * 100.0);
+    let text = format!(
+        "{idle:.1} MB without tasks; {peak:.1} MB, {:.2}% of a core with 1,200 tasks\n",
+        share * 100.0
+    );
     std::io::stdout().write_all(text.as_bytes()).expect("output");
     assert!(peak < 32.0, "{peak} MB");
 }
