--- a/crates/scheduler/src/lease_controller.rs
+++ b/crates/scheduler/src/lease_controller.rs
@@ -212,9 +212,17 @@
                     }
                     return;
                 }
+                let first = self.free_since.is_none();
                 let free_since = *self.free_since.get_or_insert(now);
                 if self.own || now.saturating_duration_since(free_since) >= FOREIGN_WAIT {
                     self.acquire().await;
+                } else if first {
+                    // The next tick may come up to a period later than the wait ends.
+                    let (me, timer) = (self.me.clone(), context.timer.clone());
+                    tokio::spawn(async move {
+                        timer.wait(FOREIGN_WAIT).await;
+                        let _ = me.tell(LeaseTick).try_send();
+                    });
                 }
             }
             Ok(Err(StoreError::Malformed(cause))) => {
