Keep the plan's room exact on lost workers and cheapen its rebuild

Cause: the footprint of a running job on a worker that may not be used was subtracted down to zero and added back in full, so that the plan promised shapes on the lost worker. A job that was overdue may be moved when it fits elsewhere at once.

--- a/crates/placement/src/floor.rs
+++ b/crates/placement/src/floor.rs
@@ -120,7 +120,10 @@
     ///
     /// A worker that is not listed any more is remembered as silent, because its loss may be
     /// temporary, until a new worker of its rack takes its index.
-    pub fn set_workers(&mut self, capacities: Vec<WorkerCapacity>) {
+    ///
+    /// Returns whether anything changed that the plan depends on.
+    pub fn set_workers(&mut self, capacities: Vec<WorkerCapacity>) -> bool {
+        let before: Vec<(WorkerId, RackName, u32)> = self.workers.iter().map(plan_facts).collect();
         for worker in &mut self.workers {
             worker.health = WorkerHealth::Silent;
         }
@@ -153,6 +156,7 @@
             self.index.insert(capacity.id, index);
         }
         self.rebuild_tables();
+        !before.into_iter().eq(self.workers.iter().map(plan_facts))
     }
 
     /// Takes the accelerators of each worker of the healthy domain.
@@ -268,6 +272,11 @@
     }
 }
 
+/// Returns what the plan of guarantees knows of a worker.
+fn plan_facts(worker: &FloorWorker) -> (WorkerId, RackName, u32) {
+    (worker.id.clone(), worker.rack.clone(), worker.usable_capacity().accelerators)
+}
+
 fn new_worker(capacity: &WorkerCapacity) -> FloorWorker {
     FloorWorker {
         id: capacity.id.clone(),
--- a/crates/placement/src/guaranteed.rs
+++ b/crates/placement/src/guaranteed.rs
@@ -10,7 +10,7 @@
 use crate::board::{JobCandidate, PlaceDecision, PlacementBoard};
 use crate::gang::GangPhase;
 use crate::packing::GangPlace;
-use crate::plan::{UnitState, footprint_of};
+use crate::plan::{UnitState, add, footprint_of, unsigned};
 use crate::reclaim::{ReclaimChoice, ReclaimQuery, slot_costs};
 
 /// Unused units that may move for one placement; bounds the time of the test.
@@ -101,7 +101,7 @@
             return None;
         }
         if exact {
-            let open = self.mask(board, board.plan.open.clone());
+            let open = self.mask(board, usable_room(&board.plan.open));
             let choice = self.reclaim(board, &demand, &open);
             if let Some(choice) = choice
                 && self.shift(board, &choice.place, &whole)
@@ -124,7 +124,7 @@
     fn find_free(&self, board: &mut PlacementBoard, demand: &GangDemand) -> Option<GangPlace> {
         let free = board.floor.free().to_vec();
         let whole = GangDemand::of_shape(&board.plan.units[self.unit].shape);
-        for accelerators in [own_room(board, self.unit), board.plan.open.clone()] {
+        for accelerators in [own_room(board, self.unit), usable_room(&board.plan.open)] {
             let allowed = self.mask(board, accelerators);
             let room: Vec<ResourceAmount> = free
                 .iter()
@@ -196,10 +196,12 @@
 /// Returns the accelerators outside all units but one.
 fn own_room(board: &PlacementBoard, unit: usize) -> Vec<u32> {
     let mut room = board.plan.outside.clone();
-    for part in &board.plan.units[unit].footprint {
-        room[part.worker] += part.accelerators;
-    }
-    room
+    add(&mut room, &board.plan.units[unit].footprint);
+    usable_room(&room)
+}
+
+fn usable_room(room: &[i32]) -> Vec<u32> {
+    room.iter().map(|count| unsigned(*count)).collect()
 }
 
 /// Adds borrowers of the same customer until the guaranteed job is within the quota.
--- a/crates/placement/src/packing.rs
+++ b/crates/placement/src/packing.rs
@@ -93,6 +93,11 @@
         room: &mut [ResourceAmount],
         demands: &[GangDemand],
     ) -> Option<Vec<GangPlace>> {
+        let free: u64 = room.iter().map(|amount| u64::from(amount.accelerators)).sum();
+        let needed: u64 = demands.iter().map(|demand| u64::from(demand.total())).sum();
+        if needed > free {
+            return None;
+        }
         let start = room.to_vec();
         let adjacent_first = order_by(demands, |demand| {
             let spread = demand.adjacency == AdjacencyLevel::Domain;
@@ -107,7 +112,8 @@
             }
         }
         room.copy_from_slice(&start);
-        if !self.may_pack(room, demands) {
+        // A gang that does not fit alone would use up the search's budget for nothing.
+        if demands.iter().any(|demand| self.fit(room, demand, 0).is_none()) {
             return None;
         }
         let mut search = PackSearch {
@@ -135,13 +141,6 @@
         Some(places)
     }
 
-    /// Returns false when a simple count shows that the gangs cannot fit together.
-    fn may_pack(&self, room: &[ResourceAmount], demands: &[GangDemand]) -> bool {
-        let free: u64 = room.iter().map(|amount| u64::from(amount.accelerators)).sum();
-        let needed: u64 = demands.iter().map(|demand| u64::from(demand.total())).sum();
-        needed <= free && demands.iter().all(|demand| self.fit(room, demand, 0).is_some())
-    }
-
     /// Returns slots and accelerators left in a rack after the gang, none if it does not fit.
     fn rack_left_over(
         &self,
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -27,6 +27,12 @@
 /// Lists the accelerators that a unit occupies in the plan.
 pub type Footprint = Vec<PlanPart>;
 
+/// Accelerators of each worker outside some footprints.
+///
+/// The number is negative where gangs hold more than a worker may use now, as on one that was lost.
+/// Sums stay exact that way when such a gang leaves.
+pub type PlanRoom = Vec<i32>;
+
 /// Says where a unit stands.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum UnitState {
@@ -72,9 +78,9 @@
     /// Units in the order of their guarantees.
     pub units: Vec<PlanUnit>,
     /// Accelerators of each worker outside all footprints.
-    pub outside: Vec<u32>,
+    pub outside: PlanRoom,
     /// Accelerators of each worker outside the footprints of held units.
-    pub open: Vec<u32>,
+    pub open: PlanRoom,
     by_customer: HashMap<CustomerName, Vec<usize>>,
     by_slot: BTreeMap<usize, usize>,
 }
@@ -91,8 +97,8 @@
                 &right.customer,
             ))
         });
-        let mut plan =
-            Self { outside: capacity.to_vec(), open: capacity.to_vec(), ..Self::default() };
+        let room: PlanRoom = capacity.iter().map(|count| signed(*count)).collect();
+        let mut plan = Self { outside: room.clone(), open: room, ..Self::default() };
         for (index, entry) in entries.iter().enumerate() {
             // Work on processors only is never guaranteed: there is nothing to set aside.
             let count = if entry.shape.total() == 0 { 0 } else { entry.count };
@@ -183,7 +189,7 @@
         add(&mut outside, &self.units[unit].footprint);
         let mut displaced = Vec::new();
         for part in footprint {
-            if outside[part.worker] >= part.accelerators {
+            if outside[part.worker] >= signed(part.accelerators) {
                 continue;
             }
             for (other, planned) in self.units.iter().enumerate() {
@@ -194,11 +200,11 @@
                     add(&mut outside, &planned.footprint);
                     displaced.push(other);
                 }
-                if outside[part.worker] >= part.accelerators {
+                if outside[part.worker] >= signed(part.accelerators) {
                     break;
                 }
             }
-            if outside[part.worker] < part.accelerators || displaced.len() > limit {
+            if outside[part.worker] < signed(part.accelerators) || displaced.len() > limit {
                 return false;
             }
         }
@@ -247,7 +253,7 @@
 ///
 /// Workers of the gang are extended first. Returns none when the shape does not fit around it.
 pub fn footprint_around(
-    outside: &[u32],
+    outside: &[i32],
     map: &RackMap,
     shape: &GangShape,
     core: &[PlanPart],
@@ -257,21 +263,22 @@
     }
     let first = core.first()?;
     let one_rack = core.iter().all(|part| map.rack_of[part.worker] == map.rack_of[first.worker]);
+    let whole = accelerator_room(outside);
     let mut room = vec![ResourceAmount::default(); outside.len()];
     let mut footprint = Footprint::new();
     match shape.adjacency {
         AdjacencyLevel::Worker => {
             let part = PlanPart { worker: first.worker, accelerators: shape.total() };
-            let fits = core.len() == 1 && outside[part.worker] >= part.accelerators;
+            let fits = core.len() == 1 && is_inside(outside, &[part]);
             return fits.then(|| vec![part]);
         }
         AdjacencyLevel::Rack if !one_rack => return None,
         AdjacencyLevel::Rack => {
             for worker in &map.racks[map.rack_of[first.worker]] {
-                room[*worker].accelerators = outside[*worker];
+                room[*worker] = whole[*worker];
             }
         }
-        AdjacencyLevel::Domain => room = accelerator_room(outside),
+        AdjacencyLevel::Domain => room = whole,
     }
     let mut demand = GangDemand::of_shape(shape);
     for part in core {
@@ -311,23 +318,34 @@
 }
 
 /// Returns whether a footprint lies within the accelerators of each worker.
-pub fn is_inside(outside: &[u32], footprint: &[PlanPart]) -> bool {
-    footprint.iter().all(|part| outside[part.worker] >= part.accelerators)
+pub fn is_inside(outside: &[i32], footprint: &[PlanPart]) -> bool {
+    footprint.iter().all(|part| outside[part.worker] >= signed(part.accelerators))
 }
 
 /// Returns accelerators as room whose other resources never limit.
-pub fn accelerator_room(accelerators: &[u32]) -> Vec<ResourceAmount> {
-    accelerators.iter().map(|count| ResourceAmount::unlimited(*count)).collect()
+pub fn accelerator_room(room: &[i32]) -> Vec<ResourceAmount> {
+    room.iter().map(|count| ResourceAmount::unlimited(unsigned(*count))).collect()
+}
+
+/// Returns the accelerators that may be used.
+pub fn unsigned(count: i32) -> u32 {
+    u32::try_from(count).unwrap_or(0)
 }
 
-fn subtract(room: &mut [u32], footprint: &[PlanPart]) {
+/// Takes a footprint out of the room.
+pub fn subtract(room: &mut [i32], footprint: &[PlanPart]) {
     for part in footprint {
-        room[part.worker] = room[part.worker].saturating_sub(part.accelerators);
+        room[part.worker] -= signed(part.accelerators);
     }
 }
 
-fn add(room: &mut [u32], footprint: &[PlanPart]) {
+/// Puts a footprint back into the room.
+pub fn add(room: &mut [i32], footprint: &[PlanPart]) {
     for part in footprint {
-        room[part.worker] += part.accelerators;
+        room[part.worker] += signed(part.accelerators);
     }
 }
+
+fn signed(count: u32) -> i32 {
+    i32::try_from(count).unwrap_or(i32::MAX)
+}
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -59,8 +59,7 @@
     ///
     /// Workers that are missing from a later list count as silent.
     pub fn set_workers(&mut self, workers: Vec<WorkerCapacity>) {
-        self.board.floor.set_workers(workers);
-        self.board.dirty = true;
+        self.board.dirty |= self.board.floor.set_workers(workers);
     }
 
     /// Takes the accelerators of each worker of the healthy domain from settings.
--- a/crates/placement/src/replan.rs
+++ b/crates/placement/src/replan.rs
@@ -13,10 +13,10 @@
 use crate::entry::GuaranteeEntry;
 use crate::floor::WorkerFloor;
 use crate::gang::{GangTable, PlacedGang};
-use crate::packing::RackMap;
+use crate::packing::{RackMap, take};
 use crate::plan::{
-    Footprint, GuaranteePlan, PlanPart, UnitState, accelerator_room, footprint_around,
-    footprint_of, is_inside,
+    Footprint, GuaranteePlan, PlanPart, UnitState, accelerator_room, add, footprint_around,
+    footprint_of, is_inside, subtract,
 };
 
 type FootprintPool = BTreeMap<(CustomerName, GangShape), Vec<Footprint>>;
@@ -91,9 +91,9 @@
 /// Returns whether a running gang's footprint is free of others. Workers that may not get new
 /// members have no room in the plan, but gangs on them may go on.
 fn is_clear(plan: &GuaranteePlan, floor: &WorkerFloor, footprint: &[PlanPart]) -> bool {
-    footprint.iter().all(|part| {
-        !floor.workers[part.worker].is_usable() || plan.outside[part.worker] >= part.accelerators
-    })
+    footprint
+        .iter()
+        .all(|part| !floor.workers[part.worker].is_usable() || is_inside(&plan.outside, &[*part]))
 }
 
 /// Gives unused units the footprints that units of the same customer and shape had.
@@ -124,11 +124,13 @@
         let shape = plan.units[*unit].shape;
         (u32::MAX - shape.total(), shape.adjacency)
     });
+    let mut room = accelerator_room(&plan.outside);
     for unit in missing {
         let demand = GangDemand::of_shape(&plan.units[unit].shape);
-        let Some(place) = map.fit(&accelerator_room(&plan.outside), &demand, 0) else {
+        let Some(place) = map.fit(&room, &demand, 0) else {
             return false;
         };
+        take(&mut room, &place, &demand.each);
         plan.place(unit, footprint_of(&place, &demand), UnitState::Unused);
     }
     true
@@ -166,18 +168,20 @@
         plan.unplace(*unit);
     }
     let empty = accelerator_room(&plan.open);
+    let mut room = accelerator_room(&plan.outside);
     let mut accepted = Vec::new();
     let mut failed: Vec<GangDemand> = Vec::new();
     for unit in unheld {
         let demand = GangDemand::of_shape(&plan.units[unit].shape);
         if !failed.iter().any(|other| demand.is_at_least(other)) {
-            if let Some(place) = map.fit(&accelerator_room(&plan.outside), &demand, 0) {
+            accepted.push(unit);
+            if let Some(place) = map.fit(&room, &demand, 0) {
+                take(&mut room, &place, &demand.each);
                 plan.place(unit, footprint_of(&place, &demand), UnitState::Unused);
-                accepted.push(unit);
                 continue;
             }
-            accepted.push(unit);
             if pack_units(plan, map, &accepted) || demote_for(plan, map, unit, &demand) {
+                room = accelerator_room(&plan.outside);
                 continue;
             }
             accepted.pop();
@@ -204,17 +208,17 @@
             continue;
         }
         demoted.push(lower);
-        change(&mut outside, &plan.units[lower].footprint, u32::saturating_add);
+        add(&mut outside, &plan.units[lower].footprint);
         let Some(place) = map.fit(&accelerator_room(&outside), demand, 0) else {
             continue;
         };
         let footprint = footprint_of(&place, demand);
-        change(&mut outside, &footprint, u32::saturating_sub);
+        subtract(&mut outside, &footprint);
         // Those that go first are kept where the unit leaves their place alone.
         while let Some(kept) = demoted.pop() {
             let old = plan.units[kept].footprint.clone();
             if is_inside(&outside, &old) {
-                change(&mut outside, &old, u32::saturating_sub);
+                subtract(&mut outside, &old);
                 continue;
             }
             plan.unplace(kept);
@@ -229,12 +233,6 @@
     false
 }
 
-fn change(room: &mut [u32], footprint: &[PlanPart], operation: fn(u32, u32) -> u32) {
-    for part in footprint {
-        room[part.worker] = operation(room[part.worker], part.accelerators);
-    }
-}
-
 fn missing_units(plan: &GuaranteePlan) -> Vec<usize> {
     (0..plan.units.len())
         .filter(|unit| matches!(plan.units[*unit].state, UnitState::Suspended(_)))
--- a/crates/placement/src/shape_policy.rs
+++ b/crates/placement/src/shape_policy.rs
@@ -15,6 +15,7 @@
 use crate::gang::{GangPhase, PlacedGang};
 use crate::guaranteed;
 use crate::packing::{GangPlace, give, is_within, take};
+use crate::plan::unsigned;
 use crate::policy::PlacementPolicy;
 use crate::queue::QueueWalk;
 use crate::reason::WaitReason;
@@ -215,7 +216,7 @@
         let choice = search(board, candidate, |gang| {
             let rested = now.saturating_sub(gang.started) >= MOVE_REST;
             let movable = gang.checkpointable && gang.phase == GangPhase::Running;
-            let allowed = gang.preemptions < MAX_MOVES && !gang.shielded;
+            let allowed = gang.preemptions < MAX_MOVES;
             (gang.is_borrower() && movable && rested && allowed).then(|| gang.preemption_cost(now))
         })?;
         let movers: Vec<&PlacedGang> =
@@ -313,9 +314,9 @@
     for (index, amount) in calm.iter_mut().enumerate() {
         let capacity = workers[index].usable_capacity().accelerators;
         let occupied = capacity - board.floor.free()[index].accelerators.min(capacity);
-        let guaranteed = capacity.saturating_sub(board.plan.open[index]);
+        let guaranteed = capacity.saturating_sub(unsigned(board.plan.open[index]));
         let borrowed = occupied.saturating_sub(guaranteed);
-        let outside = board.plan.outside[index].saturating_sub(borrowed);
+        let outside = unsigned(board.plan.outside[index]).saturating_sub(borrowed);
         amount.accelerators = amount.accelerators.min(outside);
     }
     [&calm[..], &fast[..], room]
--- a/crates/placement/tests/guarantees.rs
+++ b/crates/placement/tests/guarantees.rs
@@ -132,6 +132,22 @@
     assert!(scene.is_running(&high) && !scene.is_running(&low));
 }
 
+/// Guards against a shape that is promised on a worker which may not be used: the running job there
+/// holds more than the worker's room, which is none, and giving it back must not create any.
+#[test]
+fn lost_workers_hold_no_shapes() {
+    let mut scene = Scene::new(&[&[8, 8]]);
+    scene.set_guarantees(vec![
+        entry("a", shape(1, 8, WORKER), 1, 1),
+        entry("b", shape(1, 8, WORKER), 1, 2),
+    ]);
+    let low = scene.submit("b", shape(1, 8, WORKER));
+    scene.quarantine("r0w0");
+    scene.quarantine("r0w1");
+    assert!(scene.is_running(&low));
+    assert!(scene.planner.guarantees().iter().all(|status| status.reclaimable == 0));
+}
+
 /// Guards against a guarantee that its customer's own borrowers block through the quota, and against
 /// a quota that is exceeded for it although a place is free.
 #[test]
--- a/crates/placement/tests/support/scene.rs
+++ b/crates/placement/tests/support/scene.rs
@@ -217,6 +217,12 @@
         self.settle();
     }
 
+    /// Takes a worker out of service; what runs on it goes on.
+    pub fn quarantine(&mut self, worker: &str) {
+        self.set_health(worker, WorkerHealth::Quarantined);
+        self.settle();
+    }
+
     pub fn restore(&mut self, worker: &str) {
         self.set_health(worker, WorkerHealth::Healthy);
         self.settle();
