Test lost work, overdue jobs and spared reservations with teeth

Cause: trials with single rules taken out showed that no test noticed the loss of the lost-work term, of the overdue rule and of the spared reservation. Change: the tests of these rules are made or added, and one for jobs that were overdue.

--- a/crates/placement/tests/guarantees.rs
+++ b/crates/placement/tests/guarantees.rs
@@ -7,20 +7,21 @@
 use lacewingrail_placement::{PlacementAction, WorkerHealth};
 use scene::{RACK, Scene, WORKER, entry, shape, spec};
 
-/// Guards against stopping the job that loses most: both borrowers fit the bill, but one has just
+/// Guards against stopping the job that loses most: either borrower would do, but one has just
 /// written a checkpoint.
 #[test]
 fn reclaim_stops_borrower_with_least_lost_work() {
-    let mut scene = Scene::new(&[&[8, 8]]);
-    scene.set_guarantees(vec![entry("a", shape(1, 8, WORKER), 1, 1)]);
-    let first = scene.submit("b", shape(1, 8, WORKER));
-    let second = scene.submit("c", shape(1, 8, WORKER));
-    scene.wait(3_600);
-    scene.planner.note_checkpoint(&second, scene.now);
-    let guaranteed = scene.submit("a", shape(1, 8, WORKER));
-    assert!(scene.running[&guaranteed].guaranteed);
-    assert_eq!(scene.preempted, [second]);
-    assert!(scene.is_running(&first));
+    for saved in [0, 1] {
+        let mut scene = Scene::new(&[&[8, 8]]);
+        scene.set_guarantees(vec![entry("a", shape(1, 8, WORKER), 1, 1)]);
+        let jobs = ["b", "c"].map(|customer| scene.submit(customer, shape(1, 8, WORKER)));
+        scene.wait(3_600);
+        scene.planner.note_checkpoint(&jobs[saved], scene.now);
+        let guaranteed = scene.submit("a", shape(1, 8, WORKER));
+        assert!(scene.running[&guaranteed].guaranteed);
+        assert_eq!(scene.preempted, [jobs[saved].clone()]);
+        assert!(scene.is_running(&jobs[1 - saved]));
+    }
 }
 
 /// Guards against picking on the same victim: over four reclaims, each of two equal borrowers is
@@ -132,6 +133,25 @@
     assert!(scene.is_running(&high) && !scene.is_running(&low));
 }
 
+/// Guards against a stream of guaranteed jobs that takes the place reserved for a waiting gang while
+/// another place serves as well.
+#[test]
+fn guaranteed_jobs_spare_reserved_place() {
+    let mut scene = Scene::new(&[&[8, 8], &[8]]);
+    scene.set_guarantees(vec![entry("a", shape(1, 8, WORKER), 1, 1)]);
+    let fill = ["b"; 3].map(|customer| scene.submit(customer, shape(1, 8, WORKER)));
+    let gang = scene.submit("c", shape(2, 8, RACK));
+    for job in fill.iter().filter(|job| scene.workers_of(job) != ["r0w0"]).collect::<Vec<_>>() {
+        scene.end(job);
+    }
+    for _ in 0..8 {
+        let guaranteed = scene.submit("a", shape(1, 8, WORKER));
+        assert_eq!(scene.workers_of(&guaranteed), ["r1w0"]);
+        scene.end(&guaranteed);
+    }
+    assert!(!scene.is_running(&gang));
+}
+
 /// Guards against a shape that is promised on a worker which may not be used: the running job there
 /// holds more than the worker's room, which is none, and giving it back must not create any.
 #[test]
--- a/crates/placement/tests/order.rs
+++ b/crates/placement/tests/order.rs
@@ -39,6 +39,35 @@
     assert_eq!(order(&scene), [slow, normal]);
 }
 
+/// Guards against a customer with much in use whose jobs wait forever behind others, and against
+/// a long queue of one customer that goes before everybody once it is overdue.
+#[test]
+fn oldest_overdue_job_of_each_customer_goes_first() {
+    let mut scene = Scene::new(&[&[8]]);
+    scene.submit("a", shape(1, 8, WORKER));
+    let old = [scene.submit("a", shape(1, 8, WORKER)), scene.submit("a", shape(1, 8, WORKER))];
+    scene.wait(7_000);
+    let young = scene.submit("b", shape(1, 8, WORKER));
+    let order = |scene: &Scene| {
+        scene.planner.queue().into_iter().map(|job| job.record.id).collect::<Vec<_>>()
+    };
+    assert_eq!(order(&scene), [young.clone(), old[0].clone(), old[1].clone()]);
+    scene.wait(300);
+    assert_eq!(order(&scene), [old[0].clone(), young, old[1].clone()]);
+}
+
+/// Guards against urgent work that stops, again and again, a job that had to wait very long.
+#[test]
+fn urgent_work_spares_job_that_was_overdue() {
+    let mut scene = Scene::new(&[&[8]]);
+    let first = scene.submit("a", shape(1, 8, WORKER));
+    let late = scene.submit("b", shape(1, 8, WORKER));
+    scene.wait(7_300);
+    scene.end(&first);
+    let urgent = scene.submit_class("c", shape(1, 8, WORKER), WorkClass::Urgent);
+    assert!(scene.is_running(&late) && !scene.is_running(&urgent));
+}
+
 /// Guards against urgent work that waits behind borrowers, and against urgent work that stops other
 /// urgent work.
 #[test]
