Reject demands by count before searching

Cause: in a busy domain most attempts fail, and each scanned all workers, so that the cost grew with both workers and waiting jobs. Change: the total of free accelerators is kept and compared first; whether the usable workers could hold a demand is remembered until workers change; reasons are put into words only once they are known.

--- a/crates/placement/src/amount.rs
+++ b/crates/placement/src/amount.rs
@@ -4,7 +4,7 @@
 use lacewingrail_model::shape::{AdjacencyLevel, GangShape};
 
 /// Holds an amount of each resource of a worker.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
 pub struct ResourceAmount {
     /// Accelerators.
     pub accelerators: u32,
@@ -85,7 +85,7 @@
 }
 
 /// Describes what one gang needs.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct GangDemand {
     /// Number of members.
     pub members: u32,
--- a/crates/placement/src/floor.rs
+++ b/crates/placement/src/floor.rs
@@ -5,7 +5,7 @@
 //! for what is free.
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use lacewingrail_model::{RackName, WorkerId};
 
@@ -112,6 +112,9 @@
     index: BTreeMap<WorkerId, usize>,
     // Kept beside the workers, since every search reads it and few events change it.
     free: Vec<ResourceAmount>,
+    free_total: u32,
+    // Answers of `fits_usable` since the workers changed.
+    usable_fits: HashMap<GangDemand, bool>,
     whole: Option<(RackMap, Vec<ResourceAmount>)>,
 }
 
@@ -169,7 +172,8 @@
     pub fn set_health(&mut self, worker: usize, health: WorkerHealth) -> bool {
         let changed = self.workers[worker].health != health;
         self.workers[worker].health = health;
-        self.free[worker] = self.workers[worker].free();
+        self.refresh_free(worker);
+        self.usable_fits.clear();
         changed
     }
 
@@ -208,7 +212,7 @@
             let worker = &mut self.workers[part.worker];
             worker.account(gang.phase).add(gang.demand.each.times(part.members));
             worker.gangs.push(slot);
-            self.free[part.worker] = worker.free();
+            self.refresh_free(part.worker);
         }
     }
 
@@ -218,7 +222,7 @@
             let worker = &mut self.workers[part.worker];
             worker.account(gang.phase).subtract(gang.demand.each.times(part.members));
             worker.gangs.retain(|other| *other != slot);
-            self.free[part.worker] = worker.free();
+            self.refresh_free(part.worker);
         }
     }
 
@@ -227,6 +231,23 @@
         &self.free
     }
 
+    /// Returns the accelerators that are free at once.
+    pub fn free_total(&self) -> u32 {
+        self.free_total
+    }
+
+    /// Returns whether a demand fits into the usable workers, whatever runs on them.
+    pub fn fits_usable(&mut self, demand: &GangDemand) -> bool {
+        if let Some(fits) = self.usable_fits.get(demand) {
+            return *fits;
+        }
+        let usable: Vec<ResourceAmount> =
+            self.workers.iter().map(FloorWorker::usable_capacity).collect();
+        let fits = self.map.fit(&usable, demand, 0).is_some();
+        self.usable_fits.insert(*demand, fits);
+        fits
+    }
+
     /// Returns whether a demand fits into the whole domain with every worker known or nominal.
     pub fn may_ever_fit(&mut self, demand: &GangDemand) -> bool {
         let (map, room) = match self.whole.take() {
@@ -238,9 +259,17 @@
         fits
     }
 
+    fn refresh_free(&mut self, worker: usize) {
+        let free = self.workers[worker].free();
+        let old = std::mem::replace(&mut self.free[worker], free);
+        self.free_total = self.free_total - old.accelerators + free.accelerators;
+    }
+
     fn rebuild_tables(&mut self) {
         self.map = RackMap::new(self.workers.iter().map(|worker| worker.rack.as_str()));
         self.free = self.workers.iter().map(FloorWorker::free).collect();
+        self.free_total = self.free.iter().map(|amount| amount.accelerators).sum();
+        self.usable_fits.clear();
         self.whole = None;
     }
 
--- a/crates/placement/src/shape_policy.rs
+++ b/crates/placement/src/shape_policy.rs
@@ -71,7 +71,7 @@
     /// Whether the first borrower that does not fit was met.
     holder_seen: bool,
     /// Demands that found no free place in this round; free places only shrink within it.
-    unfit: Vec<(GangDemand, WaitReason)>,
+    unfit: Vec<(GangDemand, ShortResource)>,
     /// Demands of urgent work that found no place by preemption.
     unfit_urgent: Vec<GangDemand>,
 }
@@ -143,9 +143,9 @@
             if let Some(decision) = find_free(board, candidate) {
                 return Some(decision);
             }
-            let reason = self.explain_unfit(board, candidate);
+            let short = short_resource(board, candidate);
             if candidate.avoid.is_empty() {
-                self.unfit.push((candidate.demand, reason));
+                self.unfit.push((candidate.demand, short));
             }
         }
         let reservation = board.reservation.as_ref();
@@ -208,7 +208,7 @@
         board: &PlacementBoard,
         candidate: &JobCandidate,
     ) -> Option<ReclaimChoice> {
-        if sum(board.floor.free()) < candidate.demand.total() {
+        if board.floor.free_total() < candidate.demand.total() {
             return None;
         }
         let mut free = board.floor.free().to_vec();
@@ -239,33 +239,40 @@
         Some(choice)
     }
 
-    fn reason_of(&self, board: &PlacementBoard, candidate: &JobCandidate) -> WaitReason {
+    fn reason_of(&self, board: &mut PlacementBoard, candidate: &JobCandidate) -> WaitReason {
+        if !board.floor.fits_usable(&candidate.demand) {
+            return WaitReason::TemporaryLoss(candidate.shape.to_string());
+        }
+        let free = board.floor.free_total();
+        let needed = candidate.demand.total();
+        if free < needed {
+            return WaitReason::Count { free, needed };
+        }
         let shape = candidate.shape.to_string();
-        for (demand, reason) in &self.unfit {
-            match reason {
-                _ if *demand == candidate.demand => return reason.clone(),
-                WaitReason::TemporaryLoss(_) if candidate.demand.is_at_least(demand) => {
-                    return WaitReason::TemporaryLoss(shape);
-                }
-                _ => {}
-            }
+        let known = self.unfit.iter().find(|(demand, _)| *demand == candidate.demand);
+        match known {
+            Some((_, ShortResource::Processors)) => WaitReason::Processors { shape },
+            _ => WaitReason::Shape { free, shape },
         }
-        simple_reason(sum(board.floor.free()), candidate)
     }
+}
 
-    fn explain_unfit(&self, board: &PlacementBoard, candidate: &JobCandidate) -> WaitReason {
-        let shape = candidate.shape.to_string();
-        let usable: Vec<ResourceAmount> =
-            board.floor.workers.iter().map(|worker| worker.usable_capacity()).collect();
-        if board.floor.map.fit(&usable, &candidate.demand, 0).is_none() {
-            return WaitReason::TemporaryLoss(shape);
-        }
-        let free = board.floor.free();
-        let accelerators = GangDemand::of_shape(&candidate.shape);
-        if board.floor.map.fit(free, &accelerators, 0).is_some() {
-            return WaitReason::Processors { shape };
-        }
-        simple_reason(sum(free), candidate)
+/// Says what is short for a demand that found no free place.
+#[derive(Clone, Copy, Debug)]
+enum ShortResource {
+    /// Accelerators, by count or in shape.
+    Accelerators,
+    /// Cores or memory beside free accelerators.
+    Processors,
+}
+
+fn short_resource(board: &PlacementBoard, candidate: &JobCandidate) -> ShortResource {
+    let accelerators = GangDemand::of_shape(&candidate.shape);
+    let enough = board.floor.free_total() >= accelerators.total();
+    if enough && board.floor.map.fit(board.floor.free(), &accelerators, 0).is_some() {
+        ShortResource::Processors
+    } else {
+        ShortResource::Accelerators
     }
 }
 
@@ -274,6 +281,9 @@
     let map = &board.floor.map;
     let demand = &candidate.demand;
     // The widest choice first: most attempts in a busy domain fail here.
+    if board.floor.free_total() < demand.total() {
+        return None;
+    }
     map.fit(board.floor.free(), demand, candidate.offset)?;
     let mut free = board.floor.free().to_vec();
     for worker in &candidate.avoid {
@@ -359,16 +369,3 @@
     let shared = place.iter().any(|part| held.place.iter().any(|own| own.worker == part.worker));
     shared.then(|| held.job.clone())
 }
-
-fn simple_reason(free: u32, candidate: &JobCandidate) -> WaitReason {
-    let needed = candidate.demand.total();
-    if free < needed {
-        WaitReason::Count { free, needed }
-    } else {
-        WaitReason::Shape { free, shape: candidate.shape.to_string() }
-    }
-}
-
-fn sum(room: &[ResourceAmount]) -> u32 {
-    room.iter().map(|amount| amount.accelerators).sum()
-}
