Move requests through the filters by box and copy headers once

Cause: the profile of 100,000 requests shows about a tenth of the entry process' time in moving the request by value through nine filters, and three copies of the headers for each try. Change: the request is boxed, the headers are copied once for each try, and spans are not entered while nobody collects them.

--- a/crates/entry/src/chain.rs
+++ b/crates/entry/src/chain.rs
@@ -8,10 +8,12 @@
 use crate::exchange::{CallerAnswer, Refusal, RequestExchange};
 
 /// Examines, changes, refuses or answers a request.
+///
+/// The request is boxed: moving it by value through nine filters took a tenth of the processor time.
 #[async_trait]
 pub trait RequestFilter: Send + Sync {
     /// Answers the request, usually by running the rest of the chain.
-    async fn apply(&self, exchange: RequestExchange, next: NextFilter) -> CallerAnswer;
+    async fn apply(&self, exchange: Box<RequestExchange>, next: NextFilter) -> CallerAnswer;
 }
 
 /// Runs the rest of a chain; owned, so that a filter can run it in a task of its own.
@@ -28,7 +30,7 @@
     }
 
     /// Runs the remaining filters.
-    pub async fn run(mut self, exchange: RequestExchange) -> CallerAnswer {
+    pub async fn run(mut self, exchange: Box<RequestExchange>) -> CallerAnswer {
         let Some(filter) = self.filters.get(self.index).cloned() else {
             let reason = "no filter answered the request; report this fault";
             return Refusal::not_run(StatusCode::INTERNAL_SERVER_ERROR, "no-filter", reason).into();
--- a/crates/entry/src/filters/at_most_once.rs
+++ b/crates/entry/src/filters/at_most_once.rs
@@ -47,7 +47,7 @@
 
 #[async_trait]
 impl RequestFilter for AtMostOnceFilter {
-    async fn apply(&self, exchange: RequestExchange, next: NextFilter) -> CallerAnswer {
+    async fn apply(&self, exchange: Box<RequestExchange>, next: NextFilter) -> CallerAnswer {
         if let Some(key) = exchange.outcome_key() {
             return look(&self.ledger, &exchange, key).await;
         }
@@ -75,7 +75,7 @@
 
 async fn run_once(
     ledger: Arc<ClaimLedger>,
-    mut exchange: RequestExchange,
+    mut exchange: Box<RequestExchange>,
     key: String,
     next: NextFilter,
 ) -> CallerAnswer {
--- a/crates/entry/src/filters/body_limit.rs
+++ b/crates/entry/src/filters/body_limit.rs
@@ -83,7 +83,7 @@
 
 #[async_trait]
 impl RequestFilter for BodyLimitFilter {
-    async fn apply(&self, mut exchange: RequestExchange, next: NextFilter) -> CallerAnswer {
+    async fn apply(&self, mut exchange: Box<RequestExchange>, next: NextFilter) -> CallerAnswer {
         match self.read(&mut exchange).await {
             Ok(permit) => {
                 exchange.body_permit = permit;
--- a/crates/entry/src/filters/customer_limit.rs
+++ b/crates/entry/src/filters/customer_limit.rs
@@ -15,7 +15,7 @@
 
 #[async_trait]
 impl RequestFilter for CustomerLimitFilter {
-    async fn apply(&self, mut exchange: RequestExchange, next: NextFilter) -> CallerAnswer {
+    async fn apply(&self, mut exchange: Box<RequestExchange>, next: NextFilter) -> CallerAnswer {
         match self.limits.acquire(&exchange.customer, &exchange.policy, Instant::now()) {
             Ok(permit) => {
                 exchange.customer_permit = Some(permit);
--- a/crates/entry/src/filters/deadline.rs
+++ b/crates/entry/src/filters/deadline.rs
@@ -14,7 +14,7 @@
 
 #[async_trait]
 impl RequestFilter for DeadlineFilter {
-    async fn apply(&self, mut exchange: RequestExchange, next: NextFilter) -> CallerAnswer {
+    async fn apply(&self, mut exchange: Box<RequestExchange>, next: NextFilter) -> CallerAnswer {
         let time = match read_deadline(&exchange) {
             Ok(time) => time,
             Err(refusal) => return refusal.into(),
--- a/crates/entry/src/filters/identity.rs
+++ b/crates/entry/src/filters/identity.rs
@@ -71,7 +71,7 @@
 
 #[async_trait]
 impl RequestFilter for IdentityFilter {
-    async fn apply(&self, mut exchange: RequestExchange, next: NextFilter) -> CallerAnswer {
+    async fn apply(&self, mut exchange: Box<RequestExchange>, next: NextFilter) -> CallerAnswer {
         match self.identify(&mut exchange) {
             Ok(()) => next.run(exchange).await,
             Err(refusal) => refusal.into(),
--- a/crates/entry/src/filters/overload_limit.rs
+++ b/crates/entry/src/filters/overload_limit.rs
@@ -27,7 +27,7 @@
 
 #[async_trait]
 impl RequestFilter for OverloadLimitFilter {
-    async fn apply(&self, mut exchange: RequestExchange, next: NextFilter) -> CallerAnswer {
+    async fn apply(&self, mut exchange: Box<RequestExchange>, next: NextFilter) -> CallerAnswer {
         // A question for a recorded outcome uses no backend server.
         if exchange.outcome_key().is_some() {
             return next.run(exchange).await;
--- a/crates/entry/src/filters/readiness.rs
+++ b/crates/entry/src/filters/readiness.rs
@@ -37,7 +37,7 @@
 
 #[async_trait]
 impl RequestFilter for ReadinessFilter {
-    async fn apply(&self, exchange: RequestExchange, next: NextFilter) -> CallerAnswer {
+    async fn apply(&self, exchange: Box<RequestExchange>, next: NextFilter) -> CallerAnswer {
         if self.is_settled() {
             return next.run(exchange).await;
         }
--- a/crates/entry/src/filters/route.rs
+++ b/crates/entry/src/filters/route.rs
@@ -33,11 +33,12 @@
 
 #[async_trait]
 impl RequestFilter for RouteFilter {
-    async fn apply(&self, mut exchange: RequestExchange, _next: NextFilter) -> CallerAnswer {
+    async fn apply(&self, mut exchange: Box<RequestExchange>, _next: NextFilter) -> CallerAnswer {
         let Some(pool) = self.pools.get(&exchange.service) else {
             return no_backend().into();
         };
-        let headers = build_headers(&exchange);
+        let ask_at = exchange.ask_path();
+        let headers = Arc::new(build_headers(&mut exchange));
         let started = Instant::now();
         if let Some(permit) = exchange.overload_permit.as_mut() {
             permit.note_routed();
@@ -55,7 +56,7 @@
                     reason: "",
                 }
             }
-            Err(error) => fail(&exchange, error).ask_at(exchange.ask_path()).into(),
+            Err(error) => fail(&exchange, error).ask_at(ask_at).into(),
         }
     }
 }
--- a/crates/entry/src/filters/trace.rs
+++ b/crates/entry/src/filters/trace.rs
@@ -26,7 +26,7 @@
 
 #[async_trait]
 impl RequestFilter for TraceFilter {
-    async fn apply(&self, mut exchange: RequestExchange, next: NextFilter) -> CallerAnswer {
+    async fn apply(&self, mut exchange: Box<RequestExchange>, next: NextFilter) -> CallerAnswer {
         let received = exchange.headers.get(TRACEPARENT).and_then(|value| value.to_str().ok());
         let span = tracing::info_span!("request", service = &*exchange.service, id = exchange.id);
         if span.is_disabled() {
@@ -40,7 +40,8 @@
         let (service, class, arrival) =
             (exchange.service.clone(), exchange.class, exchange.arrival);
         let (hand_over, id) = (exchange.hand_over.clone(), exchange.id.clone());
-        let answer = next.run(exchange).instrument(span).await;
+        let run = next.run(exchange);
+        let answer = if span.is_disabled() { run.await } else { run.instrument(span).await };
         check(
             InvariantName::NotRunTrue,
             answer.outcome != RequestOutcome::NotRun || hand_over.close(),
--- a/crates/entry/src/routing/router.rs
+++ b/crates/entry/src/routing/router.rs
@@ -50,7 +50,7 @@
     router: &'a RequestRouter,
     exchange: &'a RequestExchange,
     pool: &'a Arc<ServicePool>,
-    headers: HeaderMap,
+    headers: Arc<HeaderMap>,
     tried: Vec<BackendId>,
     tests: bool,
 }
@@ -70,7 +70,7 @@
         &self,
         exchange: &RequestExchange,
         pool: &Arc<ServicePool>,
-        headers: HeaderMap,
+        headers: Arc<HeaderMap>,
     ) -> Result<BackendAnswer, RouteError> {
         let mut run =
             RouteRun { router: self, exchange, pool, headers, tried: Vec::new(), tests: false };
--- a/crates/entry/src/routing/target.rs
+++ b/crates/entry/src/routing/target.rs
@@ -36,9 +36,9 @@
     (url.path() == path && url.query() == query && url.fragment().is_none()).then_some(url)
 }
 
-/// Builds the headers that all tries of a request share.
-pub fn build_headers(exchange: &RequestExchange) -> HeaderMap {
-    let mut headers = exchange.headers.clone();
+/// Builds the headers that all tries of a request share; takes those of the caller.
+pub fn build_headers(exchange: &mut RequestExchange) -> HeaderMap {
+    let mut headers = std::mem::take(&mut exchange.headers);
     drop_connection_headers(&mut headers);
     headers.insert(X_CLASS, HeaderValue::from_static(exchange.class.name()));
     if let Ok(value) = HeaderValue::from_str(&exchange.traceparent)
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -126,7 +126,7 @@
 async fn answer_request(State(state): State<Arc<ServerState>>, request: Request) -> Response<Body> {
     let version = request.version();
     let answer = match state.build_exchange(request) {
-        Ok(exchange) => state.chain.clone().run(exchange).await,
+        Ok(exchange) => state.chain.clone().run(Box::new(exchange)).await,
         Err(refusal) => CallerAnswer::from(refusal),
     };
     let mut response = answer.into_response();
