--- /dev/null
+++ b/crates/entry/tests/random_faults.rs
@@ -0,0 +1,228 @@
+//! Guards against violations of I4, I5 and I6 under pairs of faults that no other test combines.
+//!
+//! `LACEWINGRAIL_SEED` selects the seed of a run and `LACEWINGRAIL_ROUNDS` its length; the long soak
+//! is `LACEWINGRAIL_STRICT=1 LACEWINGRAIL_ROUNDS=200 cargo test --release -p lacewingrail-entry
+//! --test random_faults`. The verdict rests on the backends' own record of runs.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use lacewingrail_entry::EntryHandle;
+use lacewingrail_model::config::PolicyOverlay;
+use lacewingrail_model::invariant;
+use lacewingrail_platform::StoreFaults;
+use lacewingrail_standins::{BackendFaults, BackendServer, FaultProxy, LinkSelection, LinkSpec};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use support::{CUSTOMER, SERVICE, TestSystem, answers, run_in};
+use tokio::runtime::Runtime;
+
+const BACKENDS: usize = 4;
+const REQUESTS_PER_ROUND: usize = 80;
+
+/// Holds an entry process in a runtime of its own, so that it can be killed.
+struct KillableEntry {
+    runtime: Runtime,
+    entry: Arc<EntryHandle>,
+}
+
+impl KillableEntry {
+    async fn start(system: &TestSystem) -> Self {
+        let runtime = Runtime::new().unwrap();
+        let starter = system.clone();
+        let entry = run_in(&runtime, async move { starter.start(|_| {}).await }).await;
+        system.list_entry(&entry);
+        Self { runtime, entry: Arc::new(entry) }
+    }
+
+    fn kill(self) {
+        self.runtime.shutdown_background();
+    }
+}
+
+/// Records what a caller was told about one key.
+#[derive(Debug, Default)]
+struct KeyVerdicts {
+    done: u32,
+    last: String,
+}
+
+fn draw_backend_faults(random: &mut ChaCha8Rng) -> BackendFaults {
+    let none = BackendFaults::default();
+    match random.random_range(0..8) {
+        0 => BackendFaults { truncated: 0.5, ..none },
+        1 => BackendFaults { crossed: 0.5, ..none },
+        2 => BackendFaults { dropped: 0.5, ..none },
+        3 => BackendFaults { late: 0.5, late_ms: 700, ..none },
+        4 => BackendFaults { hang: 0.3, ..none },
+        5 => BackendFaults { error: 0.5, ..none },
+        6 => BackendFaults { refused: 0.5, ..none },
+        _ => BackendFaults { speed: 0.1, ..none },
+    }
+}
+
+fn draw_store_faults(random: &mut ChaCha8Rng) -> StoreFaults {
+    match random.random_range(0..4) {
+        0 => StoreFaults::outage(),
+        1 => StoreFaults::slow(Duration::from_millis(150)),
+        2 => StoreFaults { lost_answer_share: 0.5, ..StoreFaults::default() },
+        _ => StoreFaults { lost_requests: 20, ..StoreFaults::default() },
+    }
+}
+
+/// Injects two faults at once; returns whether an entry process is to be killed in this round.
+fn inject(
+    random: &mut ChaCha8Rng,
+    system: &TestSystem,
+    backends: &[BackendServer],
+    proxy: &FaultProxy,
+) -> bool {
+    let mut kill = false;
+    for _ in 0..2 {
+        match random.random_range(0..5) {
+            0 => system.store.set_faults(draw_store_faults(random)),
+            1 => kill = true,
+            2 => {
+                let link = LinkSelection::link(format!("b{}", random.random_range(0..BACKENDS)));
+                if random.random() {
+                    proxy.silence(&link)
+                } else {
+                    proxy.reset(&link)
+                };
+            }
+            _ => {
+                let backend = &backends[random.random_range(0..BACKENDS)];
+                backend.set_faults(draw_backend_faults(random));
+            }
+        }
+    }
+    kill
+}
+
+/// Sends one request and checks what its caller can check: a success is whole and its own.
+async fn send(entry: Arc<EntryHandle>, body: String, key: Option<String>) -> Option<String> {
+    let client = reqwest::Client::new();
+    let url = format!("http://{}/{SERVICE}/x", entry.callers());
+    let mut request = client.post(url).header("x-customer", CUSTOMER).body(body.clone());
+    request = request.header("x-deadline-ms", "1000").header("x-answer-bytes", "3000");
+    if let Some(key) = &key {
+        request = request.header("idempotency-key", key).header("x-non-repeatable", "true");
+    }
+    let response = request.send().await.ok()?;
+    let (outcome, status) = (support::outcome(&response), response.status());
+    let bytes = response.bytes().await.ok()?;
+    if outcome == "done" && status.is_success() && !bytes.is_empty() {
+        let answer: serde_json::Value = serde_json::from_slice(&bytes).expect("a whole answer");
+        assert!(answers(&answer, body.as_bytes()), "crossed answer for {body}: {answer}");
+    }
+    Some(outcome)
+}
+
+fn check(verdicts: &BTreeMap<String, KeyVerdicts>, backends: &[BackendServer]) {
+    let mut runs: BTreeMap<String, u32> = BTreeMap::new();
+    for counts in backends.iter().map(BackendServer::runs) {
+        counts.by_key.into_iter().for_each(|(key, count)| *runs.entry(key).or_default() += count);
+    }
+    for (key, verdict) in verdicts {
+        let ran = runs.get(key).copied().unwrap_or(0);
+        assert!(ran <= 1, "I6: {key} ran {ran} times: {verdict:?}");
+        assert!(verdict.done == 0 || ran == 1, "I4: {key} is done and never ran: {verdict:?}");
+        let untrue = verdict.last == "not-run" && ran > 0;
+        assert!(!untrue, "I5: {key} ran although the last word was \"not run\"");
+    }
+}
+
+/// Checks the word on requests that were sent once and may run more than once.
+fn check_repeatable(outcomes: &BTreeMap<u64, String>, backends: &[BackendServer]) {
+    let journals = backends.iter().map(BackendServer::journal);
+    let ran: BTreeSet<u64> =
+        journals.flat_map(|journal| journal.entries).map(|run| run.body_digest).collect();
+    for (digest, outcome) in outcomes {
+        let untrue = (outcome == "not-run" && ran.contains(digest))
+            || (outcome == "done" && !ran.contains(digest));
+        assert!(!untrue, "I5: a request said to be {outcome} has the opposite record");
+    }
+}
+
+async fn run(seed: u64, rounds: usize) {
+    println!("seed {seed}, {rounds} rounds");
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let system = TestSystem::new(PolicyOverlay::default()).await;
+    let proxy = FaultProxy::new(seed);
+    let mut backends = Vec::new();
+    for number in 0..BACKENDS {
+        let name = format!("b{number}");
+        let backend = system.backend(&name, |settings| settings.seed = seed).await;
+        let target = backend.handle().address().to_string();
+        let link = proxy.add_link(LinkSpec::new(&name, "entry", "backends", target)).await.unwrap();
+        system.list.change(|entries| entries[number].address = format!("http://{link}"));
+        backends.push(backend);
+    }
+    let mut entries =
+        vec![KillableEntry::start(&system).await, KillableEntry::start(&system).await];
+    let mut verdicts: BTreeMap<String, KeyVerdicts> = BTreeMap::new();
+    let mut repeatable: BTreeMap<u64, String> = BTreeMap::new();
+    for round in 0..rounds {
+        let kill = inject(&mut random, &system, &backends, &proxy);
+        let mut calls = Vec::new();
+        for number in 0..REQUESTS_PER_ROUND {
+            let entry = entries[random.random_range(0..entries.len())].entry.clone();
+            // Each key is sent by three callers at once, in part through other processes.
+            let key = (number % 2 == 0).then(|| format!("{seed}-{round}-{}", number / 6));
+            let body = key.clone().unwrap_or_else(|| format!("{round}/{number}"));
+            let digest = lacewingrail_model::hash::digest(body.as_bytes());
+            calls.push((key.clone(), digest, tokio::spawn(send(entry, body, key))));
+            tokio::time::sleep(Duration::from_millis(random.random_range(0..8))).await;
+            if kill && number == REQUESTS_PER_ROUND / 2 {
+                entries.remove(0).kill();
+            }
+        }
+        for (key, digest, call) in calls {
+            match (key, call.await.expect("a caller saw a wrong answer")) {
+                (Some(key), Some(outcome)) => {
+                    let verdict = verdicts.entry(key).or_default();
+                    verdict.done += u32::from(outcome == "done");
+                }
+                (None, Some(outcome)) => drop(repeatable.insert(digest, outcome)),
+                (_, None) => {}
+            }
+        }
+        backends.iter().for_each(|backend| backend.set_faults(BackendFaults::default()));
+        system.store.set_faults(StoreFaults::default());
+        if entries.len() < 2 {
+            entries.push(KillableEntry::start(&system).await);
+        }
+        // Callers ask again once the faults are over, through any process.
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        for number in 0..REQUESTS_PER_ROUND / 6 {
+            let key = format!("{seed}-{round}-{number}");
+            let entry = entries[random.random_range(0..2)].entry.clone();
+            let verdict = verdicts.entry(key.clone()).or_default();
+            if let Some(outcome) = send(entry, key.clone(), Some(key)).await {
+                verdict.done += u32::from(outcome == "done");
+                verdict.last = outcome;
+            }
+        }
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    check(&verdicts, &backends);
+    check_repeatable(&repeatable, &backends);
+    let told = |outcome: &str| verdicts.values().filter(|verdict| verdict.last == outcome).count();
+    println!("{} keys: {} done, {} unknown", verdicts.len(), told("done"), told("unknown"));
+    assert!(told("done") * 2 > verdicts.len(), "too few requests were done");
+    assert!(invariant::violations().is_empty(), "{:?}", invariant::violations());
+    entries.into_iter().for_each(KillableEntry::kill);
+}
+
+#[test]
+fn pairs_of_faults_keep_the_invariants() {
+    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse().ok());
+    let rounds = number("LACEWINGRAIL_ROUNDS").unwrap_or(3);
+    let seeds = number("LACEWINGRAIL_SEED").map_or(vec![1, 2], |seed| vec![seed as u64]);
+    for seed in seeds {
+        Runtime::new().unwrap().block_on(run(seed, rounds));
+    }
+}
