Select HTTP/1 towards backends by the policy backend_http1

Cause: the protocol was fixed in code, and operators could not select http1. Change: a policy value at any level of the settings; a changed value makes new connections. Figures: the tests of damaged answers and silent connections pass with both. Conclusion: http1 is selectable without a restart.

--- a/crates/entry/src/backend/connection.rs
+++ b/crates/entry/src/backend/connection.rs
@@ -82,6 +82,11 @@
         Self { http, share, lanes }
     }
 
+    /// Returns the protocol.
+    pub fn http(&self) -> HttpChoice {
+        self.http
+    }
+
     /// Returns the most requests that this process may have in flight by its share of connections.
     pub fn max_in_flight(&self) -> u32 {
         match self.http {
--- a/crates/entry/src/backend/list_controller.rs
+++ b/crates/entry/src/backend/list_controller.rs
@@ -6,9 +6,11 @@
 use kameo::Actor;
 use kameo::actor::{ActorRef, Spawn};
 use kameo::message::{Context, Message};
+use lacewingrail_membership::Membership;
 use lacewingrail_model::instance::InstanceList;
 use lacewingrail_model::timer::TimerService;
 
+use crate::backend::connection::HttpChoice;
 use crate::backend::pool::BackendPools;
 use crate::claims::home::HomeDirectory;
 
@@ -24,6 +26,7 @@
     list: Arc<dyn InstanceList>,
     pools: Arc<BackendPools>,
     homes: Arc<HomeDirectory>,
+    membership: Membership,
     failing: bool,
 }
 
@@ -36,9 +39,10 @@
         list: Arc<dyn InstanceList>,
         pools: Arc<BackendPools>,
         homes: Arc<HomeDirectory>,
+        membership: Membership,
         timer: &TimerService,
     ) -> ActorRef<Self> {
-        let controller = Self::spawn(Self { list, pools, homes, failing: false });
+        let controller = Self::spawn(Self { list, pools, homes, membership, failing: false });
         let (target, mut ticks) = (controller.clone(), timer.subscribe(LIST_PERIOD));
         tokio::spawn(async move {
             loop {
@@ -59,7 +63,14 @@
         let read = tokio::time::timeout(READ_LIMIT, self.list.read()).await;
         let cause = match read {
             Ok(Ok(entries)) => {
-                self.pools.update(&entries);
+                let config = self.membership.current();
+                let domain = &self.membership.settings().domain;
+                self.pools.update(&entries, |service| {
+                    match config.policy(domain, None, Some(service)).backend_http1 {
+                        true => HttpChoice::Http1,
+                        false => HttpChoice::Http2,
+                    }
+                });
                 self.homes.update(&entries);
                 self.failing = false;
                 return true;
--- a/crates/entry/src/backend/pool.rs
+++ b/crates/entry/src/backend/pool.rs
@@ -18,7 +18,6 @@
 #[derive(Debug)]
 pub struct BackendPools {
     domain: DomainName,
-    http: HttpChoice,
     limits: OverloadLimits,
     services: RwLock<HashMap<ServiceName, Arc<ServicePool>>>,
 }
@@ -43,8 +42,8 @@
 
 impl BackendPools {
     /// Creates empty pools.
-    pub fn new(domain: DomainName, http: HttpChoice, limits: OverloadLimits) -> Self {
-        Self { domain, http, limits, services: RwLock::default() }
+    pub fn new(domain: DomainName, limits: OverloadLimits) -> Self {
+        Self { domain, limits, services: RwLock::default() }
     }
 
     /// Returns the pool of a service, if any backend server of it is or was listed.
@@ -58,20 +57,23 @@
         services.values().cloned().collect()
     }
 
-    /// Takes over a newer instance list.
-    pub fn update(&self, entries: &[InstanceEntry]) {
+    /// Takes over a newer instance list; `http` names the protocol of a service.
+    pub fn update<F>(&self, entries: &[InstanceEntry], http: F)
+    where
+        F: Fn(&str) -> HttpChoice,
+    {
         let mut listed: HashMap<&str, Vec<&InstanceEntry>> = HashMap::new();
         for entry in entries.iter().filter(|entry| entry.role == InstanceRole::Backend) {
             listed.entry(&entry.service).or_default().push(entry);
         }
         for pool in self.all() {
             if !listed.contains_key(&*pool.service) {
-                pool.update(&[], &self.domain, self.http);
+                pool.update(&[], &self.domain, HttpChoice::default());
             }
         }
         for (service, entries) in listed {
             let pool = self.get(service).unwrap_or_else(|| self.create(service));
-            pool.update(&entries, &self.domain, self.http);
+            pool.update(&entries, &self.domain, http(service));
         }
     }
 
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -127,7 +127,7 @@
         let registry = MetricsRegistry::new();
         let metrics = Arc::new(EntryMetrics::new(&registry));
         let limits = OverloadLimits::default();
-        let pools = Arc::new(BackendPools::new(settings.domain.clone(), settings.http, limits));
+        let pools = Arc::new(BackendPools::new(settings.domain.clone(), limits));
         let context = WriterContext {
             store,
             metrics: metrics.clone(),
@@ -151,7 +151,7 @@
         };
         let router = build_router(Arc::new(state), &registry);
         membership.start();
-        let list = ListController::start(list, pools.clone(), homes, &timer);
+        let list = ListController::start(list, pools.clone(), homes, membership.clone(), &timer);
         // The first list is awaited, so that a process that says it is ready knows its backends.
         let _ = list.ask(ReadList).await;
         let (stop, stopped) = watch::channel(false);
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -8,7 +8,6 @@
 use lacewingrail_model::DomainName;
 use lacewingrail_settings::{ProcessSettings, SettingsErrors, StoredTree};
 
-use crate::backend::connection::HttpChoice;
 use crate::claims::shard_writer::GROUP_PERIOD;
 
 /// Holds what an entry process must know at its start.
@@ -26,8 +25,6 @@
     pub advertise: Option<SocketAddr>,
     /// Addresses of other processes at start, as `ip:port`.
     pub peers: Vec<String>,
-    /// Protocol towards backend servers.
-    pub http: HttpChoice,
     /// Time after the start of a shutdown for which new requests are served.
     pub drain_lag: Duration,
     /// Shortest time between writes of a shard of claims.
@@ -49,7 +46,6 @@
             peer_address,
             advertise: None,
             peers: Vec::new(),
-            http: HttpChoice::default(),
             drain_lag: DRAIN_LAG,
             claim_group: GROUP_PERIOD,
             decoder: tree_decoder(),
--- a/crates/entry/tests/answers.rs
+++ b/crates/entry/tests/answers.rs
@@ -5,29 +5,30 @@
 
 use std::time::{Duration, Instant};
 
-use lacewingrail_entry::backend::connection::HttpChoice;
 use lacewingrail_model::config::PolicyOverlay;
 use lacewingrail_standins::{BackendFaults, FaultProxy, LinkSelection, LinkSpec};
 use support::{SERVICE, TestSystem, answers, outcome, request, runs_of, wait_for};
 
-const PROTOCOLS: [HttpChoice; 2] = [HttpChoice::Http2, HttpChoice::Http1];
+/// Both protocols towards backend servers, as values of `backend_http1`.
+const PROTOCOLS: [bool; 2] = [false, true];
 
 /// Guards against truncated, crossed and broken answers that are passed on, and against a repeatable
 /// request that fails although another backend server works.
 #[tokio::test]
 async fn damaged_answers_are_retried_elsewhere() {
     let none = BackendFaults::default();
-    for http in PROTOCOLS {
+    for http1 in PROTOCOLS {
         for faults in [
             BackendFaults { truncated: 1.0, ..none },
             BackendFaults { crossed: 1.0, ..none },
             BackendFaults { dropped: 1.0, ..none },
         ] {
-            let system = TestSystem::new(PolicyOverlay::default()).await;
+            let overlay = PolicyOverlay { backend_http1: Some(http1), ..PolicyOverlay::default() };
+            let system = TestSystem::new(overlay).await;
             let bad = system.backend("bad", |_| {}).await;
             let good = system.backend("good", |_| {}).await;
             bad.set_faults(faults);
-            let entry = system.start(|settings| settings.http = http).await;
+            let entry = system.start(|_| {}).await;
             let client = reqwest::Client::new();
             for number in 0..8 {
                 let body = format!("body {number}");
@@ -88,8 +89,12 @@
 /// Guards against requests that keep meeting a connection on which nothing moves any more.
 #[tokio::test]
 async fn silent_connection_is_replaced() {
-    for http in PROTOCOLS {
-        let overlay = PolicyOverlay { hedging: Some(false), ..PolicyOverlay::default() };
+    for http1 in PROTOCOLS {
+        let overlay = PolicyOverlay {
+            hedging: Some(false),
+            backend_http1: Some(http1),
+            ..PolicyOverlay::default()
+        };
         let system = TestSystem::new(overlay).await;
         let backend = system.backend("backend", |_| {}).await;
         let proxy = FaultProxy::new(1);
@@ -97,7 +102,7 @@
         let address = proxy.add_link(LinkSpec::new("link", "entry", "backend", target)).await;
         let address = format!("http://{}", address.unwrap());
         system.list.change(|entries| entries[0].address = address);
-        let entry = system.start(|settings| settings.http = http).await;
+        let entry = system.start(|_| {}).await;
         let client = reqwest::Client::new();
         for _ in 0..8 {
             let response = request(&client, &entry, "/x").send().await.unwrap();
@@ -112,7 +117,7 @@
         tokio::time::sleep(Duration::from_secs(2).saturating_sub(silenced.elapsed())).await;
         for _ in 0..8 {
             let response = request(&client, &entry, "/x").header("x-deadline-ms", "500").send();
-            assert_eq!(outcome(&response.await.unwrap()), "done", "{http:?}");
+            assert_eq!(outcome(&response.await.unwrap()), "done", "HTTP/1: {http1}");
         }
     }
 }
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -187,6 +187,8 @@
     claim_shards: u32 = 16,
     /// Consecutive failures after which a backend server is ejected.
     eject_after: u32 = 5,
+    /// Whether backend servers are called over HTTP/1.1 instead of HTTP/2.
+    backend_http1: bool = false,
 }
 
 /// Describes a failure domain.
