--- /dev/null
+++ b/crates/dev/tests/system/support/bed.rs
@@ -0,0 +1,459 @@
+//! Three failure domains of real processes, workers and backend servers.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use lacewingrail_dev::api::AdminClient;
+use lacewingrail_dev::demonstration::verdicts::is_finished;
+use lacewingrail_model::clock::UnixMillis;
+use lacewingrail_model::instance::{InstanceEntry, InstanceRole};
+use lacewingrail_model::job::{JobRecord, JobSpec, JobState, WorkClass};
+use lacewingrail_model::keys;
+use lacewingrail_model::shape::{AdjacencyLevel, GangShape};
+use lacewingrail_model::store::KeyValueService;
+use lacewingrail_platform::read;
+use lacewingrail_scheduler::lease::LeaseRecord;
+use lacewingrail_standins::{
+    BackendServer, BackendSettings, FaultProxy, FleetLayout, FleetSettings, HoldingRecord,
+    InstanceChange, InstanceListServer, LinkSpec, RunCounts, StoreServer, WorkerFleet, audit,
+    find_repeated_runs,
+};
+use tokio::sync::{Semaphore, SemaphorePermit};
+
+use super::front::{PeerFront, ProcessDomains};
+use super::load::LoadTargets;
+use super::process::{ProcessKind, TestProcess};
+use super::{eventually, eventually_async};
+
+/// Failure domains.
+pub const DOMAINS: [&str; 3] = ["a", "b", "c"];
+/// Service of the requests.
+pub const SERVICE: &str = "desk";
+/// Workers of a failure domain, two to a rack, with 8 accelerators each.
+pub const WORKERS: u32 = 4;
+/// Longest time until a fresh system schedules and serves.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+/// Longest time for which a gang may run partially.
+const PARTIAL_LIMIT: Duration = Duration::from_millis(10_400);
+/// Test beds at once, so that the processes of a few do not starve each other.
+static PLACES: Semaphore = Semaphore::const_new(3);
+/// Numbers the folders of the test beds.
+static NUMBER: AtomicU32 = AtomicU32::new(0);
+
+/// Names the group of callers and operators in the fault proxy.
+pub const CALLERS: &str = "callers";
+/// Names the group of the key-value service and the instance lists in the fault proxy.
+pub const PLATFORM: &str = "platform";
+
+/// Runs a system; dropping it ends every process that it started.
+pub struct TestBed {
+    pub processes: BTreeMap<String, TestProcess>,
+    pub store: StoreServer,
+    pub fleets: BTreeMap<String, WorkerFleet>,
+    pub backends: Vec<BackendServer>,
+    pub proxy: FaultProxy,
+    lists: BTreeMap<String, InstanceListServer>,
+    fronts: BTreeMap<String, PeerFront>,
+    domains: ProcessDomains,
+    links: BTreeMap<String, String>,
+    folder: PathBuf,
+    host: Ipv4Addr,
+    _place: SemaphorePermit<'static>,
+}
+
+impl TestBed {
+    /// Starts two entry and two scheduler processes in domain `a` and one of each in the others,
+    /// and waits until all are ready and each domain has an active scheduler.
+    pub async fn start() -> Self {
+        let place = PLACES.acquire().await.expect("the semaphore stays open");
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("lacewingrail-system-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).expect("create a folder");
+        let host = host_of(number);
+        let any = format!("{host}:0");
+        let mut bed = Self {
+            processes: BTreeMap::new(),
+            store: StoreServer::spawn(&any, 1).await.expect("start the store"),
+            fleets: BTreeMap::new(),
+            backends: Vec::new(),
+            proxy: FaultProxy::new(1),
+            lists: BTreeMap::new(),
+            fronts: BTreeMap::new(),
+            domains: Arc::default(),
+            links: BTreeMap::new(),
+            folder,
+            host,
+            _place: place,
+        };
+        bed.start_outside().await;
+        let names = ["a1", "a2", "b1", "c1"];
+        for name in names {
+            for kind in ["s", "e"] {
+                let front = PeerFront::bind(&any, bed.domains.clone()).await;
+                bed.fronts.insert(format!("{kind}-{name}"), front);
+            }
+        }
+        for name in names {
+            bed.start_process(ProcessKind::Scheduler, &format!("s-{name}")).await;
+            bed.start_process(ProcessKind::Entry, &format!("e-{name}")).await;
+        }
+        for name in names {
+            bed.connect_process(&format!("s-{name}")).await;
+            bed.connect_process(&format!("e-{name}")).await;
+        }
+        bed.admin("s-a1").put_tree(&settings_tree(&[]), 0).await.expect("write the settings tree");
+        for name in names {
+            let (scheduler, entry) = (format!("s-{name}"), format!("e-{name}"));
+            eventually_async("processes ready", READY_LIMIT, || async {
+                bed.is_ready(&scheduler).await && bed.is_ready(&entry).await
+            })
+            .await;
+        }
+        for domain in DOMAINS {
+            eventually_async("an active scheduler", READY_LIMIT, || async {
+                bed.holder(domain).await.is_some_and(|lease| lease.epoch > 0)
+            })
+            .await;
+        }
+        bed
+    }
+
+    async fn start_outside(&mut self) {
+        let any = format!("{}:0", self.host);
+        for domain in DOMAINS {
+            let layout = FleetLayout {
+                domain: domain.to_owned(),
+                workers: WORKERS,
+                per_rack: 2,
+                accelerators: 8,
+                cores: 64,
+                memory_mb: 128_000,
+            };
+            let settings = FleetSettings { lag_ms: 500, ..FleetSettings::default() };
+            let fleet = WorkerFleet::spawn(&any, layout.specs(), settings).await;
+            self.fleets.insert(domain.to_owned(), fleet.expect("start workers"));
+            for number in 0..3 {
+                let settings = BackendSettings {
+                    name: format!("{domain}-backend-{number}"),
+                    service: SERVICE.to_owned(),
+                    domain: domain.to_owned(),
+                    median_ms: 10.0,
+                    seed: number,
+                    ..BackendSettings::default()
+                };
+                let backend = BackendServer::spawn(&any, settings).await;
+                self.backends.push(backend.expect("start a backend server"));
+            }
+            let list = InstanceListServer::spawn(&any).await.expect("start a list");
+            self.lists.insert(domain.to_owned(), list);
+        }
+        // Each domain reaches workers and backend servers over links of its own.
+        for from in DOMAINS {
+            for to in DOMAINS {
+                let fleet = &self.fleets[to];
+                let link = format!("workers-{from}-{to}");
+                let address = self.link(&link, from, to, fleet.handle().address()).await;
+                for mut spec in fleet.specs() {
+                    spec.address = format!("http://{address}/w/{}", spec.id);
+                    self.lists[from].change(InstanceChange::AddWorker(spec));
+                }
+            }
+            for backend in &self.backends {
+                let mut entry = backend.entry();
+                let link = format!("backend-{from}-{}", entry.name);
+                let target = backend.handle().address();
+                entry.address =
+                    format!("http://{}", self.link(&link, from, &entry.domain, target).await);
+                self.lists[from].change(InstanceChange::AddInstance(entry));
+            }
+        }
+    }
+
+    /// Starts a process whose name gives its domain, such as `s-a1` in `a`.
+    async fn start_process(&mut self, kind: ProcessKind, name: &str) {
+        let domain = domain_of(name);
+        let store = self.store.handle().address();
+        let store = self.link(&format!("store-{name}"), domain, PLATFORM, store).await;
+        let list = self.lists[domain].handle().address();
+        let list = self.link(&format!("list-{name}"), domain, PLATFORM, list).await;
+        let (outer, peers) = match kind {
+            ProcessKind::Scheduler => ("admin", self.peers_of(name)),
+            ProcessKind::Entry => ("callers", self.peers_of(name)),
+        };
+        let (front, host) = (self.fronts[name].address, self.host);
+        let text = format!(
+            "name: {name}\nregion: north\ndomain: {domain}\n\
+             listen: {{ {outer}: {host}:0, peers: {host}:0, advertise: {front} }}\n\
+             peers: [{peers}]\nstore: http://{store}\ninstances: http://{list}\n"
+        );
+        let process = TestProcess::spawn(kind, name, &self.folder, &text);
+        let mut domains = self.domains.lock().expect("domains");
+        domains.insert(process.id(), domain.to_owned());
+        drop(domains);
+        self.processes.insert(name.to_owned(), process);
+    }
+
+    /// Links peers, operators and callers to a process that has started.
+    async fn connect_process(&mut self, name: &str) {
+        let domain = domain_of(name);
+        let process = &self.processes[name];
+        let (peer, outer) = process.addresses().await;
+        let mut targets = BTreeMap::new();
+        for from in DOMAINS {
+            let link = self.link(&format!("peer-{from}-{name}"), from, domain, peer).await;
+            targets.insert(from.to_owned(), link);
+        }
+        self.fronts[name].set_targets(targets);
+        let address = self.link(&format!("outer-{name}"), CALLERS, domain, outer).await;
+        self.links.insert(name.to_owned(), format!("http://{address}"));
+        let role = match process.kind {
+            ProcessKind::Scheduler => InstanceRole::Scheduler,
+            ProcessKind::Entry => InstanceRole::Entry,
+        };
+        for list in self.lists.values() {
+            list.change(InstanceChange::AddInstance(InstanceEntry {
+                name: name.to_owned(),
+                role,
+                service: String::new(),
+                domain: domain.to_owned(),
+                address: self.links[name].clone(),
+                peer_address: self.fronts[name].address.to_string(),
+                leaving: false,
+                slots: 0,
+                connections: 0,
+            }));
+        }
+    }
+
+    fn peers_of(&self, name: &str) -> String {
+        let others = self
+            .fronts
+            .iter()
+            .filter(|(other, _)| *other != name && domain_of(other) == domain_of(name));
+        others.map(|(_, front)| front.address.to_string()).collect::<Vec<_>>().join(", ")
+    }
+
+    async fn link(&self, name: &str, from: &str, to: &str, target: SocketAddr) -> SocketAddr {
+        let mut spec = LinkSpec::new(name, from, to, target.to_string());
+        spec.listen = format!("{}:0", self.host);
+        self.proxy.add_link(spec).await.expect("add a link")
+    }
+
+    /// Returns the proxied HTTP address of a process.
+    pub fn url(&self, name: &str) -> String {
+        self.links[name].clone()
+    }
+
+    /// Returns a client of the administration API of a scheduler process.
+    pub fn admin(&self, name: &str) -> AdminClient {
+        AdminClient::new(self.url(name))
+    }
+
+    /// Returns targets for a load over entry processes.
+    pub fn targets(&self, names: &[&str]) -> LoadTargets {
+        Arc::new(Mutex::new(names.iter().map(|name| self.url(name)).collect()))
+    }
+
+    pub async fn is_ready(&self, name: &str) -> bool {
+        let client = reqwest::Client::builder().no_proxy().timeout(Duration::from_secs(1));
+        let client = client.build().expect("a client");
+        let response = client.get(format!("{}/readyz", self.url(name))).send().await;
+        response.is_ok_and(|response| response.status().is_success())
+    }
+
+    pub fn process(&mut self, name: &str) -> &mut TestProcess {
+        self.processes.get_mut(name).expect("a process of the test bed")
+    }
+
+    /// Cuts a failure domain off from the platform and from all other domains.
+    pub fn cut_off(&self, domain: &str) {
+        for other in DOMAINS.into_iter().chain([PLATFORM]).filter(|other| *other != domain) {
+            assert!(self.proxy.cut_between(domain, other) > 0, "no link from {domain} to {other}");
+        }
+    }
+
+    /// Ends the cut of a failure domain.
+    pub fn heal(&self, domain: &str) {
+        for other in DOMAINS.into_iter().chain([PLATFORM]).filter(|other| *other != domain) {
+            self.proxy.heal_between(domain, other);
+        }
+    }
+
+    /// Returns who holds the scheduler lease of a domain, as the store itself says.
+    pub async fn holder(&self, domain: &str) -> Option<LeaseRecord> {
+        // Faults of the store's protocol must not hide its state from the test.
+        let faults = self.store.store().faults();
+        assert!(!faults.unavailable, "the store is out; ask before or after");
+        let key = keys::scheduler_lease(domain);
+        let entry = read(self.store.store() as &dyn KeyValueService, &key).await;
+        entry.expect("read the lease").map(|(record, _)| record)
+    }
+
+    /// Returns the name of the process that holds a lease.
+    pub fn name_of(&self, lease: &LeaseRecord) -> String {
+        let name = self.processes.keys().find(|name| lease.holder.starts_with(&format!("{name}~")));
+        name.unwrap_or_else(|| panic!("{} is no process of the test bed", lease.holder)).clone()
+    }
+
+    /// Waits for a holder with a higher epoch.
+    pub async fn wait_takeover(&self, domain: &str, epoch: u64, limit: Duration) -> LeaseRecord {
+        let took = eventually_async("a takeover", limit, || async {
+            self.holder(domain).await.is_some_and(|lease| lease.epoch > epoch)
+        })
+        .await;
+        println!("takeover of {domain} after {took:?}");
+        self.holder(domain).await.expect("a holder was seen before")
+    }
+
+    /// Submits a job through a scheduler process.
+    pub async fn submit(&self, through: &str, spec: &JobSpec) -> JobRecord {
+        let outcome = self.admin(through).submit(spec).await;
+        outcome.unwrap_or_else(|error| panic!("the submission failed: {error}"))
+    }
+
+    /// Returns the records of all workers.
+    pub fn holdings(&self) -> Vec<HoldingRecord> {
+        self.fleets.values().flat_map(|fleet| fleet.journal().entries).collect()
+    }
+
+    /// Returns the clock in which the records are kept.
+    pub fn now_ms(&self) -> UnixMillis {
+        self.fleets[DOMAINS[0]].now_ms()
+    }
+
+    /// Returns the records of members of a job that ran.
+    pub fn runs(&self, job: &str) -> Vec<HoldingRecord> {
+        let mut holdings = self.holdings();
+        holdings.retain(|run| run.member.job == job && run.started_ms.is_some());
+        holdings
+    }
+
+    /// Returns how many members of a job run.
+    pub fn running(&self, job: &str) -> usize {
+        self.runs(job).iter().filter(|run| run.ended_ms.is_none()).count()
+    }
+
+    pub async fn wait_running(&self, job: &JobRecord, limit: Duration) {
+        let members = job.spec.shape.members as usize;
+        let what = format!("{members} members of {} run", job.id);
+        eventually(&what, limit, || self.running(&job.id) == members).await;
+    }
+
+    /// Waits until the workers have finished a job.
+    pub async fn wait_finished(&self, job: &JobRecord, limit: Duration) {
+        let what = format!("{} finishes", job.id);
+        eventually(&what, limit, || is_finished(&self.runs(&job.id))).await;
+    }
+
+    /// Waits until the record of a job says that it finished.
+    pub async fn wait_recorded(&self, through: &str, job: &JobRecord, limit: Duration) {
+        let admin = self.admin(through);
+        eventually_async(&format!("{} is recorded as finished", job.id), limit, || async {
+            admin.job(&job.id).await.is_ok_and(|record| record.state == JobState::Finished)
+        })
+        .await;
+    }
+
+    /// Fails if the records show that a promise was broken, or if a process ended or panicked.
+    pub fn assert_truth(&mut self) {
+        let now_ms = self.now_ms();
+        let (records, mut specs) = (self.holdings(), Vec::new());
+        for fleet in self.fleets.values() {
+            assert_eq!(fleet.journal().dropped, 0, "records of workers were dropped");
+            specs.extend(fleet.specs());
+        }
+        let none: Vec<String> = Vec::new();
+        assert_eq!(audit::find_double_runs(&records, now_ms), none);
+        assert_eq!(audit::find_partial_gangs(&records, now_ms, PARTIAL_LIMIT), none);
+        assert_eq!(audit::find_overcommits(&records, &specs, now_ms), none);
+        let runs: Vec<RunCounts> = self.backends.iter().map(BackendServer::runs).collect();
+        assert_eq!(find_repeated_runs(&runs), none);
+        for process in self.processes.values_mut() {
+            let log = process.log();
+            assert!(!log.contains("is violated"), "{}: {}", process.name, process.log_tail());
+            assert!(!log.contains("panicked"), "{}: {}", process.name, process.log_tail());
+        }
+    }
+
+    /// Returns how often a key ran on all backend servers.
+    pub fn runs_of_key(&self, key: &str) -> u32 {
+        let runs = self.backends.iter().map(BackendServer::runs);
+        runs.filter_map(|counts| counts.by_key.get(key).copied()).sum()
+    }
+}
+
+impl Drop for TestBed {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            for process in self.processes.values() {
+                eprintln!("--- end of the log of {}\n{}", process.name, process.log_tail());
+            }
+        }
+        self.processes.clear();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Returns a loopback address of the test bed's own.
+///
+/// Processes call their last known peers for up to a minute. With one address for all, a port that
+/// another system gave up would connect its processes to those of the test.
+fn host_of(number: u32) -> Ipv4Addr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let [_, _, _, bed] = number.to_be_bytes();
+    Ipv4Addr::new(127, high.max(1), low, bed.max(1) + 1)
+}
+
+/// Returns the failure domain in the name of a process.
+pub fn domain_of(name: &str) -> &str {
+    name.get(2..3).expect("a name such as s-a1")
+}
+
+/// Describes a checkpointable gang of members with 8 accelerators each.
+pub fn gang(members: u32, domains: &[&str], work: Duration) -> JobSpec {
+    let adjacency = if members > 2 { AdjacencyLevel::Domain } else { AdjacencyLevel::Rack };
+    JobSpec {
+        customer: "north".to_owned(),
+        shape: GangShape { members, accelerators: 8, adjacency },
+        class: WorkClass::Normal,
+        declared_ms: u64::try_from(work.as_millis()).expect("a short time"),
+        cores: 1,
+        memory_mb: 1_000,
+        checkpointable: true,
+        domains: domains.iter().map(|domain| (*domain).to_owned()).collect(),
+        command: String::new(),
+        idempotency_key: None,
+    }
+}
+
+/// Writes the settings tree, with further customers.
+pub fn settings_tree(further: &[&str]) -> String {
+    let mut text = String::from(
+        "policy: { default_deadline: 5s }\n\
+         regions:\n  north:\n    domains:\n",
+    );
+    for domain in DOMAINS {
+        text.push_str(&format!(
+            "      {domain}:\n        racks:\n\
+             \x20         r0: {{ workers: 2, accelerators: 8 }}\n\
+             \x20         r1: {{ workers: 2, accelerators: 8 }}\n"
+        ));
+    }
+    text.push_str("customers:\n");
+    for customer in ["north", "south"].iter().chain(further) {
+        text.push_str(&format!("  {customer}: {{ quota: 200 }}\n"));
+    }
+    text.push_str(&format!(
+        "services:\n  {SERVICE}: {{}}\naccess:\n  operators:\n    - \
+         {OPERATOR_DIGEST}\n"
+    ));
+    text
+}
+
+/// Digest of the operators' token, see [`lacewingrail_dev::api::OPERATOR_TOKEN`].
+const OPERATOR_DIGEST: &str = "c15de198d781469a78760f52482bac96c651dec77512c11657dcb336fa480ca0";
--- /dev/null
+++ b/crates/dev/tests/system/support/load.rs
@@ -0,0 +1,122 @@
+//! A request load whose every try is recorded.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use lacewingrail_dev::callers::{CallerClient, CallerRequest, TryOutcome};
+use tokio::task::{JoinHandle, JoinSet};
+
+/// Requests a second.
+const RATE: f64 = 50.0;
+/// Every n-th request must not run twice.
+const KEY_PERIOD: u64 = 5;
+/// Longest time that a caller waits; the service's deadline is shorter.
+const ANSWER_LIMIT: Duration = Duration::from_secs(8);
+
+/// Describes one try.
+#[derive(Clone, Debug)]
+pub struct LoadSample {
+    pub sent: Instant,
+    pub took: Duration,
+    pub target: String,
+    pub key: Option<String>,
+    pub outcome: TryOutcome,
+}
+
+/// Holds the addresses to which the load goes, in turn.
+pub type LoadTargets = Arc<Mutex<Vec<String>>>;
+
+/// Sends requests until it is stopped.
+#[derive(Debug)]
+pub struct TestLoad {
+    stopping: Arc<AtomicBool>,
+    samples: Arc<Mutex<Vec<LoadSample>>>,
+    task: JoinHandle<()>,
+}
+
+impl TestLoad {
+    /// Starts a load of repeatable requests, and of others if `keys` is set.
+    pub fn start(label: &str, targets: LoadTargets, keys: bool) -> Self {
+        let stopping = Arc::new(AtomicBool::new(false));
+        let samples: Arc<Mutex<Vec<LoadSample>>> = Arc::default();
+        let state = (stopping.clone(), samples.clone(), label.to_owned());
+        let task = tokio::spawn(async move {
+            let (stopping, samples, label) = state;
+            let client = CallerClient::default();
+            let mut ticks = tokio::time::interval(Duration::from_secs_f64(1.0 / RATE));
+            ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+            let mut calls = JoinSet::new();
+            let mut number: u64 = 0;
+            while !stopping.load(Ordering::Acquire) {
+                ticks.tick().await;
+                number += 1;
+                let target = {
+                    let targets = targets.lock().expect("targets");
+                    let Some(target) = targets.get(number as usize % targets.len().max(1)) else {
+                        continue;
+                    };
+                    target.clone()
+                };
+                let key = (keys && number.is_multiple_of(KEY_PERIOD))
+                    .then(|| format!("{label}-{number}"));
+                let request = build(&format!("{label} {number}"), key);
+                let (client, samples) = (client.clone(), samples.clone());
+                calls.spawn(async move {
+                    let sent = Instant::now();
+                    let outcome = client.send(&target, &request, ANSWER_LIMIT).await;
+                    let (took, key) = (sent.elapsed(), request.key);
+                    let sample = LoadSample { sent, took, target, key, outcome };
+                    samples.lock().expect("samples").push(sample);
+                });
+                while calls.try_join_next().is_some() {}
+            }
+            calls.join_all().await;
+        });
+        Self { stopping, samples, task }
+    }
+
+    /// Returns the samples so far.
+    pub fn samples(&self) -> Vec<LoadSample> {
+        self.samples.lock().expect("samples").clone()
+    }
+
+    /// Stops the load and returns all samples once every request has ended.
+    pub async fn stop(self) -> Vec<LoadSample> {
+        self.stopping.store(true, Ordering::Release);
+        self.task.await.expect("the load ends");
+        let samples = self.samples.lock().expect("samples").clone();
+        assert!(!samples.is_empty(), "the load sent no request");
+        samples
+    }
+}
+
+/// Builds a request of the customer `north`.
+pub fn build(body: &str, key: Option<String>) -> CallerRequest {
+    CallerRequest {
+        service: super::bed::SERVICE.to_owned(),
+        customer: "north".to_owned(),
+        class: "normal",
+        key,
+        body: body.to_owned(),
+        work_ms: None,
+    }
+}
+
+/// Fails unless every sample that `select` takes ended with a whole answer.
+pub fn assert_done<F>(samples: &[LoadSample], what: &str, select: F)
+where
+    F: Fn(&LoadSample) -> bool,
+{
+    let selected: Vec<_> = samples.iter().filter(|sample| select(sample)).collect();
+    let failed: Vec<_> =
+        selected.iter().filter(|sample| sample.outcome != TryOutcome::Done).collect();
+    let slowest = selected.iter().map(|sample| sample.took).max().unwrap_or_default();
+    println!(
+        "{what}: {} of {} answered, the slowest in {slowest:?}",
+        selected.len() - failed.len(),
+        selected.len()
+    );
+    assert!(!selected.is_empty(), "{what}: no request was sent");
+    assert!(failed.is_empty(), "{what}: {} failed, such as {:?}", failed.len(), failed[0]);
+}
--- /dev/null
+++ b/crates/dev/tests/system/support/process.rs
@@ -0,0 +1,149 @@
+//! Real processes that end with the test.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+
+use super::{eventually, eventually_async};
+
+/// Longest time until a process listens.
+const LISTEN_LIMIT: Duration = Duration::from_secs(15);
+/// Bytes of a log that a failed test prints.
+const LOG_TAIL: usize = 4_000;
+
+/// Names the binary of a process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProcessKind {
+    Scheduler,
+    Entry,
+}
+
+impl ProcessKind {
+    pub fn binary(self) -> &'static str {
+        match self {
+            Self::Scheduler => "lacewingrail-scheduler",
+            Self::Entry => "lacewingrail-entry",
+        }
+    }
+}
+
+/// Runs one process; dropping it kills the process, also when the test fails.
+#[derive(Debug)]
+pub struct TestProcess {
+    pub name: String,
+    pub kind: ProcessKind,
+    child: Child,
+    log: PathBuf,
+}
+
+impl TestProcess {
+    /// Starts a process with a settings file.
+    pub fn spawn(kind: ProcessKind, name: &str, folder: &Path, text: &str) -> Self {
+        let settings = folder.join(format!("{name}.yaml"));
+        std::fs::write(&settings, text).expect("write a settings file");
+        let log = folder.join(format!("{name}.log"));
+        let output = File::create(&log).expect("create a log file");
+        let child = Command::new(find_binary(kind.binary()))
+            .arg("--settings")
+            .arg(&settings)
+            .env("LACEWINGRAIL_STRICT", "1")
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(output)
+            .spawn()
+            .expect("start a process");
+        Self { name: name.to_owned(), kind, child, log }
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Returns the end of the log.
+    pub fn log_tail(&self) -> String {
+        let log = self.log();
+        let from = log.len().saturating_sub(LOG_TAIL);
+        log.get(from..).unwrap_or(&log).to_owned()
+    }
+
+    /// Waits until the process listens; returns its address for peers and its HTTP address.
+    pub async fn addresses(&self) -> (SocketAddr, SocketAddr) {
+        let read = || {
+            let log = self.log();
+            match self.kind {
+                ProcessKind::Scheduler => Some((
+                    address_after(&log, "peers reach this process on ")?,
+                    address_after(&log, "operators on Some(")?,
+                )),
+                ProcessKind::Entry => Some((
+                    address_after(&log, " and peers on ")?,
+                    address_after(&log, "serving callers on ")?,
+                )),
+            }
+        };
+        eventually(&format!("{} listens", self.name), LISTEN_LIMIT, || read().is_some()).await;
+        read().expect("addresses were read before")
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.id()).ok().and_then(Pid::from_raw).expect("a process id");
+        kill_process(pid, signal).expect("signal a process");
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Returns the status of a process that ended.
+    pub fn status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("ask for the status of a process")
+    }
+
+    /// Waits until the process ends by itself.
+    pub async fn wait_exit(&mut self, limit: Duration) -> ExitStatus {
+        let what = format!("{} ends", self.name);
+        let mut status = None;
+        eventually_async(&what, limit, || {
+            status = self.status();
+            std::future::ready(status.is_some())
+        })
+        .await;
+        status.expect("a status was read before")
+    }
+}
+
+impl Drop for TestProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Finds a binary of the workspace in the folder above the test's own.
+fn find_binary(name: &str) -> PathBuf {
+    let own = std::env::current_exe().expect("the path of the test");
+    let folder = own.parent().and_then(Path::parent).expect("the target folder");
+    let path = folder.join(name);
+    assert!(
+        path.is_file(),
+        "{name} is not built in the target folder of this test; run \
+         `cargo build -p lacewingrail-scheduler -p lacewingrail-entry` with the same profile, or \
+         `cargo test --workspace`"
+    );
+    path
+}
+
+fn address_after(log: &str, label: &str) -> Option<SocketAddr> {
+    let (_, rest) = log.split_once(label)?;
+    let end = rest.find(|sign: char| !sign.is_ascii_digit() && sign != '.' && sign != ':')?;
+    rest.get(..end)?.parse().ok()
+}
