--- a/crates/dev/tests/system/domains.rs
+++ b/crates/dev/tests/system/domains.rs
@@ -6,7 +6,7 @@
 use lacewingrail_standins::audit::find_late_starts;
 
 use crate::settings::wait_in_force;
-use crate::support::bed::{TestBed, WORKERS, gang, settings_tree};
+use crate::support::bed::{TestBed, gang, settings_tree};
 use crate::support::eventually;
 use crate::support::load::{TestLoad, assert_done};
 
@@ -27,7 +27,10 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_domain_that_is_cut_off_serves_and_starts_nothing() {
     let mut bed = TestBed::start().await;
-    let running = bed.submit("s-a1", &gang(WORKERS, &["b"], Duration::from_secs(7))).await;
+    // One gang runs through the whole cut and one ends in it.
+    let lasting = bed.submit("s-a1", &gang(2, &["b"], Duration::from_secs(22))).await;
+    bed.wait_running(&lasting, START).await;
+    let running = bed.submit("s-a1", &gang(2, &["b"], Duration::from_secs(7))).await;
     bed.wait_running(&running, START).await;
     let waiting = bed.submit("s-a1", &gang(2, &["b"], Duration::from_secs(1))).await;
     let inner = TestLoad::start("inner", bed.targets(&["e-b1"]), true);
@@ -49,7 +52,8 @@
     println!("the domain follows the settings {took:?} after the cut");
     bed.wait_finished(&waiting, Duration::from_secs(20)).await;
     println!("the waiting gang finished {:?} after the cut", healed.elapsed());
-    for job in [&running, &waiting] {
+    bed.wait_finished(&lasting, Duration::from_secs(30)).await;
+    for job in [&lasting, &running, &waiting] {
         bed.wait_recorded("s-a1", job, START).await;
         assert!(bed.runs(&job.id).iter().all(|run| run.member.attempt == 1), "{} ran once", job.id);
     }
--- a/crates/dev/tests/system/support/bed.rs
+++ b/crates/dev/tests/system/support/bed.rs
@@ -44,6 +44,9 @@
 /// Numbers the folders of the test beds.
 static NUMBER: AtomicU32 = AtomicU32::new(0);
 
+/// Names the variable with the log level of the processes.
+const LOG_VARIABLE: &str = "LACEWINGRAIL_TEST_LOG";
+
 /// Names the group of callers and operators in the fault proxy.
 pub const CALLERS: &str = "callers";
 /// Names the group of the key-value service and the instance lists in the fault proxy.
@@ -185,11 +188,13 @@
             ProcessKind::Scheduler => ("admin", self.peers_of(name)),
             ProcessKind::Entry => ("callers", self.peers_of(name)),
         };
+        let level = std::env::var(LOG_VARIABLE).unwrap_or_else(|_| "info".to_owned());
         let (front, host) = (self.fronts[name].address, self.host);
         let text = format!(
             "name: {name}\nregion: north\ndomain: {domain}\n\
              listen: {{ {outer}: {host}:0, peers: {host}:0, advertise: {front} }}\n\
-             peers: [{peers}]\nstore: http://{store}\ninstances: http://{list}\n"
+             peers: [{peers}]\nstore: http://{store}\ninstances: http://{list}\n\
+             log_level: {level}\n"
         );
         let process = TestProcess::spawn(kind, name, &self.folder, &text);
         let mut domains = self.domains.lock().expect("domains");
--- a/crates/membership/src/config.rs
+++ b/crates/membership/src/config.rs
@@ -71,8 +71,10 @@
         if payload.version <= self.version() {
             return OfferOutcome::Known;
         }
+        let version = payload.version;
         *newest = Some(payload);
         self.view.send_replace(Arc::new(view));
+        log::info!("settings version {version} is in force");
         OfferOutcome::Taken
     }
 
--- a/crates/membership/src/config_controller.rs
+++ b/crates/membership/src/config_controller.rs
@@ -211,10 +211,7 @@
 fn offer(state: &Arc<MembershipState>, payload: ConfigPayload) -> bool {
     let version = payload.version;
     match state.config.offer(payload) {
-        OfferOutcome::Taken => {
-            log::info!("settings version {version} is in force");
-            true
-        }
+        OfferOutcome::Taken => true,
         OfferOutcome::Known => false,
         OfferOutcome::Refused(cause) => {
             log::error!("settings version {version} is refused: {cause}; the former stays");
--- a/crates/scheduler/src/tenure.rs
+++ b/crates/scheduler/src/tenure.rs
@@ -46,10 +46,11 @@
 const REBUILD_RETRY: Duration = Duration::from_millis(250);
 /// Time between looks at waiting jobs.
 const JOB_PERIOD: Duration = Duration::from_millis(500);
-/// Time that one watch of the records waits.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Time that one watch of the records waits. A job that is submitted while the watch is silent is
+/// seen after the limit below, and urgent work starts within 6.4 s.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Time after which a watch that did not return counts as silent.
-const WATCH_LIMIT: Duration = Duration::from_secs(12);
+const WATCH_LIMIT: Duration = Duration::from_secs(3);
 
 /// Takes the higher epoch that a worker has seen.
 pub type StaleSink = Arc<dyn Fn(Epoch) + Send + Sync>;
