--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -5,8 +5,10 @@
 
 mod capacity;
 mod harness;
+mod policies;
 mod report;
 mod slope;
+mod trial;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -18,9 +20,18 @@
   capacity   measure slopes of every role, write JSON, tables and plots
              --out DIR (default docs/capacity), --only NAME (one of scheduler, entry,
              membership, settings, placement, bursts), --seconds N for each point (default 15)
+  jobs       compare the placement policies shape, count and fifo under bursts of jobs
+  domains    compare the policies for a failure domain that is taken out and returned
+             both: --user om-north|jawa, --seeds N (default 5), --first-seed N (default 1),
+             --parallel N runs at a time (default 5), --seconds N of load (default 40),
+             --only TEXT in the name of a configuration, --out DIR (default docs/experiments)
 
 example:
-  cargo run --release -p lacewingrail-experiment -- capacity --out docs/capacity";
+  cargo run --release -p lacewingrail-experiment -- capacity --out docs/capacity
+  cargo run --release -p lacewingrail-experiment -- jobs --user om-north --seeds 5";
+
+/// Threads of the policy comparisons, so that they keep under 60% of a machine of 10 cores.
+const POLICY_THREADS: usize = 6;
 
 fn main() -> ExitCode {
     match run() {
@@ -39,7 +50,6 @@
         return Ok(());
     }
     let command = arguments.subcommand().map_err(|error| error.to_string())?;
-    let runtime = tokio::runtime::Runtime::new().map_err(|error| error.to_string())?;
     match command.as_deref() {
         Some("capacity") => {
             let options = capacity::CapacityOptions {
@@ -49,8 +59,31 @@
                 seconds: read(&mut arguments, "--seconds")?.unwrap_or(15),
             };
             refuse_rest(arguments)?;
+            let runtime = tokio::runtime::Runtime::new().map_err(|error| error.to_string())?;
             runtime.block_on(capacity::run(&options))
         }
+        Some(name @ ("jobs" | "domains")) => {
+            let options = policies::PolicyOptions {
+                user: read(&mut arguments, "--user")?.ok_or("--user is missing")?,
+                seeds: read(&mut arguments, "--seeds")?.unwrap_or(5),
+                first_seed: read(&mut arguments, "--first-seed")?.unwrap_or(1),
+                parallel: read(&mut arguments, "--parallel")?.unwrap_or(5),
+                seconds: read(&mut arguments, "--seconds")?.unwrap_or(40),
+                only: read(&mut arguments, "--only")?.unwrap_or_default(),
+                out: read(&mut arguments, "--out")?
+                    .unwrap_or_else(|| PathBuf::from("docs/experiments")),
+            };
+            refuse_rest(arguments)?;
+            let runtime = tokio::runtime::Builder::new_multi_thread()
+                .worker_threads(POLICY_THREADS)
+                .enable_all()
+                .build()
+                .map_err(|error| error.to_string())?;
+            match name {
+                "jobs" => runtime.block_on(policies::run_jobs(&options)),
+                _ => runtime.block_on(policies::run_domains(&options)),
+            }
+        }
         Some(other) => Err(format!("the command {other:?} is unknown\n{USAGE}")),
         None => Err(format!("a command is missing\n{USAGE}")),
     }
--- /dev/null
+++ b/crates/experiment/src/policies.rs
@@ -0,0 +1,139 @@
+//! Commands that compare policies over several seeds.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use futures::StreamExt;
+use lacewingrail_model::config::{DomainOutAction, PlacementChoice};
+use serde::Serialize;
+
+use crate::report;
+use crate::trial::faults::{OutFault, OutPlan};
+use crate::trial::figures::{self, FigureSet};
+use crate::trial::summary::{ConfigurationFigures, table};
+use crate::trial::user::UserName;
+use crate::trial::{TrialPlan, drive, outs, setting_name};
+
+/// Time of the take-out since the start of the load.
+const OUT_AT: Duration = Duration::from_secs(12);
+/// Time for which the domain is out.
+const OUT_LENGTH: Duration = Duration::from_secs(15);
+
+/// Holds the options of both commands.
+pub struct PolicyOptions {
+    /// User whose region runs.
+    pub user: UserName,
+    /// Number of seeds.
+    pub seeds: u64,
+    /// Number of the first seed.
+    pub first_seed: u64,
+    /// Runs at a time.
+    pub parallel: usize,
+    /// Time during which jobs arrive, in seconds.
+    pub seconds: u64,
+    /// Folder of the results.
+    pub out: PathBuf,
+    /// Part of the name of the configurations that run; empty for all.
+    pub only: String,
+}
+
+/// Holds everything that one command measured.
+#[derive(Serialize)]
+struct PolicyResults {
+    command: String,
+    user: String,
+    seeds: Vec<u64>,
+    load_seconds: u64,
+    configurations: Vec<ConfigurationFigures>,
+}
+
+/// Compares the placement policies by the jobs they run.
+pub async fn run_jobs(options: &PolicyOptions) -> Result<(), String> {
+    let configurations = [PlacementChoice::Shape, PlacementChoice::Count, PlacementChoice::Fifo]
+        .map(|placement| (setting_name(&placement), placement, DomainOutAction::Move, None));
+    run(options, "jobs", configurations.to_vec()).await
+}
+
+/// Compares the policies for a failure domain that is taken out and returned.
+pub async fn run_domains(options: &PolicyOptions) -> Result<(), String> {
+    let mut configurations = Vec::new();
+    for fault in [OutFault::None, OutFault::StoreOutage, OutFault::DomainCut] {
+        let out = OutPlan { at: OUT_AT, length: OUT_LENGTH, fault };
+        for action in [DomainOutAction::Move, DomainOutAction::Finish, DomainOutAction::Stop] {
+            let name = format!("shape {} {}", setting_name(&action), setting_name(&fault));
+            configurations.push((name, PlacementChoice::Shape, action, Some(out)));
+        }
+        if fault == OutFault::None {
+            for placement in [PlacementChoice::Count, PlacementChoice::Fifo] {
+                let name = format!("{} move none", setting_name(&placement));
+                configurations.push((name, placement, DomainOutAction::Move, Some(out)));
+            }
+        }
+    }
+    run(options, "domains", configurations).await
+}
+
+async fn run(
+    options: &PolicyOptions,
+    command: &str,
+    mut configurations: Vec<(String, PlacementChoice, DomainOutAction, Option<OutPlan>)>,
+) -> Result<(), String> {
+    configurations.retain(|(name, ..)| name.contains(&options.only));
+    let seeds: Vec<u64> = (options.first_seed..options.first_seed + options.seeds).collect();
+    let user = options.user.region();
+    println!("{command} of {user}, seeds {seeds:?}, load {} s", options.seconds);
+    let mut plans = Vec::new();
+    // The policies of one seed run side by side, so that other load of the machine meets all.
+    for seed in &seeds {
+        for (name, placement, on_domain_out, out) in &configurations {
+            let plan = TrialPlan {
+                user: options.user,
+                placement: *placement,
+                on_domain_out: *on_domain_out,
+                seed: *seed,
+                load: Duration::from_secs(options.seconds),
+                out: *out,
+            };
+            plans.push((name.clone(), plan));
+        }
+    }
+    let runs = plans.into_iter().map(|(name, plan)| async move {
+        let begun = Instant::now();
+        let figures = tokio::spawn(run_one(plan.clone())).await;
+        let figures = figures.unwrap_or_else(|error| Err(error.to_string()));
+        println!("{name}, seed {}: {:.0} s", plan.seed, begun.elapsed().as_secs_f64());
+        (name, plan.seed, figures)
+    });
+    let mut sets: BTreeMap<String, BTreeMap<u64, FigureSet>> = BTreeMap::new();
+    let mut results = futures::stream::iter(runs).buffer_unordered(options.parallel.max(1));
+    while let Some((name, seed, figures)) = results.next().await {
+        let figures = figures.map_err(|error| format!("{name}, seed {seed}: {error}"))?;
+        sets.entry(name).or_default().insert(seed, figures);
+    }
+    let configurations: Vec<ConfigurationFigures> = configurations
+        .into_iter()
+        .filter_map(|(name, ..)| Some(ConfigurationFigures::new(name.clone(), sets.remove(&name)?)))
+        .collect();
+    let text = table(&configurations);
+    println!("{text}");
+    let results = PolicyResults {
+        command: command.to_owned(),
+        user: user.to_owned(),
+        seeds,
+        load_seconds: options.seconds,
+        configurations,
+    };
+    report::write_json(&options.out.join(format!("{command}-{user}.json")), &results)?;
+    report::write_text(&options.out.join(format!("{command}-{user}.md")), &text)
+}
+
+async fn run_one(plan: TrialPlan) -> Result<FigureSet, String> {
+    let record = drive::run(&plan).await?;
+    let measured = tokio::task::spawn_blocking(move || {
+        let mut set = figures::measure(&record);
+        outs::measure(&record, &mut set);
+        set
+    });
+    measured.await.map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/crates/experiment/src/trial/figures.rs
@@ -0,0 +1,228 @@
+//! Figures of one run.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use lacewingrail_model::job::JobState;
+use lacewingrail_standins::audit;
+use serde::Serialize;
+
+use crate::trial::drive::{TrialJob, TrialRecord};
+use crate::trial::fragmentation;
+use crate::trial::holdings::{self, Attempt};
+use crate::trial::setting_name;
+use crate::trial::workload::JobKind;
+
+/// Latest start of urgent work and longest time to reclaim a guarantee, from the design page.
+pub const START_BOUND_S: f64 = 6.4;
+/// Longest partial run of a gang, from the design page.
+const PARTIAL_BOUND: Duration = Duration::from_millis(10_400);
+
+/// Holds the figures of one run by name.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct FigureSet {
+    /// Figures with a value for each job.
+    pub samples: BTreeMap<String, Vec<f64>>,
+    /// Figures of the whole run.
+    pub values: BTreeMap<String, f64>,
+}
+
+impl FigureSet {
+    /// Adds a value of one job.
+    pub fn sample(&mut self, name: impl Into<String>, value: f64) {
+        self.samples.entry(name.into()).or_default().push(value);
+    }
+
+    /// Sets a value of the run.
+    pub fn set(&mut self, name: impl Into<String>, value: f64) {
+        self.values.insert(name.into(), value);
+    }
+}
+
+/// Computes the figures of jobs.
+pub fn measure(record: &TrialRecord) -> FigureSet {
+    let mut figures = FigureSet::default();
+    let attempts = holdings::group(&record.holdings, record.end_ms);
+    let none = Vec::new();
+    let runs_of = |job: &TrialJob| -> &Vec<Attempt<'_>> {
+        job.id.as_ref().and_then(|id| attempts.get(id.as_str())).unwrap_or(&none)
+    };
+    let overhead = alone_overhead(record, &runs_of);
+    figures.set("01 start and end of a job alone, s", overhead);
+    let (mut unfinished, mut late_urgent, mut urgent) = (0.0, 0.0, 0.0);
+    let (mut reclaims, mut kept) = (0.0, 0.0);
+    for job in record.jobs.iter().filter(|job| job.plan.kind != JobKind::Alone) {
+        let runs = runs_of(job);
+        let start = runs.iter().find_map(|attempt| Some((attempt, attempt.started_ms()?)));
+        let start_s = start.as_ref().map(|(_, at)| seconds(*at, job.submitted_ms));
+        let waited_s = seconds(record.end_ms, job.submitted_ms);
+        match job.plan.kind {
+            JobKind::Impossible => {
+                if job.refusal.as_ref().is_some_and(|(status, _)| *status == 422) {
+                    figures.sample(
+                        "impossible refused, ms",
+                        (job.answered_ms - job.submitted_ms) as f64,
+                    );
+                }
+            }
+            JobKind::Faulty => {
+                let refused = job.record.as_ref().filter(|record| is_failed(&record.state));
+                if let Some(ended) = refused.and_then(|record| record.ended_at) {
+                    figures.sample("faulty refused, s", seconds(ended, job.submitted_ms));
+                }
+            }
+            JobKind::Guaranteed => {
+                figures.sample("reclaim, s", start_s.unwrap_or(waited_s));
+                reclaims += 1.0;
+                let shaped =
+                    start.is_some_and(|(attempt, _)| attempt.is_in_shape(&job.plan.spec.shape));
+                if shaped && start_s.is_some_and(|start| start <= START_BOUND_S) {
+                    kept += 1.0;
+                }
+            }
+            JobKind::Load | JobKind::Alone => {}
+        }
+        if !matches!(job.plan.kind, JobKind::Load) || job.id.is_none() {
+            continue;
+        }
+        let class = setting_name(&job.plan.spec.class);
+        if class == "urgent" && job.plan.cancel_at.is_none() {
+            urgent += 1.0;
+            let start_s = start_s.unwrap_or(waited_s);
+            figures.sample("urgent start, s", start_s);
+            late_urgent += f64::from(u8::from(start_s > START_BOUND_S));
+        }
+        if job.plan.cancel_at.is_some() {
+            continue;
+        }
+        let finished = job.record.as_ref().filter(|record| record.state == JobState::Finished);
+        let ended = finished.and_then(|record| record.ended_at);
+        unfinished += f64::from(u8::from(ended.is_none()));
+        let completion = ended.map_or(waited_s, |ended| seconds(ended, job.submitted_ms));
+        let size = size_name(job.plan.spec.shape.total());
+        let slowdown = completion / (job.plan.work_ms as f64 / 1_000.0 + overhead);
+        figures.sample("completion all, s", completion);
+        figures.sample(format!("completion {class} {size}, s"), completion);
+        figures.sample(format!("completion {size}, s"), completion);
+        figures.sample(format!("completion {class}, s"), completion);
+        figures.sample("slowdown all", slowdown);
+        figures.sample(format!("slowdown {size}"), slowdown);
+    }
+    figures.set("02 jobs not finished", unfinished);
+    figures.set("03 urgent starts after 6.4 s, share", late_urgent / f64::max(urgent, 1.0));
+    figures.set(
+        "04 guarantees reclaimed in shape within 6.4 s, share",
+        kept / f64::max(reclaims, 1.0),
+    );
+    let count =
+        |kind: JobKind| record.jobs.iter().filter(|job| job.plan.kind == kind).count() as f64;
+    let refused = figures.samples.get("impossible refused, ms").map_or(0, Vec::len) as f64;
+    figures.set(
+        "05 impossible jobs refused at submission, share",
+        refused / count(JobKind::Impossible),
+    );
+    let refused = figures.samples.get("faulty refused, s").map_or(0, Vec::len) as f64;
+    figures.set("06 faulty jobs refused, share", refused / count(JobKind::Faulty));
+    let fragmentation = fragmentation::measure(record);
+    figures.set("07 fragmented accelerator-time, share", fragmentation.fragmented);
+    figures.set("08 free while a waiting gang fits in shape, share", fragmentation.idle);
+    figures.set("09 free while nothing waits, share", fragmentation.spare);
+    figures.set("10 largest whole-worker gang over free accelerators", fragmentation.largest);
+    add_time(record, &attempts, &mut figures);
+    add_verdicts(record, &mut figures);
+    figures
+}
+
+/// Adds useful, lost and doubly spent accelerator-time.
+fn add_time(
+    record: &TrialRecord,
+    attempts: &BTreeMap<&str, Vec<Attempt<'_>>>,
+    figures: &mut FigureSet,
+) {
+    let capacity: u32 = record.workers.iter().map(|spec| spec.accelerators).sum();
+    let load = f64::from(capacity) * (record.load_ms.1 - record.load_ms.0) as f64;
+    let (mut useful, mut useful_in_load, mut run, mut twice, mut outside) =
+        (0.0, 0.0, 0.0, 0.0, 0.0);
+    let mut preemptions = 0.0;
+    let mut end = record.load_ms.1;
+    for job in &record.jobs {
+        let Some(runs) = job.id.as_ref().and_then(|id| attempts.get(id.as_str())) else {
+            continue;
+        };
+        let ended = job.record.as_ref();
+        preemptions += ended.map_or(0.0, |record| f64::from(record.preemptions));
+        let finished = ended.is_some_and(|record| record.state == JobState::Finished);
+        if finished {
+            end = end.max(ended.and_then(|record| record.ended_at).unwrap_or(0));
+        }
+        for attempt in runs {
+            run += attempt.run();
+            if finished {
+                let parts = attempt.useful();
+                let part = holdings::within(&parts, 0, u64::MAX);
+                useful += part;
+                useful_in_load += holdings::within(&parts, record.load_ms.0, record.load_ms.1);
+                if !attempt.is_in_shape(&job.plan.spec.shape) {
+                    outside += part;
+                }
+            }
+        }
+        twice += holdings::doubly_spent(runs, record.end_ms);
+    }
+    figures.set("11 useful accelerator-time during the load, share", useful_in_load / load);
+    figures.set("12 useful accelerator-time, accelerator-s", useful / 1_000.0);
+    figures.set("13 lost accelerator-time, accelerator-s", (run - useful) / 1_000.0);
+    figures.set("14 doubly spent accelerator-time, accelerator-s", twice / 1_000.0);
+    figures.set("15 useful time outside the adjacency asked for, share", outside / useful.max(1.0));
+    figures.set("16 preemptions", preemptions);
+    figures.set("17 time until all jobs finished, s", seconds(end, record.load_ms.0));
+}
+
+/// Adds the numbers of breaches that the workers' records show.
+fn add_verdicts(record: &TrialRecord, figures: &mut FigureSet) {
+    let (records, now) = (&record.holdings, record.end_ms);
+    let double = audit::find_double_runs(records, now);
+    let partial = audit::find_partial_gangs(records, now, PARTIAL_BOUND);
+    let over = audit::find_overcommits(records, &record.workers, now);
+    for breach in double.iter().chain(&partial).chain(&over) {
+        eprintln!("breach: {breach}");
+    }
+    figures.set("18 double runs", double.len() as f64);
+    figures.set("19 gangs partial for over 10.4 s", partial.len() as f64);
+    figures.set("20 overcommitted workers", over.len() as f64);
+    figures.set("21 records dropped by the workers", record.dropped as f64);
+}
+
+/// Returns the median time that a job alone takes besides its run, in seconds.
+fn alone_overhead<'a, F>(record: &'a TrialRecord, runs_of: &F) -> f64
+where
+    F: Fn(&'a TrialJob) -> &'a Vec<Attempt<'a>>,
+{
+    let alone = record.jobs.iter().filter(|job| job.plan.kind == JobKind::Alone);
+    let mut times: Vec<f64> = alone
+        .filter_map(|job| {
+            let ended = job.record.as_ref()?.ended_at?;
+            let run: f64 = runs_of(job).iter().map(Attempt::run).sum::<f64>() / 1_000.0;
+            Some(seconds(ended, job.submitted_ms) - run)
+        })
+        .collect();
+    times.sort_by(f64::total_cmp);
+    times.get(times.len() / 2).copied().unwrap_or(0.0)
+}
+
+/// Returns seconds between two times.
+pub fn seconds(later_ms: u64, earlier_ms: u64) -> f64 {
+    later_ms.saturating_sub(earlier_ms) as f64 / 1_000.0
+}
+
+fn is_failed(state: &JobState) -> bool {
+    matches!(state, JobState::Failed { .. })
+}
+
+fn size_name(accelerators: u32) -> &'static str {
+    match accelerators {
+        0..=8 => "small",
+        9..=32 => "medium",
+        _ => "large",
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/trial/fragmentation.rs
@@ -0,0 +1,173 @@
+//! Fragmentation from the workers' records.
+//!
+//! The state of the fleet is computed at sampled instants. A waiting gang counts if its customer's
+//! quota allows it.
+
+use std::collections::BTreeMap;
+
+use lacewingrail_model::shape::{AdjacencyLevel, GangShape};
+
+use crate::trial::drive::TrialRecord;
+use crate::trial::workload::JobKind;
+
+/// Time between samples in milliseconds.
+const STEP_MS: u64 = 200;
+/// Accelerators of a whole worker, the unit of the large guarantees.
+const WORKER: u32 = 8;
+/// Accelerators of a whole rack.
+const RACK: u32 = 48;
+
+/// Holds shares of the accelerator-time of the load.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FragmentationFigures {
+    /// Free in a domain in which a waiting gang fits by count and in no domain by shape.
+    pub fragmented: f64,
+    /// Free while a waiting gang fits by shape.
+    pub idle: f64,
+    /// Free while no gang waits.
+    pub spare: f64,
+    /// Mean of the largest gang of whole workers in one rack, as a share of the free accelerators
+    /// of a domain that could form one.
+    pub largest: f64,
+}
+
+struct FreeWorker<'a> {
+    domain: &'a str,
+    rack: &'a str,
+    free: u32,
+}
+
+/// Measures the fragmentation during the load.
+pub fn measure(record: &TrialRecord) -> FragmentationFigures {
+    let mut sums = FragmentationFigures::default();
+    let (mut largest_sum, mut largest_count, mut samples) = (0.0, 0.0, 0.0);
+    let capacity: u32 = record.workers.iter().map(|spec| spec.accelerators).sum();
+    let mut at_ms = record.load_ms.0;
+    while at_ms < record.load_ms.1 {
+        let workers = free_workers(record, at_ms);
+        let domains = free_by_domain(&workers);
+        let waiting = waiting_shapes(record, at_ms);
+        let fits = |shape: &GangShape, domains_allowed: &[String]| {
+            domains
+                .keys()
+                .any(|domain| allows(domains_allowed, domain) && fits(&workers, domain, shape))
+        };
+        let total: u32 = domains.values().sum();
+        let stuck: Vec<_> =
+            waiting.iter().filter(|(shape, allowed)| !fits(shape, allowed)).collect();
+        if waiting.is_empty() {
+            sums.spare += f64::from(total);
+        } else if stuck.len() < waiting.len() {
+            sums.idle += f64::from(total);
+        } else {
+            let blocked = domains.iter().filter(|(domain, free)| {
+                stuck
+                    .iter()
+                    .any(|(shape, allowed)| allows(allowed, domain) && **free >= shape.total())
+            });
+            sums.fragmented += f64::from(blocked.map(|(_, free)| free).sum::<u32>());
+        }
+        for (domain, free) in domains.iter().filter(|(_, free)| **free >= WORKER) {
+            let possible = (free / WORKER * WORKER).min(RACK);
+            largest_sum += f64::from(largest_gang(&workers, domain)) / f64::from(possible);
+            largest_count += 1.0;
+        }
+        samples += 1.0;
+        at_ms += STEP_MS;
+    }
+    let whole = f64::from(capacity) * f64::max(samples, 1.0);
+    FragmentationFigures {
+        fragmented: sums.fragmented / whole,
+        idle: sums.idle / whole,
+        spare: sums.spare / whole,
+        largest: largest_sum / f64::max(largest_count, 1.0),
+    }
+}
+
+fn free_workers(record: &TrialRecord, at_ms: u64) -> Vec<FreeWorker<'_>> {
+    let mut held: BTreeMap<&str, u32> = BTreeMap::new();
+    for holding in &record.holdings {
+        let ended = holding.ended_ms.unwrap_or(u64::MAX);
+        if holding.reserved_ms <= at_ms && at_ms < ended {
+            *held.entry(&holding.worker).or_default() += holding.accelerators;
+        }
+    }
+    let free = record.workers.iter().map(|spec| FreeWorker {
+        domain: &spec.domain,
+        rack: &spec.rack,
+        free: spec.accelerators
+            - held.get(spec.id.as_str()).copied().unwrap_or(0).min(spec.accelerators),
+    });
+    free.collect()
+}
+
+fn free_by_domain<'a>(workers: &[FreeWorker<'a>]) -> BTreeMap<&'a str, u32> {
+    let mut domains = BTreeMap::new();
+    for worker in workers {
+        *domains.entry(worker.domain).or_default() += worker.free;
+    }
+    domains
+}
+
+/// Returns the shapes and allowed domains of the gangs that wait and are within their quota.
+fn waiting_shapes(record: &TrialRecord, at_ms: u64) -> Vec<(GangShape, &[String])> {
+    let mut held: BTreeMap<&str, u32> = BTreeMap::new();
+    let mut waiting = Vec::new();
+    let mut holders: BTreeMap<&str, u32> = BTreeMap::new();
+    for holding in &record.holdings {
+        if holding.reserved_ms <= at_ms && at_ms < holding.ended_ms.unwrap_or(u64::MAX) {
+            *holders.entry(&holding.member.job).or_default() += holding.accelerators;
+        }
+    }
+    for job in &record.jobs {
+        let Some(id) = &job.id else { continue };
+        let spec = &job.plan.spec;
+        let ended = job.record.as_ref().and_then(|record| record.ended_at).unwrap_or(u64::MAX);
+        if let Some(accelerators) = holders.get(id.as_str()) {
+            *held.entry(&spec.customer).or_default() += accelerators;
+        } else if job.answered_ms <= at_ms && at_ms < ended && job.plan.kind != JobKind::Faulty {
+            // A job whose work is done stays in the store until its end is noticed.
+            let finished = record.holdings.iter().any(|holding| {
+                holding.member.job == *id
+                    && holding.reason == Some(lacewingrail_standins::EndReason::Finished)
+                    && holding.ended_ms.is_some_and(|ended| ended <= at_ms)
+            });
+            if !finished {
+                waiting.push((spec, spec.domains.as_slice()));
+            }
+        }
+    }
+    let allowed = waiting.into_iter().filter(|(spec, _)| {
+        let quota = record.view.customers.get(&spec.customer).map_or(0, |customer| customer.quota);
+        held.get(spec.customer.as_str()).copied().unwrap_or(0) + spec.shape.total() <= quota
+    });
+    allowed.map(|(spec, domains)| (spec.shape, domains)).collect()
+}
+
+fn allows(allowed: &[String], domain: &str) -> bool {
+    allowed.is_empty() || allowed.iter().any(|name| name == domain)
+}
+
+fn fits(workers: &[FreeWorker<'_>], domain: &str, shape: &GangShape) -> bool {
+    let places = |worker: &FreeWorker<'_>| worker.free.checked_div(shape.accelerators).unwrap_or(0);
+    let mine = workers.iter().filter(|worker| worker.domain == domain);
+    match shape.adjacency {
+        AdjacencyLevel::Worker => mine.into_iter().any(|worker| places(worker) >= shape.members),
+        AdjacencyLevel::Domain => mine.map(places).sum::<u32>() >= shape.members,
+        AdjacencyLevel::Rack => {
+            let mut racks: BTreeMap<&str, u32> = BTreeMap::new();
+            for worker in mine {
+                *racks.entry(worker.rack).or_default() += places(worker);
+            }
+            racks.values().any(|places| *places >= shape.members)
+        }
+    }
+}
+
+fn largest_gang(workers: &[FreeWorker<'_>], domain: &str) -> u32 {
+    let mut racks: BTreeMap<&str, u32> = BTreeMap::new();
+    for worker in workers.iter().filter(|worker| worker.domain == domain) {
+        *racks.entry(worker.rack).or_default() += worker.free / WORKER * WORKER;
+    }
+    racks.values().copied().max().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/experiment/src/trial/holdings.rs
@@ -0,0 +1,116 @@
+//! Attempts and accelerator-time from the workers' records.
+
+use std::collections::BTreeMap;
+
+use lacewingrail_model::shape::{AdjacencyLevel, GangShape};
+use lacewingrail_standins::{EndReason, HoldingRecord};
+
+/// Holds the members of one attempt that held accelerators.
+pub struct Attempt<'a> {
+    /// Members.
+    pub members: Vec<&'a HoldingRecord>,
+    end_ms: u64,
+}
+
+/// Groups records by job and attempt.
+pub fn group(records: &[HoldingRecord], end_ms: u64) -> BTreeMap<&str, Vec<Attempt<'_>>> {
+    let mut attempts: BTreeMap<(&str, u32), Vec<&HoldingRecord>> = BTreeMap::new();
+    for record in records {
+        let key = (record.member.job.as_str(), record.member.attempt);
+        attempts.entry(key).or_default().push(record);
+    }
+    let mut jobs: BTreeMap<&str, Vec<Attempt<'_>>> = BTreeMap::new();
+    for ((job, _), members) in attempts {
+        jobs.entry(job).or_default().push(Attempt { members, end_ms });
+    }
+    jobs
+}
+
+impl Attempt<'_> {
+    /// Returns the time at which the last member started, if all did.
+    pub fn started_ms(&self) -> Option<u64> {
+        let gang = self.members.first()?.gang_members as usize;
+        let started: Option<Vec<u64>> =
+            self.members.iter().map(|record| record.started_ms).collect();
+        started.filter(|started| started.len() == gang)?.into_iter().max()
+    }
+
+    /// Returns whether every member finished its work.
+    pub fn is_finished(&self) -> bool {
+        let done = |record: &&HoldingRecord| record.reason == Some(EndReason::Finished);
+        let gang = self.members.first().map_or(0, |record| record.gang_members as usize);
+        self.members.len() == gang && self.members.iter().all(done)
+    }
+
+    /// Returns whether the members are as close as the shape asks.
+    pub fn is_in_shape(&self, shape: &GangShape) -> bool {
+        let Some(first) = self.members.first() else {
+            return true;
+        };
+        self.members.iter().all(|record| match shape.adjacency {
+            AdjacencyLevel::Worker => record.worker == first.worker,
+            AdjacencyLevel::Rack => record.domain == first.domain && record.rack == first.rack,
+            AdjacencyLevel::Domain => record.domain == first.domain,
+        })
+    }
+
+    /// Returns the useful part of each member's run: accelerators, start and end.
+    ///
+    /// A finished attempt is useful as a whole, another one up to the checkpoint that all members
+    /// have.
+    pub fn useful(&self) -> Vec<(u32, u64, u64)> {
+        let finished = self.is_finished();
+        let kept = self.members.iter().map(|record| record.checkpoint_ms).min().unwrap_or(0);
+        let part = |record: &&HoldingRecord| {
+            let (start, end) = record.run(self.end_ms)?;
+            let run = end.saturating_sub(start);
+            let share = match record.progress_ms {
+                _ if finished => 1.0,
+                0 => 0.0,
+                progress => (kept as f64 / progress as f64).min(1.0),
+            };
+            Some((record.accelerators, start, start + (run as f64 * share) as u64))
+        };
+        self.members.iter().filter_map(part).collect()
+    }
+
+    /// Returns the accelerator-milliseconds of all runs.
+    pub fn run(&self) -> f64 {
+        let runs = self.members.iter().filter_map(|record| {
+            let (start, end) = record.run(self.end_ms)?;
+            Some(f64::from(record.accelerators) * end.saturating_sub(start) as f64)
+        });
+        runs.sum()
+    }
+}
+
+/// Returns the accelerator-milliseconds of parts within a time.
+pub fn within(parts: &[(u32, u64, u64)], from_ms: u64, to_ms: u64) -> f64 {
+    let part = |(accelerators, start, end): &(u32, u64, u64)| {
+        let (start, end) = ((*start).max(from_ms), (*end).min(to_ms));
+        f64::from(*accelerators) * end.saturating_sub(start) as f64
+    };
+    parts.iter().map(part).sum()
+}
+
+/// Returns the accelerator-milliseconds that two attempts of one job ran at once.
+pub fn doubly_spent(attempts: &[Attempt<'_>], end_ms: u64) -> f64 {
+    let mut twice = 0.0;
+    for (index, first) in attempts.iter().enumerate() {
+        for second in &attempts[index + 1..] {
+            let span = |attempt: &Attempt<'_>| {
+                let runs: Vec<(u64, u64)> =
+                    attempt.members.iter().filter_map(|record| record.run(end_ms)).collect();
+                let start = runs.iter().map(|run| run.0).min()?;
+                Some((start, runs.iter().map(|run| run.1).max()?))
+            };
+            if let (Some(first_span), Some(second_span)) = (span(first), span(second)) {
+                let overlap =
+                    first_span.1.min(second_span.1) as f64 - first_span.0.max(second_span.0) as f64;
+                let width: u32 = second.members.iter().map(|record| record.accelerators).sum();
+                twice += overlap.max(0.0) * f64::from(width);
+            }
+        }
+    }
+    twice
+}
--- /dev/null
+++ b/crates/experiment/src/trial/user.rs
@@ -0,0 +1,100 @@
+//! Settings trees and workers of the two users.
+
+use std::str::FromStr;
+
+use lacewingrail_model::config::ConfigView;
+use lacewingrail_model::worker::WorkerSpec;
+use lacewingrail_settings::StoredTree;
+use serde_norway::Value;
+
+use crate::trial::{TrialPlan, setting_name};
+
+const OM_NORTH: &str = include_str!("../../../../examples/om-north.yaml");
+const JAWA: &str = include_str!("../../../../examples/jawa.yaml");
+/// Example quota above which a customer may borrow the whole region in the experiments.
+///
+/// With the example quotas a load of 95% waits for quota more often than for accelerators, which
+/// would hide the differences between the placement policies.
+const LARGE_QUOTA: u64 = 100;
+/// Quota of the large customers, the accelerators of a region.
+const REGION_QUOTA: u64 = 400;
+
+/// Names a user by its region.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum UserName {
+    /// Al Mahra.
+    OmNorth,
+    /// Tanahku.
+    Jawa,
+}
+
+impl UserName {
+    /// Returns the name of the region.
+    pub fn region(self) -> &'static str {
+        match self {
+            Self::OmNorth => "om-north",
+            Self::Jawa => "jawa",
+        }
+    }
+
+    /// Returns the cores and the memory in megabytes of a worker.
+    fn worker_size(self) -> (u32, u64) {
+        match self {
+            Self::OmNorth => (64, 128_000),
+            Self::Jawa => (128, 512_000),
+        }
+    }
+}
+
+impl FromStr for UserName {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "om-north" => Ok(Self::OmNorth),
+            "jawa" => Ok(Self::Jawa),
+            _ => Err(format!("the user {text:?} is unknown; use om-north or jawa")),
+        }
+    }
+}
+
+/// Returns the stored tree of a run: the user's example with the policies of the plan.
+pub fn stored_tree(plan: &TrialPlan) -> Result<StoredTree, String> {
+    let example = match plan.user {
+        UserName::OmNorth => OM_NORTH,
+        UserName::Jawa => JAWA,
+    };
+    let mut tree: Value = serde_norway::from_str(example).map_err(|error| error.to_string())?;
+    tree["policy"]["placement"] = Value::String(setting_name(&plan.placement));
+    tree["policy"]["on_domain_out"] = Value::String(setting_name(&plan.on_domain_out));
+    if let Some(customers) = tree["customers"].as_mapping_mut() {
+        for (_, customer) in customers.iter_mut() {
+            if customer["quota"].as_u64().is_some_and(|quota| quota > LARGE_QUOTA) {
+                customer["quota"] = Value::from(REGION_QUOTA);
+            }
+        }
+    }
+    let text = serde_norway::to_string(&tree).map_err(|error| error.to_string())?;
+    StoredTree::first(&text, "experiment", "experiment#tree".to_owned())
+        .map_err(|errors| errors.to_string())
+}
+
+/// Describes the workers of the healthy failure domains.
+pub fn worker_specs(user: UserName, view: &ConfigView) -> Vec<WorkerSpec> {
+    let (cores, memory_mb) = user.worker_size();
+    let mut specs = Vec::new();
+    for (domain, config) in &view.domains {
+        let racks = config.nominal_racks.iter();
+        let workers = racks.flat_map(|(rack, sizes)| sizes.iter().map(move |size| (rack, *size)));
+        specs.extend(workers.enumerate().map(|(number, (rack, accelerators))| WorkerSpec {
+            id: format!("{domain}-w{number:02}"),
+            domain: domain.clone(),
+            rack: rack.clone(),
+            accelerators,
+            cores,
+            memory_mb,
+            address: String::new(),
+        }));
+    }
+    specs
+}
--- /dev/null
+++ b/crates/experiment/src/trial/work.rs
@@ -0,0 +1,129 @@
+//! Client of the workers that gives each task its real work.
+//!
+//! Declared run times are wrong, and the stand-ins work for as long as they are told at the
+//! reservation. The command names the real work, and this client puts it into the reservation; the
+//! scheduler never sees it.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use lacewingrail_model::Epoch;
+use lacewingrail_model::job::JobRecord;
+use lacewingrail_model::keys;
+use lacewingrail_model::worker::{
+    MemberId, RenewItem, ReserveRequest, WorkerError, WorkerReport, WorkerService, WorkerSpec,
+};
+use lacewingrail_platform::{HttpWorkerClient, MemoryStore, read};
+
+const COMMAND: &str = "work ";
+
+/// Calls workers over HTTP and puts the real work into reservations.
+pub struct RealWorkClient {
+    inner: HttpWorkerClient,
+    store: MemoryStore,
+}
+
+impl RealWorkClient {
+    /// Creates a client that reads the kept work from a store.
+    pub fn new(store: MemoryStore) -> Self {
+        Self { inner: HttpWorkerClient::new(), store }
+    }
+
+    /// Returns the real work that is left, or nothing if the command names none.
+    async fn work_left(&self, worker: &WorkerSpec, request: &ReserveRequest) -> Option<u64> {
+        let (work_ms, declared_ms) = parse_command(&request.command)?;
+        // The declared time may be shorter than the kept work, so the record is read if possible.
+        let key = keys::job(&worker.domain, &request.member.job);
+        let record = read::<JobRecord>(&self.store, &key).await.ok().flatten();
+        let kept_ms = match record {
+            Some((record, _)) => record.checkpoint_ms,
+            None => declared_ms.saturating_sub(request.work_ms),
+        };
+        Some(work_ms.saturating_sub(kept_ms).max(1))
+    }
+}
+
+/// Returns the command of a job with its real and its declared work in milliseconds.
+pub fn work_command(work_ms: u64, declared_ms: u64) -> String {
+    format!("{COMMAND}{work_ms} {declared_ms}")
+}
+
+fn parse_command(command: &str) -> Option<(u64, u64)> {
+    let (work_ms, declared_ms) = command.strip_prefix(COMMAND)?.split_once(' ')?;
+    Some((work_ms.parse().ok()?, declared_ms.parse().ok()?))
+}
+
+#[async_trait]
+impl WorkerService for RealWorkClient {
+    async fn report(&self, worker: &WorkerSpec, epoch: Epoch) -> Result<WorkerReport, WorkerError> {
+        self.inner.report(worker, epoch).await
+    }
+
+    async fn reserve(
+        &self,
+        worker: &WorkerSpec,
+        epoch: Epoch,
+        request: ReserveRequest,
+    ) -> Result<(), WorkerError> {
+        let left = self.work_left(worker, &request).await;
+        let work_ms = left.unwrap_or(request.work_ms);
+        self.inner.reserve(worker, epoch, ReserveRequest { work_ms, ..request }).await
+    }
+
+    async fn commit(
+        &self,
+        worker: &WorkerSpec,
+        epoch: Epoch,
+        member: &MemberId,
+        ttl: Duration,
+    ) -> Result<(), WorkerError> {
+        self.inner.commit(worker, epoch, member, ttl).await
+    }
+
+    async fn start(
+        &self,
+        worker: &WorkerSpec,
+        epoch: Epoch,
+        member: &MemberId,
+        not_after: Duration,
+    ) -> Result<(), WorkerError> {
+        self.inner.start(worker, epoch, member, not_after).await
+    }
+
+    async fn renew(
+        &self,
+        worker: &WorkerSpec,
+        epoch: Epoch,
+        items: Vec<RenewItem>,
+    ) -> Result<WorkerReport, WorkerError> {
+        self.inner.renew(worker, epoch, items).await
+    }
+
+    async fn checkpoint(
+        &self,
+        worker: &WorkerSpec,
+        epoch: Epoch,
+        member: &MemberId,
+    ) -> Result<u64, WorkerError> {
+        self.inner.checkpoint(worker, epoch, member).await
+    }
+
+    async fn throttle(
+        &self,
+        worker: &WorkerSpec,
+        epoch: Epoch,
+        member: &MemberId,
+        share: f64,
+    ) -> Result<(), WorkerError> {
+        self.inner.throttle(worker, epoch, member, share).await
+    }
+
+    async fn stop(
+        &self,
+        worker: &WorkerSpec,
+        epoch: Epoch,
+        member: &MemberId,
+    ) -> Result<(), WorkerError> {
+        self.inner.stop(worker, epoch, member).await
+    }
+}
