--- a/crates/placement/src/reclaim.rs
+++ b/crates/placement/src/reclaim.rs
@@ -18,6 +18,9 @@
 /// Cost of waiting for gangs that are being stopped already, for each accelerator.
 const WAIT_COST_SECONDS: f64 = 3.0;
 
+/// Position of a worker outside the group.
+const ABSENT: usize = usize::MAX;
+
 /// Asks for a place.
 pub struct ReclaimQuery<'a> {
     /// Workers.
@@ -105,11 +108,14 @@
 struct RackFill<'a> {
     query: &'a ReclaimQuery<'a>,
     chosen: Vec<bool>,
+    /// Position of each worker in the group that is being filled.
+    position: Vec<usize>,
 }
 
 impl<'a> RackFill<'a> {
     fn new(query: &'a ReclaimQuery<'a>) -> Self {
-        Self { query, chosen: vec![false; query.gangs.capacity()] }
+        let position = vec![ABSENT; query.floor.workers.len()];
+        Self { query, chosen: vec![false; query.gangs.capacity()], position }
     }
 
     /// Fills one group of workers in steps of some members, and keeps the result if it is cheaper.
@@ -124,6 +130,9 @@
         if group.iter().map(slots).sum::<u32>() < demand.members {
             return;
         }
+        for (position, worker) in group.iter().enumerate() {
+            self.position[*worker] = position;
+        }
         let mut taken = vec![0; group.len()];
         let mut next: Vec<Option<NextStep>> =
             group.iter().map(|worker| self.next_step(*worker, step)).collect();
@@ -151,20 +160,17 @@
             }
             victims.extend_from_slice(&added);
             // A victim frees accelerators on all its workers, so their next members become cheaper.
-            for (position, worker) in group.iter().enumerate() {
-                let touched = position == index
-                    || added.iter().any(|slot| {
-                        self.query.gangs.get(*slot).is_some_and(|gang| {
-                            gang.place.iter().any(|part| part.worker == *worker)
-                        })
-                    });
-                if touched && missing > 0 {
-                    next[position] = self.next_step(*worker, taken[position] + step);
-                }
+            let mut touched = vec![index];
+            for gang in added.iter().filter_map(|slot| self.query.gangs.get(*slot)) {
+                let positions = gang.place.iter().map(|part| self.position[part.worker]);
+                touched.extend(positions.filter(|position| *position != ABSENT));
+            }
+            for position in touched {
+                next[position] = self.next_step(group[position], taken[position] + step);
             }
         }
         if missing == 0 && cost < limit {
-            let kept = self.drop_unneeded(group, &taken, &mut cost, &victims);
+            let kept = self.drop_unneeded(&taken, &mut cost, &victims);
             let place = group
                 .iter()
                 .zip(&taken)
@@ -176,6 +182,9 @@
         for slot in victims {
             self.chosen[slot] = false;
         }
+        for worker in group {
+            self.position[*worker] = ABSENT;
+        }
     }
 
     /// Returns what it takes to bring a worker to a number of members.
@@ -240,13 +249,7 @@
     }
 
     /// Drops victims whose accelerators are not needed beside the others', the costliest first.
-    fn drop_unneeded(
-        &mut self,
-        group: &[usize],
-        taken: &[u32],
-        cost: &mut f64,
-        victims: &[usize],
-    ) -> Vec<usize> {
+    fn drop_unneeded(&mut self, taken: &[u32], cost: &mut f64, victims: &[usize]) -> Vec<usize> {
         let mut kept = victims.to_vec();
         if victims.len() < 2 {
             return kept;
@@ -257,9 +260,10 @@
             self.chosen[slot] = false;
             let place = self.query.gangs.get(slot).map_or(&[][..], |gang| &gang.place[..]);
             let needed = place.iter().any(|part| {
-                let Some(position) = group.iter().position(|worker| *worker == part.worker) else {
+                let position = self.position[part.worker];
+                if position == ABSENT {
                     return false;
-                };
+                }
                 let worker = &self.query.floor.workers[part.worker];
                 let mut have = worker.free_later();
                 for other in worker.gangs.iter().filter(|other| self.chosen[**other]) {
--- a/crates/placement/src/shape_policy.rs
+++ b/crates/placement/src/shape_policy.rs
@@ -148,8 +148,7 @@
                 self.unfit.push((candidate.demand, short));
             }
         }
-        let reservation = board.reservation.as_ref();
-        if reservation.is_some_and(|held| held.job == candidate.job) {
+        if may_evict_backfill(board, candidate) {
             let now = self.now;
             let choice = search(board, candidate, |gang| {
                 let backfill = gang.backfill_for.as_ref() == Some(&candidate.job);
@@ -276,6 +275,20 @@
     }
 }
 
+/// Returns whether a job holds the reservation and could start, by count, without its backfill.
+fn may_evict_backfill(board: &PlacementBoard, candidate: &JobCandidate) -> bool {
+    if board.reservation.as_ref().is_none_or(|held| held.job != candidate.job) {
+        return false;
+    }
+    let backfill = board.gangs.iter().map(|(_, gang)| gang);
+    let held: u32 = backfill
+        .filter(|gang| gang.backfill_for.as_ref() == Some(&candidate.job))
+        .map(|gang| gang.demand.total())
+        .sum();
+    let stopping: u32 = board.floor.workers.iter().map(|worker| worker.stopping.accelerators).sum();
+    board.floor.free_total() + held + stopping >= candidate.demand.total()
+}
+
 /// Finds a free place, preferably off reserved workers, slow workers and unused guarantees.
 fn find_free(board: &PlacementBoard, candidate: &JobCandidate) -> Option<PlaceDecision> {
     let map = &board.floor.map;
