Skip groups of workers whose accelerators cannot be freed

Cause: a search for a place filled groups of workers before it saw that too little could be freed on them. Change: what is free or may be freed is summed for each worker first.

--- a/crates/placement/src/reclaim.rs
+++ b/crates/placement/src/reclaim.rs
@@ -110,12 +110,27 @@
     chosen: Vec<bool>,
     /// Position of each worker in the group that is being filled.
     position: Vec<usize>,
+    /// Accelerators of each worker that are free or held by gangs that may be stopped.
+    reachable: Vec<u32>,
 }
 
 impl<'a> RackFill<'a> {
     fn new(query: &'a ReclaimQuery<'a>) -> Self {
-        let position = vec![ABSENT; query.floor.workers.len()];
-        Self { query, chosen: vec![false; query.gangs.capacity()], position }
+        let workers = &query.floor.workers;
+        let mut reachable: Vec<u32> =
+            workers.iter().map(|worker| worker.free_later().accelerators).collect();
+        for (slot, gang) in query.gangs.iter() {
+            if gang.demand.each.accelerators > 0 && query.costs[slot].is_finite() {
+                for part in &gang.place {
+                    reachable[part.worker] += part.members * gang.demand.each.accelerators;
+                }
+            }
+        }
+        for (count, room) in reachable.iter_mut().zip(query.room) {
+            *count = (*count).min(*room);
+        }
+        let position = vec![ABSENT; workers.len()];
+        Self { query, chosen: vec![false; query.gangs.capacity()], position, reachable }
     }
 
     /// Fills one group of workers in steps of some members, and keeps the result if it is cheaper.
@@ -124,7 +139,7 @@
         let demand = self.query.demand;
         let slots = |worker: &usize| {
             let usable = self.query.floor.workers[*worker].is_usable();
-            let room = ResourceAmount::unlimited(self.query.room[*worker]);
+            let room = ResourceAmount::unlimited(self.reachable[*worker]);
             if usable { room.slots(&demand.each, demand.members) } else { 0 }
         };
         if group.iter().map(slots).sum::<u32>() < demand.members {
