Repeat the rebuild when workers that missed it answer

Cause: a process that took over a failure domain it could not reach stopped the gangs that ran there as orphans once the network healed, and ran gangs again that had finished in the cut, because only the rebuild looks for whole gangs. Change: a worker that did not answer the rebuild and shows members of no gang leads to another rebuild under the same epoch instead of stops.

--- a/crates/scheduler/src/gang_controller.rs
+++ b/crates/scheduler/src/gang_controller.rs
@@ -7,7 +7,7 @@
 mod renewal;
 mod teardown;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -60,6 +60,8 @@
         /// Epoch seen.
         seen: Epoch,
     },
+    /// A worker that did not answer the rebuild answers and has members of no gang.
+    Unsettled,
 }
 
 /// Sums up an ended attempt.
@@ -89,6 +91,8 @@
     pub starter: GangStarter,
     /// Whether only renewals and stops are allowed.
     pub renew_only: bool,
+    /// Workers that did not answer the rebuild.
+    pub late: BTreeSet<WorkerId>,
     /// Receiver of events.
     pub sink: EventSink,
 }
--- a/crates/scheduler/src/gang_controller/renewal.rs
+++ b/crates/scheduler/src/gang_controller/renewal.rs
@@ -6,7 +6,8 @@
 use kameo::message::{Context, Message};
 use lacewingrail_model::invariant::{InvariantName, check};
 use lacewingrail_model::worker::{
-    MemberPhase, RENEW_PERIOD, RenewItem, TASK_LEASE_TTL, TaskReport, WorkerError, WorkerReport,
+    MemberId, MemberPhase, RENEW_PERIOD, RenewItem, TASK_LEASE_TTL, TaskReport, WorkerError,
+    WorkerReport,
 };
 use lacewingrail_model::{JobId, WorkerId};
 
@@ -61,6 +62,13 @@
             Ok(report) => {
                 link.answered = Some(message.sent);
                 link.failures = 0;
+                if self.is_unsettled(&message.worker, report) {
+                    // What a former scheduler left there may be whole gangs that run or finished,
+                    // and only a rebuild sees all their members.
+                    self.emit(GangEvent::Unsettled);
+                    return;
+                }
+                self.settings.late.remove(&message.worker);
                 self.take_report(&message.worker, message.sent, report);
                 self.poll_at_end(&message.worker);
             }
@@ -170,6 +178,23 @@
         }
     }
 
+    /// Returns whether a worker that missed the rebuild has members that the rebuild had to know.
+    fn is_unsettled(&self, worker: &WorkerId, report: &WorkerReport) -> bool {
+        self.settings.late.contains(worker)
+            && report.tasks.iter().any(|task| {
+                let counts = !matches!(task.phase, MemberPhase::Failed | MemberPhase::Stopped);
+                counts && !is_probe(&task.member) && !self.owns(worker, &task.member)
+            })
+    }
+
+    /// Returns whether a member on a worker belongs to a gang of this controller.
+    fn owns(&self, worker: &WorkerId, member: &MemberId) -> bool {
+        self.gangs.get(&member.job).is_some_and(|track| {
+            let mut members = track.members.iter();
+            members.any(|own| own.place.id == *member && own.place.worker.id == *worker)
+        })
+    }
+
     /// Takes over what a worker says about its members.
     fn take_report(&mut self, worker: &WorkerId, sent: Instant, report: &WorkerReport) {
         let jobs: Vec<JobId> = self
@@ -250,13 +275,7 @@
         if !holds || is_probe(&task.member) {
             return;
         }
-        let owned = self.gangs.get(&task.member.job).is_some_and(|track| {
-            let members = &track.members;
-            members
-                .iter()
-                .any(|member| member.place.id == task.member && member.place.worker.id == *worker)
-        });
-        if !owned {
+        if !self.owns(worker, &task.member) {
             self.count_double(task);
             if let Some(link) = self.workers.get(worker) {
                 let spec = Arc::clone(&link.spec);
--- a/crates/scheduler/src/job_controller/ends.rs
+++ b/crates/scheduler/src/job_controller/ends.rs
@@ -48,7 +48,7 @@
             }
             GangEvent::Ended(summary) => self.note_ended(summary),
             // The tenure hands these to the worker controller and the lease controller.
-            GangEvent::WorkerSeen { .. } | GangEvent::Stale { .. } => {}
+            GangEvent::WorkerSeen { .. } | GangEvent::Stale { .. } | GangEvent::Unsettled => {}
         }
     }
 }
--- a/crates/scheduler/src/lease_controller.rs
+++ b/crates/scheduler/src/lease_controller.rs
@@ -95,6 +95,10 @@
     seen: Epoch,
 }
 
+struct Unsettled {
+    epoch: Epoch,
+}
+
 struct Rebuilt {
     epoch: Epoch,
     outcome: Result<Tenure, Epoch>,
@@ -155,6 +159,22 @@
     }
 }
 
+impl Message<Unsettled> for LeaseController {
+    type Reply = ();
+
+    async fn handle(&mut self, message: Unsettled, _context: &mut Context<Self, ()>) {
+        let LeaseState::Active { held, tenure, .. } = &self.state else {
+            return;
+        };
+        let (held, epoch) = (*held, tenure.epoch);
+        if epoch == message.epoch {
+            let domain = &self.settings.domain;
+            log::info!("workers of {domain} that missed the rebuild answer; it is repeated");
+            self.rebuild(held, epoch, self.is_trusted());
+        }
+    }
+}
+
 impl Message<Rebuilt> for LeaseController {
     type Reply = ();
 
@@ -251,14 +271,18 @@
             }
         };
         log::info!("this process is the active scheduler of {domain}, epoch {}", held.epoch);
-        let trusted = self.contact_since.is_some_and(|since| since.elapsed() >= TRUST_AFTER);
-        self.rebuild(Some(held), held.epoch, trusted);
+        self.rebuild(Some(held), held.epoch, self.is_trusted());
+    }
+
+    /// Returns whether no gang can have been started without its record saying so.
+    fn is_trusted(&self) -> bool {
+        self.contact_since.is_some_and(|since| since.elapsed() >= TRUST_AFTER)
     }
 
     /// Starts a tenure; a former one ends first.
     fn rebuild(&mut self, held: Option<HeldLease>, epoch: Epoch, trust_queued: bool) {
         self.leave();
-        let stale_receiver = self.me.clone();
+        let (stale_receiver, unsettled_receiver) = (self.me.clone(), self.me.clone());
         let settings = TenureSettings {
             context: self.settings.context.clone(),
             domain: self.settings.domain.clone(),
@@ -268,6 +292,9 @@
             stale: Arc::new(move |seen| {
                 let _ = stale_receiver.tell(StaleSeen { epoch, seen }).try_send();
             }),
+            unsettled: Arc::new(move || {
+                let _ = unsettled_receiver.tell(Unsettled { epoch }).try_send();
+            }),
         };
         let me = self.me.clone();
         let span = tracing::info_span!("rebuild", domain = %self.settings.domain, epoch);
--- a/crates/scheduler/src/tenure.rs
+++ b/crates/scheduler/src/tenure.rs
@@ -54,6 +54,8 @@
 
 /// Takes the higher epoch that a worker has seen.
 pub type StaleSink = Arc<dyn Fn(Epoch) + Send + Sync>;
+/// Takes the notice that the rebuild has to be repeated.
+pub type UnsettledSink = Arc<dyn Fn() + Send + Sync>;
 
 /// Says how a tenure begins.
 pub struct TenureSettings {
@@ -71,6 +73,8 @@
     pub trust_queued: bool,
     /// Receiver of higher epochs.
     pub stale: StaleSink,
+    /// Receiver of the notice that a worker which missed the rebuild has members of former gangs.
+    pub unsettled: UnsettledSink,
 }
 
 /// Runs the controllers of one tenure; dropping it ends them.
@@ -133,7 +137,8 @@
         found: Found,
         mut tasks: TaskSet,
     ) -> Self {
-        let TenureSettings { context, domain, epoch, renew_only, trust_queued, stale } = settings;
+        let TenureSettings { context, domain, epoch, renew_only, trust_queued, stale, unsettled } =
+            settings;
         let starter = GangStarter {
             workers: context.workers.clone(),
             permission: permission.clone(),
@@ -153,6 +158,7 @@
             let (receiver, watcher) = (receiver.clone(), watcher.clone());
             Arc::new(move |event: GangEvent| match event {
                 GangEvent::Stale { seen } => stale(seen),
+                GangEvent::Unsettled => unsettled(),
                 GangEvent::WorkerSeen { worker, outcome } => {
                     if let Some(workers) = watcher.get() {
                         let _ = workers.tell(WorkerSeen { worker, outcome }).try_send();
@@ -165,12 +171,14 @@
                 }
             })
         };
+        let missing = found.answers.iter().filter(|answer| answer.report.is_none());
         let gangs = GangController::spawn_with_mailbox(
             GangSettings {
                 context: context.clone(),
                 domain: domain.clone(),
                 starter: starter.clone(),
                 renew_only,
+                late: missing.map(|answer| answer.spec.id.clone()).collect(),
                 sink,
             },
             mailbox::unbounded(),
