Tell apart unused and held guarantees in the experiments

Cause: a guarantee whose units smaller jobs of the same customer hold cannot be reclaimed, so one figure mixed two cases; the failing worker counted as free. Change: two figures for the two cases, the delay until an end is recorded, and idle time by domain. Conclusion: the split shows whether the planner or the workload misses the bound.

--- a/crates/experiment/src/trial/drive.rs
+++ b/crates/experiment/src/trial/drive.rs
@@ -30,6 +30,8 @@
     pub view: ConfigView,
     /// Workers.
     pub workers: Vec<WorkerSpec>,
+    /// Worker on which every start fails.
+    pub failing: String,
     /// Start and end of the load.
     pub load_ms: (u64, u64),
     /// End of the run.
@@ -92,6 +94,7 @@
     let record = TrialRecord {
         view: site.view.clone(),
         workers: site.fleet.specs(),
+        failing: site.failing.clone(),
         load_ms: (load_ms, load_ms + millis(plan.load)),
         end_ms,
         jobs,
--- a/crates/experiment/src/trial/figures.rs
+++ b/crates/experiment/src/trial/figures.rs
@@ -50,7 +50,7 @@
     let overhead = alone_overhead(record, &runs_of);
     figures.set("01 start and end of a job alone, s", overhead);
     let (mut unfinished, mut late_urgent, mut urgent) = (0.0, 0.0, 0.0);
-    let (mut reclaims, mut kept) = (0.0, 0.0);
+    let (mut reclaims, mut unused) = (ShareCount::default(), ShareCount::default());
     for job in record.jobs.iter().filter(|job| job.plan.kind != JobKind::Alone) {
         let runs = runs_of(job);
         let start = runs.iter().find_map(|attempt| Some((attempt, attempt.started_ms()?)));
@@ -72,12 +72,27 @@
                 }
             }
             JobKind::Guaranteed => {
-                figures.sample("reclaim, s", start_s.unwrap_or(waited_s));
-                reclaims += 1.0;
-                let shaped =
-                    start.is_some_and(|(attempt, _)| attempt.is_in_shape(&job.plan.spec.shape));
-                if shaped && start_s.is_some_and(|start| start <= START_BOUND_S) {
-                    kept += 1.0;
+                let time = start_s.unwrap_or(waited_s);
+                figures.sample("reclaim, s", time);
+                let shape = job.plan.spec.shape;
+                let in_shape =
+                    start.as_ref().is_some_and(|(attempt, _)| attempt.is_in_shape(&shape));
+                let in_time = f64::from(u8::from(in_shape && time <= START_BOUND_S));
+                reclaims.add(in_time);
+                let until_ms = start.as_ref().map_or(record.end_ms, |(_, at)| *at);
+                if is_held_by_own(record, &attempts, job, until_ms) {
+                    figures.sample("reclaim while smaller own jobs hold a unit, s", time);
+                } else {
+                    figures.sample("reclaim of an unused unit, s", time);
+                    unused.add(in_time);
+                    if in_time == 0.0 {
+                        let (customer, domains) = (&job.plan.spec.customer, &job.plan.spec.domains);
+                        eprintln!(
+                            "late reclaim: {customer}, {shape}, {domains:?}, after {time} s, in \
+                             shape {in_shape}, job {:?}, submitted {}",
+                            job.id, job.submitted_ms
+                        );
+                    }
                 }
             }
             JobKind::Load | JobKind::Alone => {}
@@ -101,6 +116,13 @@
         let completion = ended.map_or(waited_s, |ended| seconds(ended, job.submitted_ms));
         let size = size_name(job.plan.spec.shape.total());
         let slowdown = completion / (job.plan.work_ms as f64 / 1_000.0 + overhead);
+        let worked = runs.iter().rfind(|attempt| attempt.is_finished());
+        let worked = worked
+            .and_then(|attempt| attempt.members.iter().filter_map(|member| member.ended_ms).max());
+        if let (Some(worked), Some(ended)) = (worked, ended) {
+            figures
+                .sample("end recorded after the last member finished, s", seconds(ended, worked));
+        }
         figures.sample("completion all, s", completion);
         figures.sample(format!("completion {class} {size}, s"), completion);
         figures.sample(format!("completion {size}, s"), completion);
@@ -110,10 +132,8 @@
     }
     figures.set("02 jobs not finished", unfinished);
     figures.set("03 urgent starts after 6.4 s, share", late_urgent / f64::max(urgent, 1.0));
-    figures.set(
-        "04 guarantees reclaimed in shape within 6.4 s, share",
-        kept / f64::max(reclaims, 1.0),
-    );
+    figures.set("04 guarantees reclaimed in shape within 6.4 s, share", reclaims.share());
+    figures.set("04 unused guarantees reclaimed in shape within 6.4 s, share", unused.share());
     let count =
         |kind: JobKind| record.jobs.iter().filter(|job| job.plan.kind == kind).count() as f64;
     let refused = figures.samples.get("impossible refused, ms").map_or(0, Vec::len) as f64;
@@ -126,6 +146,7 @@
     let fragmentation = fragmentation::measure(record);
     figures.set("07 fragmented accelerator-time, share", fragmentation.fragmented);
     figures.set("08 free while a waiting gang fits in shape, share", fragmentation.idle);
+    figures.set("08 of it in the domain where the gang runs next, share", fragmentation.idle_here);
     figures.set("09 free while nothing waits, share", fragmentation.spare);
     figures.set("10 largest whole-worker gang over free accelerators", fragmentation.largest);
     add_time(record, &attempts, &mut figures);
@@ -133,6 +154,48 @@
     figures
 }
 
+/// Counts how many of a number of jobs satisfy a condition.
+#[derive(Default)]
+struct ShareCount {
+    satisfied: f64,
+    total: f64,
+}
+
+impl ShareCount {
+    fn add(&mut self, satisfied: f64) {
+        self.satisfied += satisfied;
+        self.total += 1.0;
+    }
+
+    fn share(&self) -> f64 {
+        self.satisfied / f64::max(self.total, 1.0)
+    }
+}
+
+/// Returns whether other jobs of the customer ran as guaranteed in the domain while a job waited.
+///
+/// A job within its customer's guarantee takes a whole unit, also where it is smaller.
+fn is_held_by_own(
+    record: &TrialRecord,
+    attempts: &BTreeMap<&str, Vec<Attempt<'_>>>,
+    waiting: &TrialJob,
+    until_ms: u64,
+) -> bool {
+    let spec = &waiting.plan.spec;
+    record.jobs.iter().any(|job| {
+        let own = job.plan.kind == JobKind::Load && job.plan.spec.customer == spec.customer;
+        let guaranteed = job.record.as_ref().is_some_and(|record| record.guaranteed);
+        let runs = job.id.as_ref().and_then(|id| attempts.get(id.as_str()));
+        let mut members = runs.into_iter().flatten().flat_map(|attempt| &attempt.members);
+        own && guaranteed
+            && members.any(|member| {
+                spec.domains.contains(&member.domain)
+                    && member.reserved_ms < until_ms
+                    && member.ended_ms.unwrap_or(u64::MAX) > waiting.submitted_ms
+            })
+    })
+}
+
 /// Adds useful, lost and doubly spent accelerator-time.
 fn add_time(
     record: &TrialRecord,
--- a/crates/experiment/src/trial/fragmentation.rs
+++ b/crates/experiment/src/trial/fragmentation.rs
@@ -24,6 +24,8 @@
     pub fragmented: f64,
     /// Free while a waiting gang fits by shape.
     pub idle: f64,
+    /// Part of it in which the gang fits in the domain in which it runs next.
+    pub idle_here: f64,
     /// Free while no gang waits.
     pub spare: f64,
     /// Mean of the largest gang of whole workers in one rack, as a share of the free accelerators
@@ -46,24 +48,28 @@
     while at_ms < record.load_ms.1 {
         let workers = free_workers(record, at_ms);
         let domains = free_by_domain(&workers);
-        let waiting = waiting_shapes(record, at_ms);
-        let fits = |shape: &GangShape, domains_allowed: &[String]| {
+        let waiting = waiting_gangs(record, at_ms);
+        let fits_anywhere = |shape: &GangShape, domains_allowed: &[String]| {
             domains
                 .keys()
                 .any(|domain| allows(domains_allowed, domain) && fits(&workers, domain, shape))
         };
         let total: u32 = domains.values().sum();
         let stuck: Vec<_> =
-            waiting.iter().filter(|(shape, allowed)| !fits(shape, allowed)).collect();
+            waiting.iter().filter(|gang| !fits_anywhere(&gang.shape, gang.allowed)).collect();
         if waiting.is_empty() {
             sums.spare += f64::from(total);
         } else if stuck.len() < waiting.len() {
             sums.idle += f64::from(total);
+            let here = waiting
+                .iter()
+                .any(|gang| gang.next.is_some_and(|domain| fits(&workers, domain, &gang.shape)));
+            sums.idle_here += if here { f64::from(total) } else { 0.0 };
         } else {
             let blocked = domains.iter().filter(|(domain, free)| {
                 stuck
                     .iter()
-                    .any(|(shape, allowed)| allows(allowed, domain) && **free >= shape.total())
+                    .any(|gang| allows(gang.allowed, domain) && **free >= gang.shape.total())
             });
             sums.fragmented += f64::from(blocked.map(|(_, free)| free).sum::<u32>());
         }
@@ -79,6 +85,7 @@
     FragmentationFigures {
         fragmented: sums.fragmented / whole,
         idle: sums.idle / whole,
+        idle_here: sums.idle_here / whole,
         spare: sums.spare / whole,
         largest: largest_sum / f64::max(largest_count, 1.0),
     }
@@ -92,7 +99,8 @@
             *held.entry(&holding.worker).or_default() += holding.accelerators;
         }
     }
-    let free = record.workers.iter().map(|spec| FreeWorker {
+    let usable = record.workers.iter().filter(|spec| spec.id != record.failing);
+    let free = usable.map(|spec| FreeWorker {
         domain: &spec.domain,
         rack: &spec.rack,
         free: spec.accelerators
@@ -109,8 +117,16 @@
     domains
 }
 
-/// Returns the shapes and allowed domains of the gangs that wait and are within their quota.
-fn waiting_shapes(record: &TrialRecord, at_ms: u64) -> Vec<(GangShape, &[String])> {
+struct WaitingGang<'a> {
+    shape: GangShape,
+    /// Failure domains it may run in; empty for any.
+    allowed: &'a [String],
+    /// Failure domain of its next attempt.
+    next: Option<&'a str>,
+}
+
+/// Returns the gangs that wait and are within their quota.
+fn waiting_gangs(record: &TrialRecord, at_ms: u64) -> Vec<WaitingGang<'_>> {
     let mut held: BTreeMap<&str, u32> = BTreeMap::new();
     let mut waiting = Vec::new();
     let mut holders: BTreeMap<&str, u32> = BTreeMap::new();
@@ -133,15 +149,24 @@
                     && holding.ended_ms.is_some_and(|ended| ended <= at_ms)
             });
             if !finished {
-                waiting.push((spec, spec.domains.as_slice()));
+                waiting.push((id, spec));
             }
         }
     }
-    let allowed = waiting.into_iter().filter(|(spec, _)| {
+    let allowed = waiting.into_iter().filter(|(_, spec)| {
         let quota = record.view.customers.get(&spec.customer).map_or(0, |customer| customer.quota);
         held.get(spec.customer.as_str()).copied().unwrap_or(0) + spec.shape.total() <= quota
     });
-    allowed.map(|(spec, domains)| (spec.shape, domains)).collect()
+    let next = |id: &String| {
+        let later = record
+            .holdings
+            .iter()
+            .filter(|holding| holding.member.job == *id && holding.reserved_ms > at_ms);
+        later.min_by_key(|holding| holding.reserved_ms).map(|holding| holding.domain.as_str())
+    };
+    allowed
+        .map(|(id, spec)| WaitingGang { shape: spec.shape, allowed: &spec.domains, next: next(id) })
+        .collect()
 }
 
 fn allows(allowed: &[String], domain: &str) -> bool {
--- a/crates/experiment/src/trial/site.rs
+++ b/crates/experiment/src/trial/site.rs
@@ -44,6 +44,8 @@
     pub client: ApiClient,
     /// Names of the failure domains.
     pub domains: Vec<String>,
+    /// Worker on which every start fails.
+    pub failing: String,
     processes: Vec<SchedulerProcess>,
     proxy: FaultProxy,
     _server: StoreServer,
@@ -79,6 +81,7 @@
             store,
             fleet,
             domains,
+            failing,
             processes: Vec::new(),
             proxy: FaultProxy::new(plan.seed),
             _server: server,
