--- a/crates/scheduler/tests/domains.rs
+++ b/crates/scheduler/tests/domains.rs
@@ -180,3 +180,42 @@
     assert_eq!(bench.running("job-1").len(), 1);
     bench.assert_truth();
 }
+
+/// Guards against a job that runs twice because its domain is cut off while its scheduler and its
+/// workers go on, and against a job that is lost with its domain.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_domain_keeps_its_gangs_and_a_lost_one_frees_them() {
+    join_all(["cut", "lost"].map(|fault| async move {
+        let bench = Bench::new(2, 3).await;
+        let mut host = bench.start("a", 0).await;
+        let other = bench.start("b", 1).await;
+        host.wait_schedules("a", LIMIT).await;
+        other.wait_schedules("b", LIMIT).await;
+        bench.submit("a", "job-1", gang(3, 8, 26_000)).await;
+        bench.wait_running("job-1", 3, LIMIT).await;
+        if fault == "cut" {
+            host.store.set(GateState::Cut);
+            other.workers.cut_off("a-");
+        } else {
+            host.crash();
+            let faults = WorkerFaults { dead: true, ..WorkerFaults::default() };
+            bench.fleet.set_faults(&WorkerSelection::domain("a"), faults);
+        }
+        other.wait_schedules("a", Duration::from_secs(12)).await;
+        tokio::time::sleep(Duration::from_secs(14)).await;
+        if fault == "cut" {
+            assert_eq!(bench.running("job-1").len(), 3, "the gang goes on in the cut domain");
+            host.store.set(GateState::Open);
+            other.workers.cut_off("none");
+            let record = bench.wait_ended("job-1", LIMIT).await;
+            assert_eq!((record.state, record.attempt), (JobState::Finished, 1));
+        } else {
+            assert!(bench.running("job-1").is_empty(), "nobody knows that the domain is lost");
+            bench.set_out("a", true).await;
+            let waited = bench.wait_running("job-1", 3, LIMIT).await;
+            println!("the job of the lost domain runs {waited:?} after the take-out");
+        }
+        bench.assert_truth();
+    }))
+    .await;
+}
