Mark the writes of each tenure apart

Cause: a rebuild repeated under the same epoch counted its marks from 1 again, so a lost answer could be mistaken for a write of the tenure before.

--- a/crates/scheduler/src/job_controller.rs
+++ b/crates/scheduler/src/job_controller.rs
@@ -69,6 +69,8 @@
     pub workers: ActorRef<WorkerController>,
     /// Issuer of the marks of this domain's records.
     pub issuer: Arc<MarkIssuer>,
+    /// Name with which those marks begin.
+    pub issuer_name: InstanceId,
     /// Writer of ends.
     pub ends: mpsc::UnboundedSender<EndedJob>,
     /// What the rebuild found, until the workers are known.
@@ -199,8 +201,7 @@
         let config = settings.context.membership.current();
         let choice = config.policy(&settings.domain, None, None).placement;
         let planner = DomainPlanner::new(settings.domain.clone(), choice, settings.epoch);
-        let instance = &settings.context.membership.settings().instance;
-        let mark_prefix = format!("{}#", issuer_name(instance, &settings.domain, settings.epoch));
+        let mark_prefix = format!("{}#", settings.issuer_name);
         let mut controller = Self {
             settings,
             me,
@@ -462,7 +463,10 @@
     }
 }
 
-/// Returns the name under which one active scheduler marks its writes of job records.
-pub fn issuer_name(instance: &InstanceId, domain: &DomainName, epoch: Epoch) -> InstanceId {
-    format!("{instance}/{domain}/{epoch}")
+/// Returns a new name under which one tenure marks its writes of job records.
+///
+/// A rebuild may be repeated under the same epoch, and writes of the former tenure may still be on
+/// their way, so the epoch alone does not tell the two apart.
+pub fn fresh_issuer_name(instance: &InstanceId, domain: &DomainName, epoch: Epoch) -> InstanceId {
+    format!("{instance}/{domain}/{epoch}-{:08x}", rand::random::<u32>())
 }
--- a/crates/scheduler/src/lease_controller.rs
+++ b/crates/scheduler/src/lease_controller.rs
@@ -37,6 +37,9 @@
 /// domain gives the lease back.
 const RETURN_AFTER: Duration = Duration::from_secs(10);
 
+/// Time after which the lease is given back again, if the domain's own processes did not take it.
+const RETURN_AGAIN: Duration = Duration::from_secs(300);
+
 /// Lists the tenures of a process, for questions and vetoes.
 pub type TenureTable = Arc<Mutex<BTreeMap<DomainName, TenureEntry>>>;
 
@@ -74,6 +77,7 @@
     free_since: Option<Instant>,
     contact_since: Option<Instant>,
     local_since: Option<Instant>,
+    returned: Option<Instant>,
     silence: takeover::SilenceWatch,
     retired: bool,
 }
@@ -118,6 +122,7 @@
             free_since: None,
             contact_since: None,
             local_since: None,
+            returned: None,
             silence: takeover::SilenceWatch::default(),
             retired: false,
         })
@@ -372,8 +377,10 @@
             return;
         }
         let since = *self.local_since.get_or_insert_with(Instant::now);
-        if since.elapsed() >= RETURN_AFTER {
+        let tried = self.returned.is_some_and(|at| at.elapsed() < RETURN_AGAIN);
+        if since.elapsed() >= RETURN_AFTER && !tried {
             self.local_since = None;
+            self.returned = Some(Instant::now());
             self.release("the domain has scheduler processes of its own").await;
         }
     }
--- a/crates/scheduler/src/tenure.rs
+++ b/crates/scheduler/src/tenure.rs
@@ -27,7 +27,7 @@
 use crate::gang_start::GangStarter;
 use crate::job_controller::{
     EndsRecorded, JobController, JobFaulty, JobSettings, JobTick, SetCapacities, SettingsChanged,
-    StoreChanged, issuer_name,
+    StoreChanged, fresh_issuer_name,
 };
 use crate::permission::StartPermission;
 use crate::rebuild::{self, WorkerAnswer};
@@ -214,7 +214,8 @@
             mailbox::unbounded(),
         );
         let instance = &context.membership.settings().instance;
-        let issuer = Arc::new(MarkIssuer::new(issuer_name(instance, &domain, epoch)));
+        let issuer_name = fresh_issuer_name(instance, &domain, epoch);
+        let issuer = Arc::new(MarkIssuer::new(issuer_name.clone()));
         let (ends, ended) = mpsc::unbounded_channel();
         let jobs = JobController::spawn_with_mailbox(
             JobSettings {
@@ -225,6 +226,7 @@
                 gangs: gangs.clone(),
                 workers: workers.clone(),
                 issuer: issuer.clone(),
+                issuer_name,
                 ends,
                 plan: Some(plan),
             },
