Complete an arrival before a cancelled job ends

Change: an arriving job takes over a cancellation and ends after the former record is deleted; a cancellation of a leaving job is no longer overwritten. Conclusion: the end of a job never precedes the end of its change of owner.

--- a/crates/scheduler/src/job_controller.rs
+++ b/crates/scheduler/src/job_controller.rs
@@ -339,7 +339,7 @@
         for found in plan.ended {
             let job = found.record.id.clone();
             self.jobs.insert(job.clone(), JobEntry::new(found, Duration::ZERO));
-            self.end(&job);
+            self.admit(&job);
         }
         for found in plan.foreign {
             let job = found.record.id.clone();
@@ -407,13 +407,13 @@
         let Some(entry) = self.jobs.get_mut(job) else {
             return;
         };
-        if entry.record.state.is_final() {
+        if entry.record.arrival.is_some() {
+            entry.phase = JobPhase::Arriving;
+            self.receive(job);
+        } else if entry.record.state.is_final() {
             self.end(job);
         } else if let Some(until) = entry.unreachable_until.take() {
             entry.phase = JobPhase::Unreachable(until);
-        } else if entry.record.arrival.is_some() {
-            entry.phase = JobPhase::Arriving;
-            self.receive(job);
         } else {
             self.enqueue(job);
         }
--- a/crates/scheduler/src/job_controller/leaving.rs
+++ b/crates/scheduler/src/job_controller/leaving.rs
@@ -52,7 +52,10 @@
         };
         match outcome {
             ArrivalOutcome::Confirmed(confirmed) => {
-                (entry.record, entry.revision) = *confirmed;
+                // A cancellation may have been seen since.
+                if confirmed.1 >= entry.revision {
+                    (entry.record, entry.revision) = *confirmed;
+                }
                 // The first attempt's record drops the mark of the arrival.
                 if entry.record.state.is_final() {
                     self.end(&job);
--- a/crates/scheduler/src/job_controller/writes.rs
+++ b/crates/scheduler/src/job_controller/writes.rs
@@ -180,17 +180,20 @@
         if record.mark.starts_with(&self.mark_prefix) || entry.phase == JobPhase::Ending {
             return;
         }
-        if record.state.is_final() && !matches!(entry.phase, JobPhase::Leaving(_)) {
-            self.cancel(job, record.state);
-        } else if record.owner != self.settings.domain
-            && !matches!(entry.phase, JobPhase::Leaving(_))
-        {
-            self.disown(job);
-        } else if record.state.is_final() && record.owner == self.settings.domain {
-            // The cancellation came before the new owner was named.
-            self.cancel(job, record.state);
-        } else if entry.record.state != record.state {
-            entry.dirty = true;
+        let (ended, owned) = (record.state.is_final(), record.owner == self.settings.domain);
+        match entry.phase {
+            // The arrival is completed first, because the former record would otherwise bring the
+            // job back. It takes over the new state.
+            JobPhase::Arriving => entry.record = record,
+            // The new owner is named already and takes over the state of this record.
+            JobPhase::Leaving(_) if !owned && ended => entry.record.state = record.state,
+            JobPhase::Leaving(_) if !owned => {}
+            _ if ended => self.cancel(job, record.state),
+            _ if !owned => self.disown(job),
+            _ if entry.record.state != record.state || entry.record.owner != record.owner => {
+                entry.dirty = true;
+            }
+            _ => {}
         }
     }
 
@@ -210,6 +213,7 @@
             return;
         };
         entry.record.state = state;
+        entry.record.owner.clone_from(&self.settings.domain);
         match entry.phase {
             JobPhase::Active | JobPhase::Stopping(_) => self.stop(job, StopReason::Cancelled),
             _ => {
--- a/crates/scheduler/tests/domains.rs
+++ b/crates/scheduler/tests/domains.rs
@@ -7,7 +7,7 @@
 use futures::future::join_all;
 use lacewingrail_admin::{AdminContext, VetoOutcome};
 use lacewingrail_model::admin::{DomainAnswer, DomainQuery};
-use lacewingrail_model::job::{JobSpec, JobState};
+use lacewingrail_model::job::{JobArrival, JobRecord, JobSpec, JobState};
 use lacewingrail_platform::StoreFaults;
 use lacewingrail_standins::worker_fleet::faults::{WorkerFaults, WorkerSelection};
 
@@ -219,3 +219,23 @@
     }))
     .await;
 }
+
+/// Guards against a job that comes back after its cancellation, because it was cancelled while its
+/// new domain could not complete its arrival and the former record remained.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_is_cancelled_while_it_arrives() {
+    let bench = Bench::new(2, 1).await;
+    bench.submit("b", "job-1", gang(1, 8, 300)).await;
+    // Steps 1 and 2 of the change of owner, as the former owner leaves them.
+    let former = bench.record("job-1").await.expect("a record");
+    let former = JobRecord { owner: "a".to_owned(), ..former };
+    let arrival = Some(JobArrival { from: "b".to_owned(), confirmed: false });
+    bench.overwrite("b", &former).await;
+    bench.create("a", &JobRecord { arrival, ..former }).await;
+    bench.cancel("job-1").await;
+    let hosts = [bench.start("a", 0).await, bench.start("b", 1).await];
+    hosts[0].wait_schedules("a", LIMIT).await;
+    let record = bench.wait_ended("job-1", LIMIT).await;
+    assert_eq!((record.state, record.attempt), (JobState::Cancelled, 0));
+    assert_eq!(bench.store_jobs("a").await + bench.store_jobs("b").await, 0);
+}
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -199,6 +199,21 @@
         self.store.put(&key, value, 0, None).await.expect("a submission");
     }
 
+    /// Creates a record under a domain.
+    pub async fn create(&self, domain: &str, record: &JobRecord) {
+        let value = serde_json::to_string(record).expect("a record");
+        let key = keys::job(&domain.to_owned(), &record.id);
+        self.store.put(&key, value, 0, None).await.expect("a new record");
+    }
+
+    /// Replaces the record of a job under a domain.
+    pub async fn overwrite(&self, domain: &str, record: &JobRecord) {
+        let value = serde_json::to_string(record).expect("a record");
+        let key = keys::job(&domain.to_owned(), &record.id);
+        let entry = self.store.get(&key).await.expect("a read").expect("a record");
+        self.store.put(&key, value, entry.revision, None).await.expect("a changed record");
+    }
+
     /// Cancels a job as the administration API does.
     pub async fn cancel(&self, id: &str) {
         loop {
