Answer whether a demand has room without choosing a place

Cause: after a worker was lost or returned, whether the usable workers could hold a demand was found by choosing a place, which sorts all workers, for each of up to 49 different waiting demands; this made the p99 grow 6.2 times from 127 to 508 workers.

--- a/crates/placement/src/floor.rs
+++ b/crates/placement/src/floor.rs
@@ -243,7 +243,7 @@
         }
         let usable: Vec<ResourceAmount> =
             self.workers.iter().map(FloorWorker::usable_capacity).collect();
-        let fits = self.map.fit(&usable, demand, 0).is_some();
+        let fits = self.map.has_room(&usable, demand);
         self.usable_fits.insert(*demand, fits);
         fits
     }
@@ -254,7 +254,7 @@
             Some(whole) => whole,
             None => self.nominal_room(),
         };
-        let fits = map.fit(&room, demand, 0).is_some();
+        let fits = map.has_room(&room, demand);
         self.whole = Some((map, room));
         fits
     }
--- a/crates/placement/src/packing.rs
+++ b/crates/placement/src/packing.rs
@@ -85,6 +85,24 @@
         }
     }
 
+    /// Returns whether a gang fits anywhere, without choosing a place.
+    pub fn has_room(&self, room: &[ResourceAmount], demand: &GangDemand) -> bool {
+        let slots = |worker: usize| room[worker].slots(&demand.each, demand.members);
+        match demand.adjacency {
+            AdjacencyLevel::Worker => (0..room.len()).any(|worker| slots(worker) >= demand.members),
+            AdjacencyLevel::Rack => {
+                (0..self.racks.len()).any(|rack| self.rack_left_over(room, rack, demand).is_some())
+            }
+            AdjacencyLevel::Domain => {
+                let mut found = 0;
+                (0..room.len()).any(|worker| {
+                    found += slots(worker);
+                    found >= demand.members
+                })
+            }
+        }
+    }
+
     /// Places all gangs together, or returns none when no packing was found.
     ///
     /// The places are in the order of `demands`; `room` is what remains afterwards.
--- a/crates/placement/src/shape_policy.rs
+++ b/crates/placement/src/shape_policy.rs
@@ -268,7 +268,7 @@
 fn short_resource(board: &PlacementBoard, candidate: &JobCandidate) -> ShortResource {
     let accelerators = GangDemand::of_shape(&candidate.shape);
     let enough = board.floor.free_total() >= accelerators.total();
-    if enough && board.floor.map.fit(board.floor.free(), &accelerators, 0).is_some() {
+    if enough && board.floor.map.has_room(board.floor.free(), &accelerators) {
         ShortResource::Processors
     } else {
         ShortResource::Accelerators
