Read the instance list every 2 s for the peer table

Cause: a process that starts learns its peers from the list; with 5 s between readings a change right after a start reached some only by random heartbeats. Change: 2 s between readings, which are conditional and cost some 300 bytes.

--- a/crates/membership/src/heartbeat_controller.rs
+++ b/crates/membership/src/heartbeat_controller.rs
@@ -16,7 +16,7 @@
 /// Time between heartbeats.
 const HEARTBEAT_PERIOD: Duration = Duration::from_secs(1);
 /// Time between readings of the instance list.
-const LIST_PERIOD: Duration = Duration::from_secs(5);
+const LIST_PERIOD: Duration = Duration::from_secs(2);
 /// Peers of the own failure domain called in each period.
 const DOMAIN_PEERS: usize = 2;
 
