--- a/crates/entry/src/filters/trace.rs
+++ b/crates/entry/src/filters/trace.rs
@@ -28,7 +28,9 @@
 impl RequestFilter for TraceFilter {
     async fn apply(&self, mut exchange: Box<RequestExchange>, next: NextFilter) -> CallerAnswer {
         let received = exchange.headers.get(TRACEPARENT).and_then(|value| value.to_str().ok());
-        let span = tracing::info_span!("request", service = &*exchange.service, id = exchange.id);
+        // Without a collector `tracing` writes spans to the log, where one line for each request at
+        // the default level would cost more than the request.
+        let span = tracing::debug_span!("request", service = &*exchange.service, id = exchange.id);
         if span.is_disabled() {
             exchange.traceparent = received.unwrap_or_default().to_owned();
         } else {
--- a/crates/membership/src/handler.rs
+++ b/crates/membership/src/handler.rs
@@ -75,7 +75,7 @@
             }
             _ => None,
         };
-        let span = tracing::info_span!("peer_request");
+        let span = tracing::debug_span!("peer_request");
         spans::adopt(&span, &frame.traceparent);
         let response = self.answer(frame.request).instrument(span).await;
         if let Some(address) = newer {
