--- a/crates/entry/src/backend.rs
+++ b/crates/entry/src/backend.rs
@@ -51,6 +51,7 @@
 #[derive(Debug, Default)]
 struct LeavingState {
     listed: bool,
+    since: Option<Instant>,
     said: Option<Instant>,
     /// Lists that showed the backend as leaving since it said so.
     confirmed: bool,
@@ -99,6 +100,9 @@
         self.slots.store(entry.slots.max(1), Ordering::Relaxed);
         let mut leaving = lock(&self.leaving);
         leaving.listed = entry.leaving;
+        if entry.leaving {
+            leaving.since.get_or_insert_with(Instant::now);
+        }
         leaving.confirmed |= entry.leaving;
         // A backend that left and came back under its name is in service again.
         if leaving.confirmed && !entry.leaving {
@@ -120,6 +124,13 @@
         leaving.listed || leaving.said.is_some_and(|said| said.elapsed() < LEAVING_MEMORY)
     }
 
+    /// Returns how long this process has known that the backend is leaving.
+    pub fn leaving_for(&self) -> Option<Duration> {
+        let leaving = lock(&self.leaving);
+        let said = leaving.said.filter(|said| said.elapsed() < LEAVING_MEMORY);
+        leaving.since.into_iter().chain(said).min().map(|since| since.elapsed())
+    }
+
     /// Returns the number of requests that the backend serves at a time.
     pub fn slots(&self) -> u32 {
         self.slots.load(Ordering::Relaxed)
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -10,6 +10,7 @@
 use lacewingrail_membership::{Membership, MembershipSettings};
 use lacewingrail_model::config::Policy;
 use lacewingrail_model::instance::{InstanceList, InstanceRole};
+use lacewingrail_model::invariant::{InvariantName, check};
 use lacewingrail_model::mark::{MarkIssuer, fresh_instance};
 use lacewingrail_model::store::KeyValueService;
 use lacewingrail_model::timer::TimerService;
@@ -221,6 +222,8 @@
         // Connections without a request end by themselves; a caller that keeps one open is cut.
         let _ = tokio::time::timeout(CONNECTION_WAIT, &mut self.server).await;
         self.gate.wait_idle().await;
+        let count = self.gate.count();
+        check(InvariantName::DrainCutsNone, count == 0, || format!("{count} requests are cut"));
         log::info!("all requests have ended");
     }
 }
--- a/crates/entry/src/routing/router.rs
+++ b/crates/entry/src/routing/router.rs
@@ -19,6 +19,8 @@
 use crate::metrics::EntryMetrics;
 use crate::routing::answer::{AnswerMemory, BackendAnswer, TryError, exchange_once, since};
 
+/// Time after which a leaving backend server must get no new work.
+const LEAVING_LIMIT: Duration = Duration::from_secs(3);
 /// Most tries of one request.
 const MAX_TRIES: usize = 3;
 /// Multiple of the p95 latency after which a try that was given up counts as a failure of its
@@ -164,6 +166,11 @@
             may_test: self.exchange.repeatable && !self.tests,
         };
         let used = select(self.pool, query)?;
+        check(
+            InvariantName::LeavingNoWork,
+            used.backend().leaving_for().is_none_or(|leaving| leaving < LEAVING_LIMIT),
+            || format!("backend {} gets new work although it is leaving", used.backend().id),
+        );
         self.tests |= used.is_trial();
         self.tried.push(used.backend().id.clone());
         let id = format!("{}-{}", self.exchange.id, self.tried.len());
