--- a/crates/scheduler/src/lease_controller.rs
+++ b/crates/scheduler/src/lease_controller.rs
@@ -18,11 +18,12 @@
 use lacewingrail_model::mark::MarkIssuer;
 use lacewingrail_model::store::StoreError;
 use lacewingrail_model::{DomainName, Epoch};
+use tracing::Instrument;
 
 use crate::context::ProcessContext;
 use crate::gang_controller::{CountReached, GangController};
 use crate::job_controller::JobController;
-use crate::lease::{self, AcquireOutcome, HeldLease, LEASE_TTL, RENEW_LIMIT};
+use crate::lease::{self, AcquireOutcome, HeldLease, LEASE_TTL, LeaseHolder, RENEW_LIMIT};
 use crate::metrics::DomainLabel;
 use crate::permission::StartPermission;
 use crate::tenure::{Tenure, TenureSettings};
@@ -94,6 +95,10 @@
     seen: Epoch,
 }
 
+struct Unsettled {
+    epoch: Epoch,
+}
+
 struct Rebuilt {
     epoch: Epoch,
     outcome: Result<Tenure, Epoch>,
@@ -154,6 +159,22 @@
     }
 }
 
+impl Message<Unsettled> for LeaseController {
+    type Reply = ();
+
+    async fn handle(&mut self, message: Unsettled, _context: &mut Context<Self, ()>) {
+        let LeaseState::Active { held, tenure, .. } = &self.state else {
+            return;
+        };
+        let (held, epoch) = (*held, tenure.epoch);
+        if epoch == message.epoch {
+            let domain = &self.settings.domain;
+            log::info!("workers of {domain} that missed the rebuild answer; it is repeated");
+            self.rebuild(held, epoch, self.is_trusted());
+        }
+    }
+}
+
 impl Message<Rebuilt> for LeaseController {
     type Reply = ();
 
@@ -231,9 +252,10 @@
     async fn acquire(&mut self) {
         let context = self.settings.context.clone();
         let domain = self.settings.domain.clone();
-        let instance = context.membership.settings().instance.clone();
-        let issuer = self.settings.issuer.clone();
-        let call = lease::acquire(&*context.store, &issuer, &domain, &instance);
+        let settings = context.membership.settings();
+        let (instance, address) = (settings.instance.clone(), settings.address.clone());
+        let (holder, issuer) = (LeaseHolder { instance, address }, self.settings.issuer.clone());
+        let call = lease::acquire(&*context.store, &issuer, &domain, &holder);
         let held = match tokio::time::timeout(lease::ACQUIRE_LIMIT, call).await {
             Ok(Ok(AcquireOutcome::Acquired(held))) => held,
             Ok(Ok(AcquireOutcome::Taken)) => {
@@ -250,14 +272,18 @@
             }
         };
         log::info!("this process is the active scheduler of {domain}, epoch {}", held.epoch);
-        let trusted = self.contact_since.is_some_and(|since| since.elapsed() >= TRUST_AFTER);
-        self.rebuild(Some(held), held.epoch, trusted);
+        self.rebuild(Some(held), held.epoch, self.is_trusted());
+    }
+
+    /// Returns whether no gang can have been started without its record saying so.
+    fn is_trusted(&self) -> bool {
+        self.contact_since.is_some_and(|since| since.elapsed() >= TRUST_AFTER)
     }
 
     /// Starts a tenure; a former one ends first.
     fn rebuild(&mut self, held: Option<HeldLease>, epoch: Epoch, trust_queued: bool) {
         self.leave();
-        let stale_receiver = self.me.clone();
+        let (stale_receiver, unsettled_receiver) = (self.me.clone(), self.me.clone());
         let settings = TenureSettings {
             context: self.settings.context.clone(),
             domain: self.settings.domain.clone(),
@@ -267,12 +293,17 @@
             stale: Arc::new(move |seen| {
                 let _ = stale_receiver.tell(StaleSeen { epoch, seen }).try_send();
             }),
+            unsettled: Arc::new(move || {
+                let _ = unsettled_receiver.tell(Unsettled { epoch }).try_send();
+            }),
         };
         let me = self.me.clone();
-        let task = tokio::spawn(async move {
+        let span = tracing::info_span!("rebuild", domain = %self.settings.domain, epoch);
+        let rebuild = async move {
             let outcome = Tenure::begin(settings).await;
             let _ = me.tell(Rebuilt { epoch, outcome }).try_send();
-        });
+        };
+        let task = tokio::spawn(rebuild.instrument(span));
         self.state = LeaseState::Rebuilding { held, epoch, task: task.abort_handle() };
     }
 
--- a/crates/scheduler/src/tenure.rs
+++ b/crates/scheduler/src/tenure.rs
@@ -13,7 +13,7 @@
 use lacewingrail_model::job::JobRecord;
 use lacewingrail_model::mark::MarkIssuer;
 use lacewingrail_model::store::Revision;
-use lacewingrail_model::worker::{RENEW_PERIOD, WorkerError, WorkerSpec};
+use lacewingrail_model::worker::{WorkerError, WorkerSpec};
 use lacewingrail_model::{DomainName, Epoch, keys};
 use lacewingrail_placement::WorkerCapacity;
 use tokio::sync::mpsc;
@@ -21,7 +21,8 @@
 
 use crate::context::ProcessContext;
 use crate::gang_controller::{
-    AdoptGang, GangController, GangEvent, GangSettings, RenewTick, SetWorkers, StopOrphan,
+    AdoptGang, GangController, GangEvent, GangSettings, RENEW_TICK, RenewTick, SetWorkers,
+    StopOrphan,
 };
 use crate::gang_start::GangStarter;
 use crate::job_controller::{
@@ -46,13 +47,16 @@
 const REBUILD_RETRY: Duration = Duration::from_millis(250);
 /// Time between looks at waiting jobs.
 const JOB_PERIOD: Duration = Duration::from_millis(500);
-/// Time that one watch of the records waits.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Time that one watch of the records waits. A job that is submitted while the watch is silent is
+/// seen after the limit below, and urgent work starts within 6.4 s.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Time after which a watch that did not return counts as silent.
-const WATCH_LIMIT: Duration = Duration::from_secs(12);
+const WATCH_LIMIT: Duration = Duration::from_secs(3);
 
 /// Takes the higher epoch that a worker has seen.
 pub type StaleSink = Arc<dyn Fn(Epoch) + Send + Sync>;
+/// Takes the notice that the rebuild has to be repeated.
+pub type UnsettledSink = Arc<dyn Fn() + Send + Sync>;
 
 /// Says how a tenure begins.
 pub struct TenureSettings {
@@ -70,6 +74,8 @@
     pub trust_queued: bool,
     /// Receiver of higher epochs.
     pub stale: StaleSink,
+    /// Receiver of the notice that a worker which missed the rebuild has members of former gangs.
+    pub unsettled: UnsettledSink,
 }
 
 /// Runs the controllers of one tenure; dropping it ends them.
@@ -132,7 +138,8 @@
         found: Found,
         mut tasks: TaskSet,
     ) -> Self {
-        let TenureSettings { context, domain, epoch, renew_only, trust_queued, stale } = settings;
+        let TenureSettings { context, domain, epoch, renew_only, trust_queued, stale, unsettled } =
+            settings;
         let starter = GangStarter {
             workers: context.workers.clone(),
             permission: permission.clone(),
@@ -152,6 +159,7 @@
             let (receiver, watcher) = (receiver.clone(), watcher.clone());
             Arc::new(move |event: GangEvent| match event {
                 GangEvent::Stale { seen } => stale(seen),
+                GangEvent::Unsettled => unsettled(),
                 GangEvent::WorkerSeen { worker, outcome } => {
                     if let Some(workers) = watcher.get() {
                         let _ = workers.tell(WorkerSeen { worker, outcome }).try_send();
@@ -164,19 +172,21 @@
                 }
             })
         };
+        let missing = found.answers.iter().filter(|answer| answer.report.is_none());
         let gangs = GangController::spawn_with_mailbox(
             GangSettings {
                 context: context.clone(),
                 domain: domain.clone(),
                 starter: starter.clone(),
                 renew_only,
+                late: missing.map(|answer| answer.spec.id.clone()).collect(),
                 sink,
             },
             mailbox::unbounded(),
         );
         let specs = found.answers.iter().map(|answer| answer.spec.clone()).collect();
         let _ = gangs.tell(SetWorkers(specs)).try_send();
-        tasks.tick(&context, RENEW_PERIOD, &gangs, || RenewTick);
+        tasks.tick(&context, RENEW_TICK, &gangs, || RenewTick);
         if renew_only {
             for gang in plan.adopted {
                 let (plan, reports) = (gang.plan, gang.reports);
