Let the smoothed latency of an unused backend move to the average

Cause: the test of the return of an ejected backend failed a second time, also after 15 s. One very slow answer on a stalled machine made the backend's cost so high that the adaptive choice never gave it a request again. Change: without answers its expected latency moves to the service's average with a time constant of 1 s.

--- a/crates/entry/src/backend.rs
+++ b/crates/entry/src/backend.rs
@@ -20,6 +20,8 @@
 
 /// Share of a new value in the smoothed latency.
 const LATENCY_WEIGHT: f64 = 0.2;
+/// Time in which an unused backend's smoothed latency moves most of the way to the average.
+const LATENCY_MEMORY: Duration = Duration::from_secs(1);
 /// Time for which a backend that said it is leaving counts as leaving although the list still shows
 /// it as staying. It bounds the effect of a wrong header.
 const LEAVING_MEMORY: Duration = Duration::from_secs(600);
@@ -40,6 +42,8 @@
     slots: AtomicU32,
     in_flight: AtomicU32,
     latency_us: AtomicU64,
+    /// Milliseconds of the process clock at the newest change of the smoothed latency.
+    sampled_ms: AtomicU64,
     health: Mutex<BackendHealth>,
     /// Milliseconds of the process clock until which the backend is ejected; 0 when it is not.
     ejected_until_ms: AtomicU64,
@@ -87,6 +91,7 @@
             slots: AtomicU32::new(entry.slots.max(1)),
             in_flight: AtomicU32::new(0),
             latency_us: AtomicU64::new(0),
+            sampled_ms: AtomicU64::new(0),
             health: Mutex::default(),
             ejected_until_ms: AtomicU64::new(0),
             on_trial: AtomicBool::new(false),
@@ -146,6 +151,20 @@
         self.latency_us.load(Ordering::Relaxed)
     }
 
+    /// Returns the latency to expect in microseconds, given the average of the service.
+    ///
+    /// Without answers the smoothed latency moves towards the average. A backend with one very slow
+    /// answer would otherwise get no request that could show it to be fast again.
+    pub fn expected_latency_us(&self, average_us: u64) -> f64 {
+        let (known, average) = (self.latency_us(), average_us as f64);
+        if known == 0 {
+            return average;
+        }
+        let age_ms = self.clock_ms().saturating_sub(self.sampled_ms.load(Ordering::Relaxed));
+        let weight = (-(age_ms as f64) / LATENCY_MEMORY.as_millis() as f64).exp();
+        average + (known as f64 - average) * weight
+    }
+
     /// Returns whether the backend may get a request.
     pub fn availability(&self) -> Availability {
         let until = self.ejected_until_ms.load(Ordering::Acquire);
@@ -203,6 +222,7 @@
 
     fn smooth(&self, latency: Duration) {
         let sample = latency.as_micros() as f64;
+        self.sampled_ms.store(self.clock_ms(), Ordering::Relaxed);
         let blend = |old: u64| {
             let old = if old == 0 { sample } else { old as f64 };
             Some((old + LATENCY_WEIGHT * (sample - old)).max(1.0) as u64)
--- a/crates/entry/src/backend/select.rs
+++ b/crates/entry/src/backend/select.rs
@@ -91,15 +91,12 @@
     let second = (first + step) % candidates.len();
     let (one, other) = (candidates[first], candidates[second]);
     // A backend without answers counts as average, which neither floods nor starves it.
-    let unknown = pool.latency.mean_us().max(1);
-    if cost(one, unknown) <= cost(other, unknown) { one } else { other }
+    let average = pool.latency.mean_us().max(1);
+    if cost(one, average) <= cost(other, average) { one } else { other }
 }
 
 /// Returns the expected time for one more request, relative to other backends.
-fn cost(backend: &Backend, unknown_us: u64) -> f64 {
-    let latency = match backend.latency_us() {
-        0 => unknown_us,
-        known => known,
-    };
-    f64::from(backend.in_flight() + 1) * latency as f64 / f64::from(backend.slots())
+fn cost(backend: &Backend, average_us: u64) -> f64 {
+    let latency = backend.expected_latency_us(average_us);
+    f64::from(backend.in_flight() + 1) * latency / f64::from(backend.slots())
 }
