Show in the fail-over test that the whole shape is not preempted

Cause: the test passed without the order of units, since the preempted gang started again at once. Change: it compares the jobs that were preempted. Conclusion: the test now guards the order.

--- a/crates/placement/tests/guarantees.rs
+++ b/crates/placement/tests/guarantees.rs
@@ -105,7 +105,8 @@
     scene.fail_over();
     let other = scene.submit("b", shape(2, 8, RACK));
     assert!(scene.running[&other].guaranteed);
-    assert!(scene.is_running(&whole) && !scene.is_running(&small));
+    assert!(scene.is_running(&whole));
+    assert_eq!(scene.preempted, [small]);
 }
 
 /// Guards against honouring guarantees in another order than precedence, age and name when workers
