Refuse messages of processes of another system

Cause: heartbeats and settings trees named no system. In the system tests a reused loopback address brought version 3 of a foreign tree into force, with a failure domain out. Change: every frame carries the name of the sender's system (`system` in the settings of a process, default `lacewingrail`); another one is refused. Figures: the new test pushes a tree of another system and one of the own; only the second comes into force. Conclusion: two users on one network give their systems different names.

--- a/crates/ctl/src/help.rs
+++ b/crates/ctl/src/help.rs
@@ -47,7 +47,7 @@
   lacewingrail config get > tree.yaml          # prints \"version 7 by ada\" to stderr
   lacewingrail config dry-run tree.yaml
   lacewingrail config put tree.yaml --if-version 7
-  lacewingrail config effective domain/om-north-a/customer/credit-scoring
+  lacewingrail config effective domain/om-north-a/customer/school-groups
 ";
 
 const JOB: &str = "\
@@ -72,7 +72,7 @@
 `watch` prints each change until the job ends, and exits with 1 unless it ended with success.
 
 examples:
-  lacewingrail job submit --customer credit-scoring --members 4 --accelerators 8 -- train.sh v3
+  lacewingrail job submit --customer school-groups --members 4 --accelerators 8 -- train.sh v3
   lacewingrail job why job-0011223344556677
   lacewingrail --output json job list --state queued
 ";
--- a/crates/dev/src/system.rs
+++ b/crates/dev/src/system.rs
@@ -193,6 +193,7 @@
         let links = outside.link_platform(&self.name, &self.domain).await?;
         let list = Arc::new(HttpInstanceList::new(&links.list));
         let settings = ProcessSettings {
+            system: lacewingrail_settings::DEFAULT_SYSTEM.to_owned(),
             file: "built-in".to_owned(),
             name: format!("{}-scheduler", self.name),
             region: self.region.clone(),
--- a/crates/entry/examples/measure_requests.rs
+++ b/crates/entry/examples/measure_requests.rs
@@ -311,6 +311,7 @@
 
 fn idle_membership(address: String, store: &MemoryStore) -> Membership {
     let settings = MembershipSettings {
+        system: "test".to_owned(),
         instance: address.clone(),
         role: InstanceRole::Entry,
         domain: DOMAIN.into(),
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -112,6 +112,7 @@
             .map_err(|error| StartError::Listen(settings.peer_address, error))?;
         let instance = fresh_instance(&settings.name);
         let member = MembershipSettings {
+            system: settings.system.clone(),
             instance: instance.clone(),
             role: InstanceRole::Entry,
             domain: settings.domain.clone(),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -6,7 +6,7 @@
 
 use lacewingrail_membership::config::TreeDecoder;
 use lacewingrail_model::DomainName;
-use lacewingrail_settings::{ProcessSettings, SettingsErrors, StoredTree};
+use lacewingrail_settings::{DEFAULT_SYSTEM, ProcessSettings, SettingsErrors, StoredTree};
 
 use crate::claims::shard_writer::GROUP_PERIOD;
 
@@ -15,6 +15,8 @@
 pub struct EntrySettings {
     /// Name; the process adds a suffix that is new after each restart.
     pub name: String,
+    /// Name of the system; see [`ProcessSettings::system`].
+    pub system: String,
     /// Failure domain.
     pub domain: DomainName,
     /// Address for callers; port 0 selects a free one.
@@ -41,6 +43,7 @@
     pub fn new(name: &str, domain: &str, callers: SocketAddr, peer_address: SocketAddr) -> Self {
         Self {
             name: name.to_owned(),
+            system: DEFAULT_SYSTEM.to_owned(),
             domain: domain.to_owned(),
             callers,
             peer_address,
@@ -59,6 +62,7 @@
     pub fn from_process(settings: &ProcessSettings) -> Result<Self, SettingsErrors> {
         let (callers, peers) = (settings.callers()?, settings.listen.peers);
         let mut own = Self::new(&settings.name, &settings.domain, callers, peers);
+        own.system.clone_from(&settings.system);
         own.advertise = settings.listen.advertise;
         own.peers = settings.peers.iter().map(SocketAddr::to_string).collect();
         Ok(own)
--- a/crates/experiment/src/capacity/membership.rs
+++ b/crates/experiment/src/capacity/membership.rs
@@ -91,6 +91,7 @@
             connections: 0,
         }));
         let settings = MembershipSettings {
+            system: "test".to_owned(),
             instance: name,
             role,
             domain: domain.to_owned(),
@@ -208,7 +209,7 @@
             leaving: false,
         };
         let request = PeerRequest::Heartbeat(heartbeat);
-        let frame = PeerFrame { traceparent: String::new(), request };
+        let frame = PeerFrame { traceparent: String::new(), system: "test".to_owned(), request };
         let encoded = codec::encode(&frame).map_err(|error| error.to_string())?;
         bytes.push(f64::from(count), encoded.len() as f64);
     }
--- a/crates/experiment/src/trial/site.rs
+++ b/crates/experiment/src/trial/site.rs
@@ -120,6 +120,7 @@
             self.proxy.set_rule(&LinkSelection::link(name), LinkRule::delay(PLATFORM_DELAY_MS));
             let url = format!("http://{address}");
             let settings = ProcessSettings {
+                system: lacewingrail_settings::DEFAULT_SYSTEM.to_owned(),
                 file: "experiment".to_owned(),
                 name: format!("{domain}-scheduler"),
                 region: plan.user.region().to_owned(),
--- a/crates/membership/src/handler.rs
+++ b/crates/membership/src/handler.rs
@@ -67,6 +67,14 @@
 #[async_trait]
 impl PeerHandler for MembershipHandler {
     async fn handle(&self, frame: PeerFrame) -> PeerResponse {
+        if frame.system != self.state.settings.system {
+            // An address that was reused may belong to a process of another system, whose settings
+            // tree must never come into force here.
+            log::warn!("a request of the system {:?} is refused; check peers", frame.system);
+            let reason =
+                format!("this process belongs to the system {}", self.state.settings.system);
+            return PeerResponse::Refused { reason };
+        }
         let newer = match &frame.request {
             PeerRequest::Heartbeat(heartbeat)
                 if heartbeat.config_version > self.state.config.version() =>
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -42,6 +42,8 @@
 /// Describes the own process to its peers.
 #[derive(Clone, Debug)]
 pub struct MembershipSettings {
+    /// Name of the system; requests of processes of another system are refused.
+    pub system: String,
     /// Id of the process, new after each restart.
     pub instance: InstanceId,
     /// Role of the process.
@@ -97,11 +99,12 @@
         timer: TimerService,
     ) -> Self {
         let peers = PeerTable::new(&settings.address, &settings.peers);
+        let client = PeerClient::new().with_system(&settings.system);
         let inner = MembershipState {
             settings,
             store,
             list,
-            client: PeerClient::new(),
+            client,
             timer,
             config: ConfigHolder::new(decoder),
             peers: Mutex::new(peers),
--- a/crates/membership/tests/common/mod.rs
+++ b/crates/membership/tests/common/mod.rs
@@ -161,6 +161,7 @@
         let server = PeerServer::bind(any, handler.clone()).await.expect("bind");
         let link = Arc::new(StoreLink { store: store.clone(), cut: AtomicBool::new(false) });
         let settings = MembershipSettings {
+            system: "test".to_owned(),
             instance: name.to_owned(),
             role: InstanceRole::Scheduler,
             domain: domain.to_owned(),
@@ -215,7 +216,11 @@
         for process in &processes {
             for other in &processes {
                 let heartbeat = PeerRequest::Heartbeat(own_heartbeat(other));
-                let frame = PeerFrame { traceparent: String::new(), request: heartbeat };
+                let frame = PeerFrame {
+                    traceparent: String::new(),
+                    system: "test".to_owned(),
+                    request: heartbeat,
+                };
                 process.membership.handler().handle(frame).await;
             }
         }
--- a/crates/membership/tests/spreading.rs
+++ b/crates/membership/tests/spreading.rs
@@ -4,9 +4,11 @@
 
 use std::time::{Duration, Instant};
 
+use assert_matches::assert_matches;
 use common::{Cluster, TestProcess, eventually, write_tree};
-use lacewingrail_model::message::ConfigPayload;
+use lacewingrail_model::message::{ConfigPayload, PeerRequest, PeerResponse};
 use lacewingrail_platform::StoreFaults;
+use lacewingrail_wire::PeerClient;
 
 const PROCESSES_PER_DOMAIN: usize = 6;
 /// Bound of the design: one change is in force everywhere within 2 s on one machine.
@@ -100,3 +102,24 @@
     process.membership.publish(broken).await;
     assert_eq!(process.membership.current().version, 1);
 }
+
+/// Guards against the settings tree of another system, whose process took over an address that a
+/// peer of this one had.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn processes_of_another_system_are_refused() {
+    let cluster = Cluster::start(&["a"], 1).await;
+    cluster.wait_ready().await;
+    let process = &cluster.processes[0];
+    let payload = ConfigPayload { version: 9, text: common::tree_text(9, &["a"]) };
+    let foreign = PeerClient::new().with_system("other");
+    let limit = Duration::from_secs(2);
+    let push = PeerRequest::ConfigPush(payload.clone());
+    let response = foreign.call(&process.address(), String::new(), push, limit).await;
+    assert_matches!(response, Ok(PeerResponse::Refused { .. }));
+    assert_eq!(process.membership.current().version, 1);
+    let own = PeerClient::new().with_system("test");
+    let push = PeerRequest::ConfigPush(payload);
+    let response = own.call(&process.address(), String::new(), push, limit).await;
+    assert_matches!(response, Ok(PeerResponse::Done));
+    assert_eq!(process.membership.current().version, 9);
+}
--- a/crates/model/src/message.rs
+++ b/crates/model/src/message.rs
@@ -135,6 +135,8 @@
 pub struct PeerFrame {
     /// Trace context in the W3C `traceparent` form; empty for none.
     pub traceparent: String,
+    /// Name of the sender's system; a peer of another system refuses the request.
+    pub system: String,
     /// Request.
     pub request: PeerRequest,
 }
--- a/crates/scheduler/src/process.rs
+++ b/crates/scheduler/src/process.rs
@@ -89,6 +89,7 @@
         let address = settings.listen.advertise.unwrap_or(server.address());
         let membership = Membership::new(
             MembershipSettings {
+                system: settings.system.clone(),
                 instance: fresh_instance(&settings.name),
                 role: InstanceRole::Scheduler,
                 domain: settings.domain.clone(),
--- a/crates/scheduler/tests/handover.rs
+++ b/crates/scheduler/tests/handover.rs
@@ -33,6 +33,7 @@
         let bench = Bench::new(2, 1).await;
         let gate = Arc::new(GatedStore::new(Arc::new(bench.store.clone())));
         let settings = MembershipSettings {
+            system: "test".to_owned(),
             instance: "test".to_owned(),
             role: InstanceRole::Scheduler,
             domain: "a".to_owned(),
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -144,6 +144,7 @@
         workers: Arc<GatedWorkers>,
     ) -> SchedulerHost {
         let settings = ProcessSettings {
+            system: lacewingrail_settings::DEFAULT_SYSTEM.to_owned(),
             file: "test".to_owned(),
             name: format!("{domain}{index}"),
             region: "north".to_owned(),
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -125,6 +125,12 @@
 /// Keys of the settings file of a process.
 pub const PROCESS_KEYS: &[KeySpec] = &[
     key("name", "a name", "required", "Name of the process; a random suffix makes it unique."),
+    key(
+        "system",
+        "a name",
+        "lacewingrail",
+        "Name of the system; processes of different systems refuse each other's messages.",
+    ),
     key("region", "the name of a region", "required", "Region of the process."),
     key("domain", "the name of a failure domain", "required", "Failure domain of the process."),
     key("listen", "a listen section", "required", "Addresses on which the process listens."),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -23,7 +23,7 @@
 pub use edit::set_domain_out;
 pub use effective::{EffectivePath, EffectiveValue, effective};
 pub use error::{SettingsError, SettingsErrors};
-pub use process::{ListenSettings, LogLevel, ProcessSettings};
+pub use process::{DEFAULT_SYSTEM, ListenSettings, LogLevel, ProcessSettings};
 pub use stored::{MAX_TREE_BYTES, StoredTree};
 pub use token::token_digest;
 pub use tree::{SettingsTree, parse};
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -59,6 +59,9 @@
     pub advertise: Option<SocketAddr>,
 }
 
+/// Name of the system where the settings of a process name none.
+pub const DEFAULT_SYSTEM: &str = "lacewingrail";
+
 /// Holds the settings of one process.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ProcessSettings {
@@ -66,6 +69,8 @@
     pub file: String,
     /// Name of the process; see [`lacewingrail_model::mark::fresh_instance`].
     pub name: String,
+    /// Name of the system; processes of different systems refuse each other's messages.
+    pub system: String,
     /// Region.
     pub region: RegionName,
     /// Failure domain.
@@ -147,6 +152,7 @@
 fn read_process(value: serde_norway::Value, faults: &mut FaultList) -> Option<ProcessSettings> {
     let mut section = SectionReader::new("", value, keys::PROCESS_KEYS, faults);
     let name = read_name(&mut section, "name", faults);
+    let system = section.optional("system", faults).unwrap_or_else(|| DEFAULT_SYSTEM.to_owned());
     let region = read_name(&mut section, "region", faults);
     let domain = read_name(&mut section, "domain", faults);
     let listen = read_listen(&mut section, faults);
@@ -174,6 +180,7 @@
     Some(ProcessSettings {
         file: faults.file().to_owned(),
         name: name?,
+        system,
         region: region?,
         domain: domain?,
         listen: listen?,
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -17,6 +17,7 @@
 /// Calls peers over one connection each.
 #[derive(Clone, Default)]
 pub struct PeerClient {
+    system: Arc<str>,
     connections: Arc<Mutex<HashMap<String, PeerConnection>>>,
 }
 
@@ -41,6 +42,12 @@
         Self::default()
     }
 
+    /// Sets the name of the system that requests are sent in.
+    pub fn with_system(mut self, system: &str) -> Self {
+        self.system = Arc::from(system);
+        self
+    }
+
     /// Calls the peer at `ip:port` and waits at most `limit` for the whole answer.
     ///
     /// The request may have taken effect when the call ends in `Broken` or `Timeout`.
@@ -51,7 +58,8 @@
         request: PeerRequest,
         limit: Duration,
     ) -> Result<PeerResponse, WireError> {
-        let bytes = codec::encode(&PeerFrame { traceparent, request })?;
+        let system = self.system.to_string();
+        let bytes = codec::encode(&PeerFrame { traceparent, system, request })?;
         let result = tokio::time::timeout(limit, self.exchange(address, bytes)).await;
         let result = result.unwrap_or(Err(WireError::Timeout));
         if result.is_err() {
