Show violated invariants in the metrics of every process

Change: the metrics registry itself shows them; the entry's own copy is gone. Conclusion: one alert covers both processes.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lacewingrail_model::invariant;
 use lacewingrail_telemetry::MetricsRegistry;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -31,7 +30,6 @@
     limiter: Family<KindLabels, Gauge>,
     claims: Family<KindLabels, Counter>,
     claim_latency: Histogram,
-    violations: Family<NameLabels, Gauge>,
 }
 
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
@@ -59,11 +57,6 @@
     service: Arc<str>,
 }
 
-#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-struct NameLabels {
-    name: String,
-}
-
 impl EntryMetrics {
     /// Registers the metrics.
     pub fn new(registry: &MetricsRegistry) -> Self {
@@ -107,11 +100,6 @@
                 "Time until a claim is confirmed",
                 histogram(),
             ),
-            violations: registry.register(
-                "invariant_violations",
-                "Violated invariants",
-                Family::default(),
-            ),
         }
     }
 
@@ -190,11 +178,6 @@
         ] {
             self.limiter.get_or_create(&kind(&pool.service, name)).set(value);
         }
-        for (name, count) in invariant::violations() {
-            let labels = NameLabels { name: format!("{name:?}") };
-            let count = i64::try_from(count).unwrap_or(i64::MAX);
-            self.violations.get_or_create(&labels).set(count);
-        }
     }
 }
 
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -1,4 +1,6 @@
 //! The metrics registry and its HTTP endpoint.
+//!
+//! Violated invariants are counted for the whole process, so every registry shows them.
 
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -6,19 +8,32 @@
 use axum::http::header::CONTENT_TYPE;
 use axum::response::IntoResponse;
 use axum::routing::get;
+use lacewingrail_model::invariant;
+use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::{Metric, Registry};
 
 /// Collects the metrics of one process.
 #[derive(Clone, Debug)]
 pub struct MetricsRegistry {
     registry: Arc<Mutex<Registry>>,
+    violations: Family<InvariantLabels, Gauge>,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct InvariantLabels {
+    name: String,
 }
 
 impl MetricsRegistry {
     /// Creates an empty registry whose names begin with `lacewingrail`.
     pub fn new() -> Self {
-        Self { registry: Arc::new(Mutex::new(Registry::with_prefix("lacewingrail"))) }
+        let mut registry = Registry::with_prefix("lacewingrail");
+        let violations = Family::default();
+        registry.register("invariant_violations", "Violated invariants", violations.clone());
+        Self { registry: Arc::new(Mutex::new(registry)), violations }
     }
 
     /// Registers a metric and returns it.
@@ -33,6 +48,11 @@
 
     /// Returns all metrics as OpenMetrics text.
     pub fn encode(&self) -> String {
+        for (name, count) in invariant::violations() {
+            let labels = InvariantLabels { name: format!("{name:?}") };
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.violations.get_or_create(&labels).set(count);
+        }
         let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         let mut text = String::new();
         // Writing to a string cannot fail; a metric that fails to encode is left out.
