Call the time as active scheduler a leadership

Cause: the code called it a tenure, a word of its own. Change: renamed throughout; no change of behaviour. Conclusion: the usual term of the field.

--- a/crates/dev/src/system.rs
+++ b/crates/dev/src/system.rs
@@ -155,7 +155,7 @@
 
     /// Returns the number of failure domains that have an active scheduler.
     pub fn active_domains(&self) -> usize {
-        self.instances.iter().map(|instance| instance.scheduler.tenures().len()).sum()
+        self.instances.iter().map(|instance| instance.scheduler.leaderships().len()).sum()
     }
 
     /// Ends all processes without interrupting a request.
--- a/crates/experiment/src/trial/site.rs
+++ b/crates/experiment/src/trial/site.rs
@@ -158,7 +158,7 @@
         let begun = Instant::now();
         loop {
             let ready = self.processes.iter().zip(&self.domains).all(|(process, domain)| {
-                process.membership().ready() && process.tenures().contains_key(domain)
+                process.membership().ready() && process.leaderships().contains_key(domain)
             });
             if ready {
                 tokio::time::sleep(SETTLE).await;
--- a/crates/scheduler/src/admin_context.rs
+++ b/crates/scheduler/src/admin_context.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use crate::context::ProcessContext;
-use crate::hook::TenureHook;
+use crate::hook::LeadershipHook;
 use crate::lease::{self, LeaseRecord};
 
 /// Longest time of a forwarded question.
@@ -31,8 +31,8 @@
 pub struct ProcessAdmin {
     /// Process.
     pub context: Arc<ProcessContext>,
-    /// Tenures of the process.
-    pub hook: Arc<TenureHook>,
+    /// Leaderships of the process.
+    pub hook: Arc<LeadershipHook>,
     /// Issuer of the marks of this process's administration writes.
     pub issuer: MarkIssuer,
 }
--- a/crates/scheduler/src/hook.rs
+++ b/crates/scheduler/src/hook.rs
@@ -10,7 +10,7 @@
 
 use crate::context::ProcessContext;
 use crate::job_controller::{AskDomain, SettingsChanged};
-use crate::lease_controller::{TenureEntry, TenureTable};
+use crate::lease_controller::{LeadershipEntry, LeadershipTable};
 
 /// Longest time for an answer of the job controller.
 const ASK_LIMIT: Duration = Duration::from_millis(1_500);
@@ -21,23 +21,23 @@
 /// HTTP status of a request that cannot be read.
 const BAD_REQUEST: u16 = 400;
 
-/// Answers peers from the tenures of this process.
-pub struct TenureHook {
+/// Answers peers from the leaderships of this process.
+pub struct LeadershipHook {
     /// Process.
     pub context: Arc<ProcessContext>,
-    /// Tenures of the process.
-    pub table: TenureTable,
+    /// Leaderships of the process.
+    pub table: LeadershipTable,
 }
 
-impl TenureHook {
-    /// Returns the tenure of a domain, if this process has one.
-    pub fn tenure(&self, domain: &DomainName) -> Option<TenureEntry> {
+impl LeadershipHook {
+    /// Returns the leadership of a domain, if this process has one.
+    pub fn leadership(&self, domain: &DomainName) -> Option<LeadershipEntry> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner).get(domain).cloned()
     }
 
     /// Asks the own job controller.
     pub async fn ask(&self, domain: &DomainName, query: DomainQuery) -> Option<DomainAnswer> {
-        let jobs = self.tenure(domain)?.jobs?;
+        let jobs = self.leadership(domain)?.jobs?;
         let answer = async { jobs.ask(AskDomain(query)).await };
         let reply = tokio::time::timeout(ASK_LIMIT, answer).await.ok()?.ok()?;
         Some(reply.0)
@@ -45,21 +45,21 @@
 }
 
 #[async_trait]
-impl SchedulerHook for TenureHook {
+impl SchedulerHook for LeadershipHook {
     async fn veto(&self, domain: &DomainName, version: ConfigVersion) -> bool {
         self.context.membership.note_veto(domain, version);
-        let Some(tenure) = self.tenure(domain) else {
+        let Some(leadership) = self.leadership(domain) else {
             return false;
         };
-        if let Some(jobs) = &tenure.jobs {
+        if let Some(jobs) = &leadership.jobs {
             let _ = jobs.tell(SettingsChanged).try_send();
         }
         // From here on the permission refuses every start, also those already decided. Calls that
         // are on their way are waited for, so that a confirmation is true.
-        if tenure.permission.remaining().is_ok() {
+        if leadership.permission.remaining().is_ok() {
             return false;
         }
-        tenure.permission.settle().await;
+        leadership.permission.settle().await;
         true
     }
 
--- a/crates/scheduler/src/job_controller.rs
+++ b/crates/scheduler/src/job_controller.rs
@@ -463,9 +463,9 @@
     }
 }
 
-/// Returns a new name under which one tenure marks its writes of job records.
+/// Returns a new name under which one leadership marks its writes of job records.
 ///
-/// A rebuild may be repeated under the same epoch, and writes of the former tenure may still be on
+/// A rebuild may be repeated under the same epoch, and writes of the former leadership may still be on
 /// their way, so the epoch alone does not tell the two apart.
 pub fn fresh_issuer_name(instance: &InstanceId, domain: &DomainName, epoch: Epoch) -> InstanceId {
     format!("{instance}/{domain}/{epoch}-{:08x}", rand::random::<u32>())
--- a/crates/scheduler/src/job_controller/ends.rs
+++ b/crates/scheduler/src/job_controller/ends.rs
@@ -47,7 +47,7 @@
                 self.note_checkpoint(&job, attempt, kept_ms);
             }
             GangEvent::Ended(summary) => self.note_ended(summary),
-            // The tenure hands these to the worker controller and the lease controller.
+            // The leadership hands these to the worker controller and the lease controller.
             GangEvent::WorkerSeen { .. } | GangEvent::Stale { .. } | GangEvent::Unsettled => {}
         }
     }
--- a/crates/scheduler/src/tenure.rs
+++ b/crates/scheduler/src/leadership.rs
@@ -1,8 +1,8 @@
 //! The time for which this process is the active scheduler of a failure domain.
 //!
-//! A tenure begins with a rebuild: every worker is asked for its tasks under the new epoch, which
+//! A leadership begins with a rebuild: every worker is asked for its tasks under the new epoch, which
 //! fences the former scheduler, and the job records are listed. Then the controllers run until the
-//! tenure is dropped.
+//! leadership is dropped.
 
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
@@ -58,8 +58,8 @@
 /// Takes the notice that the rebuild has to be repeated.
 pub type UnsettledSink = Arc<dyn Fn() + Send + Sync>;
 
-/// Says how a tenure begins.
-pub struct TenureSettings {
+/// Says how a leadership begins.
+pub struct LeadershipSettings {
     /// Process.
     pub context: Arc<ProcessContext>,
     /// Failure domain.
@@ -78,8 +78,8 @@
     pub unsettled: UnsettledSink,
 }
 
-/// Runs the controllers of one tenure; dropping it ends them.
-pub struct Tenure {
+/// Runs the controllers of one leadership; dropping it ends them.
+pub struct Leadership {
     /// Epoch.
     pub epoch: Epoch,
     /// Whether only renewals and stops are allowed.
@@ -104,12 +104,12 @@
     revision: Revision,
 }
 
-impl Tenure {
+impl Leadership {
     /// Rebuilds the state of the domain and starts the controllers.
     ///
     /// # Errors
     /// Returns the higher epoch that a worker has seen.
-    pub async fn begin(settings: TenureSettings) -> Result<Self, Epoch> {
+    pub async fn begin(settings: LeadershipSettings) -> Result<Self, Epoch> {
         let begun = Instant::now();
         let context = settings.context.clone();
         let permission = StartPermission::new(settings.domain.clone(), context.membership.clone());
@@ -121,10 +121,10 @@
             tasks.add(tokio::spawn(evidence::run(context.clone(), permission.clone())));
         }
         let found = find(&settings).await?;
-        let tenure = Self::start(settings, permission, found, tasks);
+        let leadership = Self::start(settings, permission, found, tasks);
         context.metrics.rebuild.observe(begun.elapsed().as_secs_f64());
         log::info!("the rebuild took {:?}", begun.elapsed());
-        Ok(tenure)
+        Ok(leadership)
     }
 
     /// Forbids starts at once; calls already sent are fenced by the next epoch.
@@ -133,13 +133,20 @@
     }
 
     fn start(
-        settings: TenureSettings,
+        settings: LeadershipSettings,
         permission: Arc<StartPermission>,
         found: Found,
         mut tasks: TaskSet,
     ) -> Self {
-        let TenureSettings { context, domain, epoch, renew_only, trust_queued, stale, unsettled } =
-            settings;
+        let LeadershipSettings {
+            context,
+            domain,
+            epoch,
+            renew_only,
+            trust_queued,
+            stale,
+            unsettled,
+        } = settings;
         let starter = GangStarter {
             workers: context.workers.clone(),
             permission: permission.clone(),
@@ -255,7 +262,7 @@
     }
 }
 
-impl Drop for Tenure {
+impl Drop for Leadership {
     fn drop(&mut self) {
         self.permission.revoke();
         self.gangs.kill();
@@ -326,7 +333,7 @@
 }
 
 /// Asks all workers for their tasks and lists the job records.
-async fn find(settings: &TenureSettings) -> Result<Found, Epoch> {
+async fn find(settings: &LeadershipSettings) -> Result<Found, Epoch> {
     let (context, domain) = (&settings.context, &settings.domain);
     let specs = loop {
         match tokio::time::timeout(REPORT_LIMIT * 2, context.list.workers()).await {
--- a/crates/scheduler/src/lease_controller.rs
+++ b/crates/scheduler/src/lease_controller.rs
@@ -1,4 +1,4 @@
-//! Competes for the scheduler lease of one failure domain and holds its tenure.
+//! Competes for the scheduler lease of one failure domain and holds its leadership.
 //!
 //! A process of the domain takes a free lease at once, a process of another domain of the region
 //! only after it was free for a while. The holder gives up when a worker has seen a higher epoch or
@@ -23,10 +23,10 @@
 use crate::context::ProcessContext;
 use crate::gang_controller::{CountReached, GangController};
 use crate::job_controller::JobController;
+use crate::leadership::{Leadership, LeadershipSettings};
 use crate::lease::{self, AcquireOutcome, HeldLease, LEASE_TTL, LeaseHolder, RENEW_LIMIT};
 use crate::metrics::DomainLabel;
 use crate::permission::StartPermission;
-use crate::tenure::{Tenure, TenureSettings};
 
 /// Time for which a lease must have been free before a process of another domain takes it.
 const FOREIGN_WAIT: Duration = Duration::from_secs(2);
@@ -40,12 +40,12 @@
 /// Time after which the lease is given back again, if the domain's own processes did not take it.
 const RETURN_AGAIN: Duration = Duration::from_secs(300);
 
-/// Lists the tenures of a process, for questions and vetoes.
-pub type TenureTable = Arc<Mutex<BTreeMap<DomainName, TenureEntry>>>;
+/// Lists the leaderships of a process, for questions and vetoes.
+pub type LeadershipTable = Arc<Mutex<BTreeMap<DomainName, LeadershipEntry>>>;
 
-/// Refers to one tenure.
+/// Refers to one leadership.
 #[derive(Clone)]
-pub struct TenureEntry {
+pub struct LeadershipEntry {
     /// Epoch.
     pub epoch: Epoch,
     /// Permission to start.
@@ -64,8 +64,8 @@
     pub domain: DomainName,
     /// Issuer of the marks of this process.
     pub issuer: Arc<MarkIssuer>,
-    /// Tenures of the process.
-    pub table: TenureTable,
+    /// Leaderships of the process.
+    pub table: LeadershipTable,
 }
 
 /// Competes for one lease.
@@ -85,7 +85,7 @@
 enum LeaseState {
     Idle,
     Rebuilding { held: Option<HeldLease>, epoch: Epoch, task: tokio::task::AbortHandle },
-    Active { held: Option<HeldLease>, renewed: Instant, tenure: Box<Tenure> },
+    Active { held: Option<HeldLease>, renewed: Instant, leadership: Box<Leadership> },
 }
 
 /// Renews or competes.
@@ -105,7 +105,7 @@
 
 struct Rebuilt {
     epoch: Epoch,
-    outcome: Result<Tenure, Epoch>,
+    outcome: Result<Leadership, Epoch>,
 }
 
 impl Actor for LeaseController {
@@ -144,9 +144,9 @@
                 self.renew(held).await;
             }
             LeaseState::Rebuilding { held: None, .. } => self.compete().await,
-            LeaseState::Active { held: None, tenure, .. } => {
+            LeaseState::Active { held: None, leadership, .. } => {
                 // Tells the other processes of the domain that the gangs are cared for.
-                let (domain, epoch) = (&self.settings.domain, tenure.epoch);
+                let (domain, epoch) = (&self.settings.domain, leadership.epoch);
                 self.settings.context.membership.set_scheduling(domain, epoch, 0);
                 self.compete().await;
             }
@@ -168,10 +168,10 @@
     type Reply = ();
 
     async fn handle(&mut self, message: Unsettled, _context: &mut Context<Self, ()>) {
-        let LeaseState::Active { held, tenure, .. } = &self.state else {
+        let LeaseState::Active { held, leadership, .. } = &self.state else {
             return;
         };
-        let (held, epoch) = (*held, tenure.epoch);
+        let (held, epoch) = (*held, leadership.epoch);
         if epoch == message.epoch {
             let domain = &self.settings.domain;
             log::info!("workers of {domain} that missed the rebuild answer; it is repeated");
@@ -192,10 +192,10 @@
         }
         let held = *held;
         match message.outcome {
-            Ok(tenure) => {
-                self.enter(&tenure);
+            Ok(leadership) => {
+                self.enter(&leadership);
                 let renewed = Instant::now();
-                self.state = LeaseState::Active { held, renewed, tenure: Box::new(tenure) };
+                self.state = LeaseState::Active { held, renewed, leadership: Box::new(leadership) };
             }
             Err(seen) => self.release(&format!("a worker has seen epoch {seen}")).await,
         }
@@ -216,7 +216,7 @@
         match &self.state {
             LeaseState::Idle => None,
             LeaseState::Rebuilding { epoch, .. } => Some(*epoch),
-            LeaseState::Active { tenure, .. } => Some(tenure.epoch),
+            LeaseState::Active { leadership, .. } => Some(leadership.epoch),
         }
     }
 
@@ -293,11 +293,11 @@
         self.contact_since.is_some_and(|since| since.elapsed() >= TRUST_AFTER)
     }
 
-    /// Starts a tenure; a former one ends first.
+    /// Starts a leadership; a former one ends first.
     fn rebuild(&mut self, held: Option<HeldLease>, epoch: Epoch, trust_queued: bool) {
         self.leave();
         let (stale_receiver, unsettled_receiver) = (self.me.clone(), self.me.clone());
-        let settings = TenureSettings {
+        let settings = LeadershipSettings {
             context: self.settings.context.clone(),
             domain: self.settings.domain.clone(),
             epoch,
@@ -313,7 +313,7 @@
         let me = self.me.clone();
         let span = tracing::info_span!("rebuild", domain = %self.settings.domain, epoch);
         let rebuild = async move {
-            let outcome = Tenure::begin(settings).await;
+            let outcome = Leadership::begin(settings).await;
             let _ = me.tell(Rebuilt { epoch, outcome }).try_send();
         };
         let task = tokio::spawn(rebuild.instrument(span));
@@ -351,13 +351,13 @@
     /// A successor starts possibly running jobs again only after it has fenced more than half of the
     /// workers. A holder that reaches at least half of them meets one that is fenced.
     async fn check_reach(&mut self) {
-        let LeaseState::Active { renewed, tenure, .. } = &self.state else {
+        let LeaseState::Active { renewed, leadership, .. } = &self.state else {
             return;
         };
         if renewed.elapsed() < LEASE_TTL {
             return;
         }
-        if let Ok((reached, all)) = tenure.gangs.ask(CountReached).await
+        if let Ok((reached, all)) = leadership.gangs.ask(CountReached).await
             && reached * 2 < all
         {
             self.step_down("neither the store nor half of the workers can be reached");
@@ -385,7 +385,7 @@
         }
     }
 
-    /// Ends the tenure and frees the lease, so that the successor need not wait.
+    /// Ends the leadership and frees the lease, so that the successor need not wait.
     async fn release(&mut self, reason: &str) {
         let held = match &self.state {
             LeaseState::Idle => return,
@@ -406,18 +406,18 @@
         self.leave();
     }
 
-    fn enter(&mut self, tenure: &Tenure) {
+    fn enter(&mut self, leadership: &Leadership) {
         let domain = self.settings.domain.clone();
         let context = &self.settings.context;
-        context.membership.set_scheduling(&domain, tenure.epoch, 0);
+        context.membership.set_scheduling(&domain, leadership.epoch, 0);
         let label = DomainLabel { domain: domain.clone() };
-        let epoch = i64::try_from(tenure.epoch).unwrap_or(i64::MAX);
+        let epoch = i64::try_from(leadership.epoch).unwrap_or(i64::MAX);
         context.metrics.epoch.get_or_create(&label).set(epoch);
-        let entry = TenureEntry {
-            epoch: tenure.epoch,
-            permission: tenure.permission.clone(),
-            gangs: tenure.gangs.clone(),
-            jobs: tenure.jobs.clone(),
+        let entry = LeadershipEntry {
+            epoch: leadership.epoch,
+            permission: leadership.permission.clone(),
+            gangs: leadership.gangs.clone(),
+            jobs: leadership.jobs.clone(),
         };
         self.settings.table.lock().unwrap_or_else(PoisonError::into_inner).insert(domain, entry);
     }
@@ -426,7 +426,7 @@
         match std::mem::replace(&mut self.state, LeaseState::Idle) {
             LeaseState::Idle => return,
             LeaseState::Rebuilding { task, .. } => task.abort(),
-            LeaseState::Active { tenure, .. } => tenure.revoke(),
+            LeaseState::Active { leadership, .. } => leadership.revoke(),
         }
         let domain = &self.settings.domain;
         self.settings.context.membership.clear_scheduling(domain);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -1,7 +1,7 @@
 //! Controllers for the state of failure domains, and the scheduler process.
 //!
 //! Any scheduler process may become the active scheduler of a failure domain: [`lease_controller`]
-//! competes for the lease, and [`tenure`] holds the controllers of the time for which it is held.
+//! competes for the lease, and [`leadership`] holds the controllers of the time for which it is held.
 //! [`job_controller`] decides over jobs, [`gang_controller`] runs them, [`worker_controller`] knows
 //! the workers. What to place where is decided in the placement crate.
 
@@ -15,6 +15,7 @@
 pub mod history;
 pub mod hook;
 pub mod job_controller;
+pub mod leadership;
 pub mod lease;
 pub mod lease_controller;
 pub mod metrics;
@@ -23,7 +24,6 @@
 pub mod ramp;
 pub mod rebuild;
 pub mod records;
-pub mod tenure;
 pub mod tombstones;
 pub mod usage;
 pub mod worker_controller;
--- a/crates/scheduler/src/process.rs
+++ b/crates/scheduler/src/process.rs
@@ -28,8 +28,8 @@
 
 use crate::admin_context::ProcessAdmin;
 use crate::context::ProcessContext;
-use crate::hook::TenureHook;
-use crate::lease_controller::{LeaseController, LeaseSettings, LeaseTick, Retire, TenureTable};
+use crate::hook::LeadershipHook;
+use crate::lease_controller::{LeadershipTable, LeaseController, LeaseSettings, LeaseTick, Retire};
 use crate::metrics::SchedulerMetrics;
 
 /// Time between renewals of a held lease and between attempts to take a free one.
@@ -44,7 +44,7 @@
 /// Runs one scheduler process; dropping it ends it as a crash would.
 pub struct SchedulerProcess {
     context: Arc<ProcessContext>,
-    hook: Arc<TenureHook>,
+    hook: Arc<LeadershipHook>,
     registry: MetricsRegistry,
     leases: Arc<tokio::sync::Mutex<BTreeMap<DomainName, ActorRef<LeaseController>>>>,
     peer_address: SocketAddr,
@@ -112,8 +112,8 @@
             metrics: SchedulerMetrics::new(&registry),
             started: Instant::now(),
         });
-        let table = TenureTable::default();
-        let hook = Arc::new(TenureHook { context: context.clone(), table });
+        let table = LeadershipTable::default();
+        let hook = Arc::new(LeadershipHook { context: context.clone(), table });
         membership.set_hook(hook.clone());
         membership.start();
         let leases = Arc::default();
@@ -160,7 +160,7 @@
     }
 
     /// Returns the domains that this process schedules, with their epochs.
-    pub fn tenures(&self) -> BTreeMap<DomainName, u64> {
+    pub fn leaderships(&self) -> BTreeMap<DomainName, u64> {
         let table = self.hook.table.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         table.iter().map(|(domain, entry)| (domain.clone(), entry.epoch)).collect()
     }
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -338,12 +338,12 @@
 
     /// Returns whether the process schedules a domain.
     pub fn schedules(&self, domain: &str) -> bool {
-        self.process().tenures().contains_key(domain)
+        self.process().leaderships().contains_key(domain)
     }
 
     /// Returns the epoch under which the process schedules a domain; 0 if it does not.
     pub fn epoch(&self, domain: &str) -> u64 {
-        self.process().tenures().get(domain).copied().unwrap_or(0)
+        self.process().leaderships().get(domain).copied().unwrap_or(0)
     }
 
     /// Waits until the process schedules a domain.
