--- a/crates/admin/src/submission.rs
+++ b/crates/admin/src/submission.rs
@@ -11,7 +11,7 @@
 use lacewingrail_model::clock::{UnixMillis, unix_millis};
 use lacewingrail_model::config::ConfigView;
 use lacewingrail_model::hash::digest;
-use lacewingrail_model::job::{JobRecord, JobSpec, JobState};
+use lacewingrail_model::job::{JobRecord, JobSpec};
 use lacewingrail_model::mark::WriteMark;
 use lacewingrail_model::store::{Revision, StoreError};
 use lacewingrail_model::{DomainName, JobId, keys};
@@ -301,22 +301,7 @@
 }
 
 fn build_record(state: &SharedState, id: JobId, owner: DomainName, spec: JobSpec) -> JobRecord {
-    JobRecord {
-        id,
-        spec,
-        state: JobState::Queued,
-        owner,
-        attempt: 0,
-        epoch: 0,
-        checkpoint_ms: 0,
-        preemptions: 0,
-        guaranteed: false,
-        submitted_at: unix_millis(),
-        started_at: None,
-        ended_at: None,
-        arrival: None,
-        mark: state.context.issue_mark(),
-    }
+    JobRecord::queued(id, spec, owner, state.context.issue_mark())
 }
 
 fn new_id() -> JobId {
--- a/crates/experiment/src/capacity/placement.rs
+++ b/crates/experiment/src/capacity/placement.rs
@@ -5,7 +5,7 @@
 
 use hdrhistogram::Histogram;
 use lacewingrail_model::config::PlacementChoice;
-use lacewingrail_model::job::{JobRecord, JobSpec, JobState, WorkClass};
+use lacewingrail_model::job::{JobRecord, JobSpec, WorkClass};
 use lacewingrail_model::shape::{AdjacencyLevel, GangShape};
 use lacewingrail_placement::entry::{CustomerShare, PlacementAction, WaitingEntry, WorkerCapacity};
 use lacewingrail_placement::health::WorkerHealth;
@@ -145,21 +145,7 @@
         command: String::new(),
         idempotency_key: None,
     };
-    let record = JobRecord {
-        id: format!("job-{number}"),
-        spec,
-        state: JobState::Queued,
-        owner: "domain-1".to_owned(),
-        attempt: 0,
-        epoch: 1,
-        checkpoint_ms: 0,
-        preemptions: 0,
-        guaranteed: false,
-        submitted_at: 0,
-        started_at: None,
-        ended_at: None,
-        arrival: None,
-        mark: String::new(),
-    };
+    let record =
+        JobRecord::queued(format!("job-{number}"), spec, "domain-1".to_owned(), String::new());
     WaitingEntry { record, since: now }
 }
--- a/crates/experiment/src/harness/load.rs
+++ b/crates/experiment/src/harness/load.rs
@@ -2,8 +2,7 @@
 
 use std::fmt::Write as _;
 
-use lacewingrail_model::clock::unix_millis;
-use lacewingrail_model::job::{JobRecord, JobSpec, JobState, WorkClass};
+use lacewingrail_model::job::{JobRecord, JobSpec, WorkClass};
 use lacewingrail_model::keys;
 use lacewingrail_model::shape::{AdjacencyLevel, GangShape};
 use lacewingrail_model::store::KeyValueService;
@@ -106,22 +105,8 @@
     id: &str,
     spec: JobSpec,
 ) -> Result<(), String> {
-    let record = JobRecord {
-        id: id.to_owned(),
-        spec,
-        state: JobState::Queued,
-        owner: domain.to_owned(),
-        attempt: 0,
-        epoch: 0,
-        checkpoint_ms: 0,
-        preemptions: 0,
-        guaranteed: false,
-        submitted_at: unix_millis(),
-        started_at: None,
-        ended_at: None,
-        arrival: None,
-        mark: format!("experiment#{id}"),
-    };
+    let record =
+        JobRecord::queued(id.to_owned(), spec, domain.to_owned(), format!("experiment#{id}"));
     let value = serde_json::to_string(&record).map_err(|error| error.to_string())?;
     let key = keys::job(&domain.to_owned(), &record.id);
     store.put(&key, value, 0, None).await.map_err(|error| error.to_string())?;
--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::clock::UnixMillis;
+use crate::clock::{UnixMillis, unix_millis};
 use crate::mark::WriteMark;
 use crate::shape::GangShape;
 use crate::{CustomerName, DomainName, Epoch, JobId};
@@ -124,6 +124,28 @@
     pub mark: WriteMark,
 }
 
+impl JobRecord {
+    /// Creates the record of a job that waits for its first attempt, submitted now.
+    pub fn queued(id: JobId, spec: JobSpec, owner: DomainName, mark: WriteMark) -> Self {
+        Self {
+            id,
+            spec,
+            state: JobState::Queued,
+            owner,
+            attempt: 0,
+            epoch: 0,
+            checkpoint_ms: 0,
+            preemptions: 0,
+            guaranteed: false,
+            submitted_at: unix_millis(),
+            started_at: None,
+            ended_at: None,
+            arrival: None,
+            mark,
+        }
+    }
+}
+
 /// Describes a change of owner that is in progress.
 ///
 /// The former owner's record names the new owner until the latter has confirmed the change; only a
--- a/crates/placement/benches/support/load.rs
+++ b/crates/placement/benches/support/load.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use lacewingrail_model::config::PlacementChoice;
-use lacewingrail_model::job::{JobRecord, JobSpec, JobState, WorkClass};
+use lacewingrail_model::job::{JobRecord, JobSpec, WorkClass};
 use lacewingrail_model::shape::{AdjacencyLevel, GangShape};
 use lacewingrail_placement::{
     CustomerShare, DomainPlanner, GuaranteeEntry, PlacementAction, WaitingEntry, WorkerCapacity,
@@ -233,33 +233,20 @@
 
     fn submit_for(&mut self, customer: String, shape: GangShape, class: WorkClass) {
         self.next += 1;
-        let record = JobRecord {
-            id: format!("j{}", self.next),
-            spec: JobSpec {
-                customer,
-                shape,
-                class,
-                declared_ms: 0,
-                cores: 1,
-                memory_mb: 1_000,
-                checkpointable: true,
-                domains: Vec::new(),
-                command: String::new(),
-                idempotency_key: None,
-            },
-            state: JobState::Queued,
-            owner: "d1".to_owned(),
-            attempt: 0,
-            epoch: 1,
-            checkpoint_ms: 0,
-            preemptions: 0,
-            guaranteed: false,
-            submitted_at: 0,
-            started_at: None,
-            ended_at: None,
-            arrival: None,
-            mark: Default::default(),
+        let spec = JobSpec {
+            customer,
+            shape,
+            class,
+            declared_ms: 0,
+            cores: 1,
+            memory_mb: 1_000,
+            checkpointable: true,
+            domains: Vec::new(),
+            command: String::new(),
+            idempotency_key: None,
         };
+        let record =
+            JobRecord::queued(format!("j{}", self.next), spec, "d1".to_owned(), String::new());
         self.specs.insert(record.id.clone(), record.clone());
         self.planner.enqueue(WaitingEntry { record, since: self.now });
     }
--- a/crates/placement/tests/support/scene.rs
+++ b/crates/placement/tests/support/scene.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use lacewingrail_model::config::PlacementChoice;
-use lacewingrail_model::job::{JobRecord, JobSpec, JobState, WorkClass};
+use lacewingrail_model::job::{JobRecord, JobSpec, WorkClass};
 use lacewingrail_model::shape::{AdjacencyLevel, GangShape};
 use lacewingrail_placement::{
     CustomerShare, DomainPlanner, GuaranteeEntry, MemberPlace, PlacementAction, RunningEntry,
@@ -127,22 +127,7 @@
     pub fn enqueue(&mut self, spec: JobSpec) -> String {
         self.next += 1;
         let id = format!("j{}", self.next);
-        let record = JobRecord {
-            id: id.clone(),
-            spec,
-            state: JobState::Queued,
-            owner: "d1".to_owned(),
-            attempt: 0,
-            epoch: 1,
-            checkpoint_ms: 0,
-            preemptions: 0,
-            guaranteed: false,
-            submitted_at: 0,
-            started_at: None,
-            ended_at: None,
-            arrival: None,
-            mark: Default::default(),
-        };
+        let record = JobRecord::queued(id.clone(), spec, "d1".to_owned(), Default::default());
         self.push(WaitingEntry { record, since: self.now });
         id
     }
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -13,7 +13,6 @@
 
 use async_trait::async_trait;
 use lacewingrail_admin::AdminContext;
-use lacewingrail_model::clock::unix_millis;
 use lacewingrail_model::instance::{InstanceEntry, InstanceError, InstanceList};
 use lacewingrail_model::job::{HistoryPage, JobRecord, JobSpec, JobState, WorkClass};
 use lacewingrail_model::keys;
@@ -179,22 +178,8 @@
 
     /// Submits a job to a domain.
     pub async fn submit(&self, domain: &str, id: &str, spec: JobSpec) {
-        let record = JobRecord {
-            id: id.to_owned(),
-            spec,
-            state: JobState::Queued,
-            owner: domain.to_owned(),
-            attempt: 0,
-            epoch: 0,
-            checkpoint_ms: 0,
-            preemptions: 0,
-            guaranteed: false,
-            submitted_at: unix_millis(),
-            started_at: None,
-            ended_at: None,
-            arrival: None,
-            mark: format!("client#{id}"),
-        };
+        let record =
+            JobRecord::queued(id.to_owned(), spec, domain.to_owned(), format!("client#{id}"));
         let value = serde_json::to_string(&record).expect("a record");
         let key = keys::job(&domain.to_owned(), &id.to_owned());
         self.store.put(&key, value, 0, None).await.expect("a submission");
