--- a/crates/membership/src/config_controller.rs
+++ b/crates/membership/src/config_controller.rs
@@ -13,7 +13,7 @@
 use lacewingrail_model::instance::InstanceRole;
 use lacewingrail_model::keys::CONFIG_TREE;
 use lacewingrail_model::message::{ConfigPayload, PeerRequest, PeerResponse};
-use lacewingrail_model::store::{Revision, StoreError};
+use lacewingrail_model::store::{Revision, StoreError, WatchBatch};
 use tokio::task::JoinSet;
 
 use crate::config::OfferOutcome;
@@ -84,8 +84,7 @@
         };
         self.state.contact.note(sent, true);
         self.revision = batch.revision;
-        let values = batch.events.into_iter().filter(|event| event.key == CONFIG_TREE);
-        if let Some(text) = values.filter_map(|event| event.value).next_back() {
+        if let Some(text) = newest_text(batch) {
             take(&self.state, text);
         }
     }
@@ -147,8 +146,7 @@
         match tokio::time::timeout(WATCH_LIMIT, call).await {
             Ok(Ok(batch)) => {
                 revision = batch.revision;
-                let events = batch.events.into_iter().filter(|event| event.key == CONFIG_TREE);
-                if let Some(text) = events.filter_map(|event| event.value).next_back()
+                if let Some(text) = newest_text(batch)
                     && let Some(payload) = take(&state, text)
                 {
                     push(&state, payload).await;
@@ -163,6 +161,12 @@
     }
 }
 
+/// Returns the newest stored tree among the changes of a watch.
+fn newest_text(batch: WatchBatch) -> Option<String> {
+    let events = batch.events.into_iter().filter(|event| event.key == CONFIG_TREE);
+    events.filter_map(|event| event.value).next_back()
+}
+
 /// Returns whether the process is one of its domain's watchers.
 fn is_watcher(state: &MembershipState) -> bool {
     let own = &state.settings.instance;
