--- a/crates/admin/tests/api/config.rs
+++ b/crates/admin/tests/api/config.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use lacewingrail_admin::VetoOutcome;
+use lacewingrail_clients::StoreFaults;
 use lacewingrail_model::admin::DomainAnswer;
-use lacewingrail_platform::StoreFaults;
 use tokio::task::JoinSet;
 
 use crate::harness::{BANK, OPERATOR, READER, TestContext, tree};
--- a/crates/admin/tests/api/jobs.rs
+++ b/crates/admin/tests/api/jobs.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use lacewingrail_admin::SubmissionRecord;
+use lacewingrail_clients::StoreFaults;
 use lacewingrail_model::admin::DomainAnswer;
 use lacewingrail_model::clock::unix_millis;
 use lacewingrail_model::job::{HistoryPage, JobRecord, JobState};
 use lacewingrail_model::keys;
 use lacewingrail_model::store::{KeyValueService, StoreError};
-use lacewingrail_platform::StoreFaults;
 use serde_json::{Value, json};
 use tokio::task::JoinSet;
 
--- a/crates/platform/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -8,10 +8,11 @@
 /// Time to establish a connection; instances are at most a few milliseconds apart.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which an idle connection is kept.
-pub(crate) const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+pub const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// States how an exchange failed.
-pub(crate) enum ExchangeError {
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ExchangeError {
     /// No connection was established, so the request was not sent.
     NotSent(String),
     /// The request may have been processed, but its whole answer did not arrive.
@@ -21,9 +22,13 @@
 }
 
 /// Holds a whole answer.
-pub(crate) struct HttpAnswer {
+#[derive(Clone, Debug)]
+pub struct HttpAnswer {
+    /// Status.
     pub status: StatusCode,
+    /// Headers.
     pub headers: reqwest::header::HeaderMap,
+    /// Body.
     pub body: Vec<u8>,
 }
 
@@ -37,7 +42,7 @@
 }
 
 /// Builds a client that keeps up to `idle` connections to each host.
-pub(crate) fn build_client(idle: usize) -> Client {
+pub fn build_client(idle: usize) -> Client {
     Client::builder()
         .connect_timeout(CONNECT_TIMEOUT)
         .no_proxy()
@@ -54,7 +59,7 @@
 /// When a network path goes silent, every idle connection of the pool is silent. Without the
 /// replacement each of them would cost one call its timeout, and three in a row cost a lease.
 #[derive(Debug)]
-pub(crate) struct RenewableClient {
+pub struct RenewableClient {
     idle: usize,
     current: Mutex<(u64, Client)>,
 }
@@ -86,7 +91,7 @@
 /// Sends a request and reads the whole answer of at most `limit` bytes.
 ///
 /// A connection whose exchange times out is closed.
-pub(crate) async fn exchange(
+pub async fn exchange(
     request: RequestBuilder,
     timeout: Duration,
     limit: usize,
@@ -107,7 +112,7 @@
 }
 
 /// Joins a base address and path segments, each percent-encoded.
-pub(crate) fn join(base: &str, segments: &[&str]) -> Result<Url, ExchangeError> {
+pub fn join(base: &str, segments: &[&str]) -> Result<Url, ExchangeError> {
     let malformed = |cause: &str| ExchangeError::NotSent(format!("address {base:?}: {cause}"));
     if segments.iter().any(|segment| matches!(*segment, "" | "." | "..")) {
         return Err(malformed("a path segment is empty or a dot segment"));
@@ -121,10 +126,10 @@
 }
 
 /// Cause of a timeout in error messages.
-pub(crate) const NO_ANSWER: &str = "no answer in time";
+pub const NO_ANSWER: &str = "no answer in time";
 
 /// Returns the milliseconds of a duration.
-pub(crate) fn millis(duration: Duration) -> u64 {
+pub fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -5,6 +5,7 @@
 //! cycle with marks on top of that, and [`MemoryStore`] serves tests and the key-value stand-in.
 
 pub mod calls;
+pub mod http;
 pub mod http_instances;
 pub mod http_store;
 pub mod http_worker;
@@ -12,8 +13,6 @@
 pub mod protocol;
 pub mod update;
 
-mod http;
-
 pub use calls::{CallCounter, CallCounts, CallKind};
 pub use http_instances::HttpInstanceList;
 pub use http_store::HttpStore;
--- a/crates/platform/tests/http_bodies.rs
+++ b/crates/clients/tests/http_bodies.rs
@@ -6,10 +6,10 @@
 use assert_matches::assert_matches;
 use axum::Router;
 use axum::http::StatusCode;
+use lacewingrail_clients::{CallKind, HttpInstanceList, HttpStore, HttpWorkerClient};
 use lacewingrail_model::instance::InstanceList;
 use lacewingrail_model::store::{KeyValueService, StoreError};
 use lacewingrail_model::worker::{MemberId, WorkerError, WorkerService, WorkerSpec};
-use lacewingrail_platform::{CallKind, HttpInstanceList, HttpStore, HttpWorkerClient};
 use proptest::prelude::*;
 use proptest::test_runner::TestRunner;
 
--- a/crates/platform/tests/memory_store.rs
+++ b/crates/clients/tests/memory_store.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
+use lacewingrail_clients::{CallKind, MemoryStore, StoreFaults};
 use lacewingrail_model::store::{KeyValueService, MAX_VALUE_BYTES, StoreError};
-use lacewingrail_platform::{CallKind, MemoryStore, StoreFaults};
 use proptest::prelude::*;
 
 #[derive(Clone, Debug)]
--- a/crates/platform/tests/update.rs
+++ b/crates/clients/tests/update.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
+use lacewingrail_clients::{MarkedRecord, MemoryStore, StoreFaults, UpdateError, read, update};
 use lacewingrail_model::mark::{MarkIssuer, WriteMark, fresh_instance};
 use lacewingrail_model::store::{KeyValueService, StoreError};
-use lacewingrail_platform::{MarkedRecord, MemoryStore, StoreFaults, UpdateError, read, update};
 use serde::{Deserialize, Serialize};
 
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
--- a/crates/dev/src/system.rs
+++ b/crates/dev/src/system.rs
@@ -5,12 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use lacewingrail_clients::{HttpInstanceList, HttpStore, HttpWorkerClient};
 use lacewingrail_entry::{EntryHandle, EntryProcess, EntrySettings};
 use lacewingrail_model::DomainName;
 use lacewingrail_model::config::ConfigView;
 use lacewingrail_model::instance::{InstanceEntry, InstanceRole};
 use lacewingrail_model::timer::TimerService;
-use lacewingrail_platform::{HttpInstanceList, HttpStore, HttpWorkerClient};
 use lacewingrail_scheduler::SchedulerProcess;
 use lacewingrail_settings::{ListenSettings, LogLevel, ProcessSettings};
 use lacewingrail_standins::InstanceChange;
--- a/crates/dev/tests/system/store.rs
+++ b/crates/dev/tests/system/store.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use lacewingrail_clients::StoreFaults;
 use lacewingrail_dev::callers::TryOutcome;
-use lacewingrail_platform::StoreFaults;
 
 use crate::support::bed::{TestBed, WORKERS, gang};
 use crate::support::eventually;
--- a/crates/dev/tests/system/support/bed.rs
+++ b/crates/dev/tests/system/support/bed.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use lacewingrail_clients::read;
 use lacewingrail_dev::api::AdminClient;
 use lacewingrail_dev::demonstration::verdicts::is_finished;
 use lacewingrail_model::clock::UnixMillis;
@@ -15,7 +16,6 @@
 use lacewingrail_model::keys;
 use lacewingrail_model::shape::{AdjacencyLevel, GangShape};
 use lacewingrail_model::store::KeyValueService;
-use lacewingrail_platform::read;
 use lacewingrail_scheduler::lease::LeaseRecord;
 use lacewingrail_standins::{
     BackendServer, BackendSettings, FaultProxy, FleetLayout, FleetSettings, HoldingRecord,
--- a/crates/entry/examples/measure_requests.rs
+++ b/crates/entry/examples/measure_requests.rs
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
+use lacewingrail_clients::{CallKind, HttpInstanceList, MemoryStore, StoreFaults};
 use lacewingrail_entry::claims::home::HomeDirectory;
 use lacewingrail_entry::claims::ledger::{ClaimError, ClaimLedger, ClaimPeers};
 use lacewingrail_entry::claims::shard_writer::{GROUP_PERIOD, WriterContext};
@@ -29,7 +30,6 @@
 use lacewingrail_model::mark::MarkIssuer;
 use lacewingrail_model::store::KeyValueService;
 use lacewingrail_model::timer::TimerService;
-use lacewingrail_platform::{CallKind, HttpInstanceList, MemoryStore, StoreFaults};
 use lacewingrail_standins::{BackendServer, BackendSettings, InstanceChange, InstanceListServer};
 use lacewingrail_telemetry::MetricsRegistry;
 use lacewingrail_wire::PeerServer;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -4,9 +4,9 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use lacewingrail_clients::{HttpInstanceList, HttpStore};
 use lacewingrail_entry::{EntryProcess, EntrySettings};
 use lacewingrail_model::timer::TimerService;
-use lacewingrail_platform::{HttpInstanceList, HttpStore};
 use lacewingrail_settings::ProcessSettings;
 use lacewingrail_telemetry::JsonLogger;
 use lacewingrail_telemetry::spans::SpanPipeline;
--- a/crates/entry/tests/at_most_once.rs
+++ b/crates/entry/tests/at_most_once.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use lacewingrail_clients::StoreFaults;
 use lacewingrail_entry::EntryHandle;
 use lacewingrail_model::config::PolicyOverlay;
-use lacewingrail_platform::StoreFaults;
 use lacewingrail_standins::BackendFaults;
 use reqwest::{Client, Response};
 use support::{GatedStore, TestSystem, outcome, request, run_in, runs_of, wait_for};
--- a/crates/entry/tests/random_faults.rs
+++ b/crates/entry/tests/random_faults.rs
@@ -10,10 +10,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use lacewingrail_clients::StoreFaults;
 use lacewingrail_entry::EntryHandle;
 use lacewingrail_model::config::PolicyOverlay;
 use lacewingrail_model::invariant;
-use lacewingrail_platform::StoreFaults;
 use lacewingrail_standins::{BackendFaults, BackendServer, FaultProxy, LinkSelection, LinkSpec};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use lacewingrail_clients::MemoryStore;
 use lacewingrail_entry::{EntryHandle, EntryProcess, EntrySettings};
 use lacewingrail_model::config::{
     ConfigView, CustomerConfig, DomainConfig, PolicyOverlay, ServiceConfig,
@@ -19,7 +20,6 @@
 };
 use lacewingrail_model::timer::TimerService;
 use lacewingrail_model::worker::WorkerSpec;
-use lacewingrail_platform::MemoryStore;
 use lacewingrail_standins::{BackendServer, BackendSettings};
 
 /// Service of the tests.
--- a/crates/experiment/src/capacity/bursts.rs
+++ b/crates/experiment/src/capacity/bursts.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use lacewingrail_clients::StoreFaults;
 use lacewingrail_model::job::JobState;
-use lacewingrail_platform::StoreFaults;
 use lacewingrail_standins::{WorkerFaults, WorkerSelection};
 
 use crate::capacity::membership::MemberGroup;
--- a/crates/experiment/src/capacity/membership.rs
+++ b/crates/experiment/src/capacity/membership.rs
@@ -4,13 +4,13 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
+use lacewingrail_clients::{HttpInstanceList, HttpStore, MemoryStore};
 use lacewingrail_membership::{Membership, MembershipSettings};
 use lacewingrail_model::instance::{InstanceEntry, InstanceList, InstanceRole};
 use lacewingrail_model::keys::CONFIG_TREE;
 use lacewingrail_model::message::{Heartbeat, PeerFrame, PeerRequest, PeerResponse, SchedulerSeen};
 use lacewingrail_model::store::KeyValueService;
 use lacewingrail_model::timer::TimerService;
-use lacewingrail_platform::{HttpInstanceList, HttpStore, MemoryStore};
 use lacewingrail_settings::StoredTree;
 use lacewingrail_standins::instance_server::{InstanceChange, InstanceListServer};
 use lacewingrail_standins::store_server::StoreServer;
--- a/crates/experiment/src/harness/site.rs
+++ b/crates/experiment/src/harness/site.rs
@@ -2,10 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+use lacewingrail_clients::MemoryStore;
 use lacewingrail_model::job::{JobRecord, JobState};
 use lacewingrail_model::keys;
 use lacewingrail_model::store::KeyValueService;
-use lacewingrail_platform::MemoryStore;
 use lacewingrail_settings::StoredTree;
 use lacewingrail_standins::fault_proxy::FaultProxy;
 use lacewingrail_standins::fault_proxy::rules::LinkSpec;
--- a/crates/experiment/src/trial/drive.rs
+++ b/crates/experiment/src/trial/drive.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use lacewingrail_clients::StoreFaults;
 use lacewingrail_model::config::ConfigView;
 use lacewingrail_model::job::{HistoryPage, JobRecord};
 use lacewingrail_model::keys;
 use lacewingrail_model::store::KeyValueService;
 use lacewingrail_model::worker::WorkerSpec;
-use lacewingrail_platform::StoreFaults;
 use lacewingrail_standins::HoldingRecord;
 use tokio::time::Instant;
 
--- a/crates/experiment/src/trial/site.rs
+++ b/crates/experiment/src/trial/site.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use lacewingrail_clients::{HttpInstanceList, HttpStore, MemoryStore};
 use lacewingrail_model::config::ConfigView;
 use lacewingrail_model::keys;
 use lacewingrail_model::store::KeyValueService;
 use lacewingrail_model::timer::TimerService;
-use lacewingrail_platform::{HttpInstanceList, HttpStore, MemoryStore};
 use lacewingrail_scheduler::SchedulerProcess;
 use lacewingrail_settings::{ListenSettings, LogLevel, ProcessSettings};
 use lacewingrail_standins::{
--- a/crates/experiment/src/trial/work.rs
+++ b/crates/experiment/src/trial/work.rs
@@ -7,13 +7,13 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use lacewingrail_clients::{HttpWorkerClient, MemoryStore, read};
 use lacewingrail_model::Epoch;
 use lacewingrail_model::job::JobRecord;
 use lacewingrail_model::keys;
 use lacewingrail_model::worker::{
     MemberId, RenewItem, ReserveRequest, WorkerError, WorkerReport, WorkerService, WorkerSpec,
 };
-use lacewingrail_platform::{HttpWorkerClient, MemoryStore, read};
 
 const COMMAND: &str = "work ";
 
--- /dev/null
+++ b/crates/fleet/src/admission.rs
@@ -0,0 +1,73 @@
+//! What is turned away at submission.
+//!
+//! Answers submissions that no worker of the fleet could ever run: a task larger than every worker,
+//! a label that no worker has, or a gang larger than the fleet. Such a job would wait until its
+//! customer gives up, so it is refused at once.
+
+use std::fmt;
+
+use crate::amount::ResourceAmount;
+use crate::spec::{JobSpec, StepSpec};
+use crate::worker::WorkerEntry;
+
+/// States why a submission is turned away. The job has not run and never will.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AdmissionRefusal {
+    /// No worker is large enough for a task or has the label that it requires.
+    NoSuitableWorker {
+        /// Step.
+        step: u32,
+    },
+    /// All workers together are too small for a gang.
+    GangTooLarge {
+        /// Step.
+        step: u32,
+    },
+}
+
+impl fmt::Display for AdmissionRefusal {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoSuitableWorker { step } => {
+                write!(formatter, "no worker can run a task of step {step}")
+            }
+            Self::GangTooLarge { step } => {
+                write!(formatter, "all workers together are too small for the gang of step {step}")
+            }
+        }
+    }
+}
+
+/// Returns why a job can't run on a fleet, if so.
+pub fn check_fleet<'a, W>(spec: &JobSpec, workers: W) -> Result<(), AdmissionRefusal>
+where
+    W: Iterator<Item = &'a WorkerEntry> + Clone,
+{
+    for (index, step) in spec.steps.iter().enumerate() {
+        let index = index as u32;
+        let room: i64 = workers.clone().map(|worker| tasks_on(step, worker)).sum();
+        if room == 0 {
+            return Err(AdmissionRefusal::NoSuitableWorker { step: index });
+        }
+        if step.gang && room < i64::from(step.count) {
+            return Err(AdmissionRefusal::GangTooLarge { step: index });
+        }
+    }
+    Ok(())
+}
+
+/// Returns how many tasks of a step an empty worker holds.
+fn tasks_on(step: &StepSpec, worker: &WorkerEntry) -> i64 {
+    if step.label.as_ref().is_some_and(|label| !worker.listing.labels.contains(label)) {
+        return 0;
+    }
+    let limit = step.worker_limit.map_or(i64::MAX, i64::from);
+    fits(&step.demand, &worker.listing.capacity).min(limit).min(i64::from(step.count))
+}
+
+fn fits(demand: &ResourceAmount, capacity: &ResourceAmount) -> i64 {
+    let times = |part: i64, whole: i64| if part <= 0 { i64::MAX } else { whole.max(0) / part };
+    times(demand.cpu_milli, capacity.cpu_milli)
+        .min(times(demand.memory_mb, capacity.memory_mb))
+        .min(times(demand.accelerators, capacity.accelerators))
+}
--- /dev/null
+++ b/crates/fleet/src/amount.rs
@@ -0,0 +1,78 @@
+//! Amounts of processors, memory and accelerators.
+
+use std::ops::{Add, AddAssign, Sub, SubAssign};
+
+use serde::{Deserialize, Serialize};
+
+/// Holds an amount of each resource of a worker.
+///
+/// Amounts are signed, because a worker whose capacity was reported smaller may be overcommitted.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ResourceAmount {
+    /// Processor time in thousandths of a core.
+    pub cpu_milli: i64,
+    /// Memory in megabytes.
+    pub memory_mb: i64,
+    /// Accelerators.
+    pub accelerators: i64,
+}
+
+impl ResourceAmount {
+    /// Returns whether an amount fits into this one.
+    pub fn covers(&self, demand: &Self) -> bool {
+        self.cpu_milli >= demand.cpu_milli
+            && self.memory_mb >= demand.memory_mb
+            && self.accelerators >= demand.accelerators
+    }
+
+    /// Returns the amount multiplied by a count.
+    pub fn times(&self, count: i64) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli * count,
+            memory_mb: self.memory_mb * count,
+            accelerators: self.accelerators * count,
+        }
+    }
+
+    /// Returns the largest share that this amount takes of any resource of a capacity.
+    pub fn dominant_share(&self, capacity: &Self) -> f64 {
+        let share = |part: i64, whole: i64| part as f64 / whole.max(1) as f64;
+        share(self.cpu_milli, capacity.cpu_milli)
+            .max(share(self.memory_mb, capacity.memory_mb))
+            .max(share(self.accelerators, capacity.accelerators))
+    }
+}
+
+impl Add for ResourceAmount {
+    type Output = Self;
+
+    fn add(mut self, other: Self) -> Self {
+        self += other;
+        self
+    }
+}
+
+impl AddAssign for ResourceAmount {
+    fn add_assign(&mut self, other: Self) {
+        self.cpu_milli += other.cpu_milli;
+        self.memory_mb += other.memory_mb;
+        self.accelerators += other.accelerators;
+    }
+}
+
+impl Sub for ResourceAmount {
+    type Output = Self;
+
+    fn sub(mut self, other: Self) -> Self {
+        self -= other;
+        self
+    }
+}
+
+impl SubAssign for ResourceAmount {
+    fn sub_assign(&mut self, other: Self) {
+        self.cpu_milli -= other.cpu_milli;
+        self.memory_mb -= other.memory_mb;
+        self.accelerators -= other.accelerators;
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,36 @@
+//! Decisions of the active scheduler over jobs made of steps.
+//!
+//! A job has steps, a step has tasks, and some steps are gangs whose tasks run together or not at
+//! all. The [`FleetPlanner`] takes events (a submission, the list of workers, the answer of a worker,
+//! the passing of time) and returns orders (start, stop, renew, store). It reads no clock, draws no
+//! random numbers and performs no input or output, so the same events give the same orders and a
+//! recorded load replays as a test.
+//!
+//! What waits and in which order is decided in [`queue`], what is turned away in [`admission`], where
+//! work runs in [`placement`], and what is stopped for more urgent work in [`reclaim`].
+
+pub mod admission;
+pub mod amount;
+pub mod config;
+pub mod event;
+pub mod job;
+pub mod order;
+pub mod placement;
+pub mod planner;
+pub mod queue;
+pub mod reclaim;
+pub mod record;
+pub mod spec;
+pub mod worker;
+
+pub use amount::ResourceAmount;
+pub use config::{CustomerShare, FleetConfig, QueuePolicy};
+pub use event::{
+    EndReason, EndedRun, FleetEvent, LeaseReport, RunningRun, StartOutcome, StartRefusal,
+    WorkerListing,
+};
+pub use job::JobPhase;
+pub use order::{FleetOrder, StartOrder, TaskRun};
+pub use planner::{FleetPlanner, PlannerSettings};
+pub use record::JobProgress;
+pub use spec::{JobKey, JobSpec, JobSubmission, RunNumber, StepSpec, TaskKey};
--- /dev/null
+++ b/crates/fleet/src/order.rs
@@ -0,0 +1,70 @@
+//! What the planner asks for.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lacewingrail_model::WorkerId;
+
+use crate::record::JobProgress;
+use crate::spec::{CheckpointName, JobKey, JobSubmission, RunNumber, TaskKey};
+
+/// Names one run of a task on a worker.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TaskRun {
+    /// Worker.
+    pub worker: WorkerId,
+    /// Address of the worker, `ip:port`.
+    pub address: String,
+    /// Task.
+    pub task: TaskKey,
+    /// Run.
+    pub run: RunNumber,
+}
+
+/// Asks a worker to start a task.
+#[derive(Clone, Debug)]
+pub struct StartOrder {
+    /// Task, run and worker.
+    pub target: TaskRun,
+    /// Submission that the task belongs to.
+    pub submission: Arc<JobSubmission>,
+    /// Checkpoint to resume from.
+    pub checkpoint: Option<CheckpointName>,
+    /// End of the lease on the worker's clock.
+    pub lease_end: Duration,
+}
+
+/// Asks a worker for a report and, with `lease_end`, to keep its tasks running.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RenewOrder {
+    /// Worker.
+    pub worker: WorkerId,
+    /// Address of the worker, `ip:port`.
+    pub address: String,
+    /// End of the lease on the worker's clock; nothing before the clock is known.
+    pub lease_end: Option<Duration>,
+    /// Number of the newest end that is stored.
+    pub acknowledge: u64,
+    /// Time for which the worker may wait for an end before it answers.
+    pub wait: Duration,
+}
+
+/// Asks for an action whose result comes back as an event.
+#[derive(Clone, Debug)]
+pub enum FleetOrder {
+    /// Start a task.
+    Start(StartOrder),
+    /// Stop a task.
+    Stop(TaskRun),
+    /// Renew the lease of a worker and read its report.
+    Renew(RenewOrder),
+    /// Write progress to the store.
+    Store {
+        /// Job.
+        job: JobKey,
+        /// Content.
+        progress: JobProgress,
+    },
+    /// Another scheduler holds the leadership.
+    StepDown,
+}
--- /dev/null
+++ b/crates/fleet/src/placement.rs
@@ -0,0 +1,311 @@
+//! Where tasks run.
+//!
+//! The board holds what is free on each worker during one planning pass. A gang is placed whole: in
+//! one rack if it or its data asks for that, else in one failure domain, else across domains, each
+//! time in the group that it leaves least free, so that whole workers and racks stay free for what
+//! needs them. Within a group a task goes where it leaves least free.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use lacewingrail_model::{DomainName, RackName, ServiceName, WorkerId};
+
+use crate::amount::ResourceAmount;
+use crate::spec::{StepSpec, TaskKey};
+use crate::worker::WorkerEntry;
+
+/// Index of a worker on the board.
+pub type SlotIndex = usize;
+
+/// Holds one worker during a planning pass.
+#[derive(Clone, Debug)]
+pub struct WorkerSlot {
+    /// Worker.
+    pub id: WorkerId,
+    /// Service.
+    pub service: ServiceName,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Rack.
+    pub rack: Option<RackName>,
+    /// Labels.
+    pub labels: Vec<String>,
+    /// Capacity.
+    pub capacity: ResourceAmount,
+    /// Capacity that nothing takes or has reserved.
+    pub free: ResourceAmount,
+    /// Whether tasks may be started now.
+    pub open: bool,
+    /// Estimated speed.
+    pub speed: f64,
+    steps: BTreeMap<StepKey, u32>,
+}
+
+/// Names one step of one occurrence of a job.
+pub type StepKey = (u64, u32, u32);
+
+/// Holds the workers of a planning pass.
+#[derive(Clone, Debug)]
+pub struct PlaceBoard {
+    /// Workers in order of their ids.
+    pub slots: Vec<WorkerSlot>,
+}
+
+/// Limits where the tasks of a step may be placed in relation to each other.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PlaceReach {
+    /// Within the rack that the step prefers, or any one rack.
+    Rack,
+    /// Within one failure domain.
+    Domain,
+    /// Anywhere.
+    Region,
+}
+
+/// Describes what is to be placed.
+#[derive(Clone, Copy, Debug)]
+pub struct PlaceRequest<'a> {
+    /// Service whose workers run the tasks.
+    pub service: &'a str,
+    /// Step.
+    pub spec: &'a StepSpec,
+    /// Step within its job.
+    pub key: StepKey,
+    /// Number of tasks to place.
+    pub count: usize,
+    /// Whether fast workers are preferred over a tight packing.
+    pub prefer_fast: bool,
+}
+
+/// Returns the step that a task belongs to.
+pub fn step_key(task: TaskKey) -> StepKey {
+    (task.job, task.occurrence, task.step)
+}
+
+impl PlaceBoard {
+    /// Creates the board from the present state of the workers.
+    pub fn new(
+        workers: &BTreeMap<WorkerId, WorkerEntry>,
+        domains_out: &BTreeSet<DomainName>,
+        now: Duration,
+    ) -> Self {
+        let slots = workers.values().map(|worker| WorkerSlot::new(worker, domains_out, now));
+        Self { slots: slots.collect() }
+    }
+
+    /// Returns the index of a worker.
+    pub fn index(&self, worker: &str) -> Option<SlotIndex> {
+        self.slots.binary_search_by(|slot| slot.id.as_str().cmp(worker)).ok()
+    }
+
+    /// Takes what a task needs from a worker.
+    pub fn take(&mut self, slot: SlotIndex, key: StepKey, demand: &ResourceAmount) {
+        self.slots[slot].free -= *demand;
+        *self.slots[slot].steps.entry(key).or_default() += 1;
+    }
+
+    /// Gives back what a task held.
+    pub fn give_back(&mut self, slot: SlotIndex, key: StepKey, demand: &ResourceAmount) {
+        self.slots[slot].free += *demand;
+        if let Some(count) = self.slots[slot].steps.get_mut(&key) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// Returns whether a worker may ever run a task of a step, whatever is on it.
+    pub fn suits(&self, slot: SlotIndex, request: &PlaceRequest<'_>) -> bool {
+        let slot = &self.slots[slot];
+        let labelled = request.spec.label.as_ref().is_none_or(|label| slot.labels.contains(label));
+        slot.open
+            && slot.service == request.service
+            && labelled
+            && slot.capacity.covers(&request.spec.demand)
+    }
+
+    /// Returns whether a worker can take one more task of a step now.
+    pub fn fits(&self, slot: SlotIndex, request: &PlaceRequest<'_>) -> bool {
+        let entry = &self.slots[slot];
+        let on_worker = entry.steps.get(&request.key).copied().unwrap_or_default();
+        let below_limit = request.spec.worker_limit.is_none_or(|limit| on_worker < limit);
+        below_limit && entry.free.covers(&request.spec.demand) && self.suits(slot, request)
+    }
+
+    /// Returns the groups of workers that a step may be placed in, most preferred reach only.
+    pub fn groups(&self, request: &PlaceRequest<'_>, reach: PlaceReach) -> Vec<Vec<SlotIndex>> {
+        let mut groups: BTreeMap<(&str, Option<&str>), Vec<SlotIndex>> = BTreeMap::new();
+        for (index, slot) in self.slots.iter().enumerate() {
+            if !self.suits(index, request) {
+                continue;
+            }
+            let wrong_rack =
+                request.spec.data_rack.is_some() && request.spec.data_rack != slot.rack;
+            let key = match reach {
+                PlaceReach::Rack if wrong_rack => continue,
+                PlaceReach::Rack => (slot.domain.as_str(), slot.rack.as_deref()),
+                PlaceReach::Domain => (slot.domain.as_str(), None),
+                PlaceReach::Region => ("", None),
+            };
+            groups.entry(key).or_default().push(index);
+        }
+        groups.into_values().collect()
+    }
+
+    /// Returns whether a step would fit into one of its groups if nothing ran there.
+    pub fn could_fit(&self, request: &PlaceRequest<'_>, reach: PlaceReach) -> bool {
+        let mut empty = self.clone();
+        for slot in &mut empty.slots {
+            slot.free = slot.capacity;
+            slot.steps.clear();
+        }
+        self.groups(request, reach).iter().any(|group| empty.fill(request, group).is_some())
+    }
+
+    /// Returns the narrowest reach within which a step should be placed.
+    pub fn preferred_reach(&self, request: &PlaceRequest<'_>) -> PlaceReach {
+        let spec = request.spec;
+        let rack = spec.one_rack || spec.data_rack.is_some();
+        let reaches = if rack && spec.gang {
+            &[PlaceReach::Rack, PlaceReach::Domain][..]
+        } else if rack {
+            &[PlaceReach::Rack][..]
+        } else if spec.gang {
+            &[PlaceReach::Domain][..]
+        } else {
+            &[][..]
+        };
+        let whole = |reach: &&PlaceReach| {
+            if spec.gang {
+                self.could_fit(request, **reach)
+            } else {
+                !self.groups(request, **reach).is_empty()
+            }
+        };
+        reaches.iter().find(whole).copied().unwrap_or(PlaceReach::Region)
+    }
+
+    /// Places all tasks of a request, or none.
+    pub fn place_all(
+        &self,
+        request: &PlaceRequest<'_>,
+        reach: PlaceReach,
+    ) -> Option<Vec<SlotIndex>> {
+        let mut best: Option<(f64, Vec<SlotIndex>)> = None;
+        for group in self.groups(request, reach) {
+            let Some(places) = self.fill(request, &group) else {
+                continue;
+            };
+            let cost = self.group_cost(request, &group, &places);
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, places));
+            }
+        }
+        best.map(|(_, places)| places)
+    }
+
+    /// Returns the worker for one more task.
+    pub fn place_one(&self, request: &PlaceRequest<'_>, reach: PlaceReach) -> Option<SlotIndex> {
+        let candidates = self.groups(request, reach).into_iter().flatten();
+        self.tightest(request, candidates)
+    }
+
+    /// Fills a group with all tasks of a request, if they fit.
+    fn fill(&self, request: &PlaceRequest<'_>, group: &[SlotIndex]) -> Option<Vec<SlotIndex>> {
+        let free: i64 = group.iter().map(|index| self.slots[*index].free.accelerators.max(0)).sum();
+        if free < request.spec.demand.accelerators * request.count as i64 {
+            return None;
+        }
+        let mut board = SubBoard::new(self, group);
+        let mut places = Vec::with_capacity(request.count);
+        for _ in 0..request.count {
+            places.push(board.take_tightest(request)?);
+        }
+        Some(places)
+    }
+
+    fn tightest<I>(&self, request: &PlaceRequest<'_>, candidates: I) -> Option<SlotIndex>
+    where
+        I: Iterator<Item = SlotIndex>,
+    {
+        let fitting = candidates.filter(|index| self.fits(*index, request));
+        fitting.min_by(|left, right| {
+            self.slot_cost(request, *left).total_cmp(&self.slot_cost(request, *right))
+        })
+    }
+
+    fn slot_cost(&self, request: &PlaceRequest<'_>, index: SlotIndex) -> f64 {
+        let slot = &self.slots[index];
+        let left = slot.free - request.spec.demand;
+        let tightness = left.accelerators as f64
+            + left.cpu_milli as f64 / slot.capacity.cpu_milli.max(1) as f64;
+        if request.prefer_fast { tightness - slot.speed * 100.0 } else { tightness - slot.speed }
+    }
+
+    fn group_cost(
+        &self,
+        request: &PlaceRequest<'_>,
+        group: &[SlotIndex],
+        places: &[SlotIndex],
+    ) -> f64 {
+        let free: i64 = group.iter().map(|index| self.slots[*index].free.accelerators).sum();
+        let slowest = places.iter().map(|index| self.slots[*index].speed).fold(4.0, f64::min);
+        if request.prefer_fast { -slowest * 1000.0 + free as f64 } else { free as f64 - slowest }
+    }
+}
+
+/// Holds the free amounts of a group while a gang is tried on it.
+struct SubBoard<'a> {
+    board: &'a PlaceBoard,
+    rows: Vec<(SlotIndex, ResourceAmount, u32)>,
+}
+
+impl<'a> SubBoard<'a> {
+    fn new(board: &'a PlaceBoard, group: &[SlotIndex]) -> Self {
+        let row = |index: &SlotIndex| (*index, board.slots[*index].free, 0);
+        Self { board, rows: group.iter().map(row).collect() }
+    }
+
+    fn take_tightest(&mut self, request: &PlaceRequest<'_>) -> Option<SlotIndex> {
+        let mut best: Option<(f64, usize)> = None;
+        for (position, (index, free, taken)) in self.rows.iter().enumerate() {
+            let slot = &self.board.slots[*index];
+            let on_worker = slot.steps.get(&request.key).copied().unwrap_or_default() + taken;
+            let full = request.spec.worker_limit.is_some_and(|limit| on_worker >= limit);
+            if full || !free.covers(&request.spec.demand) {
+                continue;
+            }
+            let left = *free - request.spec.demand;
+            let fast = if request.prefer_fast { slot.speed * 100.0 } else { slot.speed };
+            let cost = left.accelerators as f64 - fast;
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, position));
+            }
+        }
+        let (_, position) = best?;
+        let (index, free, taken) = &mut self.rows[position];
+        *free -= request.spec.demand;
+        *taken += 1;
+        Some(*index)
+    }
+}
+
+impl WorkerSlot {
+    fn new(worker: &WorkerEntry, domains_out: &BTreeSet<DomainName>, now: Duration) -> Self {
+        let listing = &worker.listing;
+        let mut steps: BTreeMap<StepKey, u32> = BTreeMap::new();
+        for (task, _) in worker.runs.keys() {
+            *steps.entry(step_key(*task)).or_default() += 1;
+        }
+        Self {
+            id: listing.id.clone(),
+            service: listing.service.clone(),
+            domain: listing.domain.clone(),
+            rack: listing.rack.clone(),
+            labels: listing.labels.clone(),
+            capacity: listing.capacity,
+            free: worker.free(),
+            open: worker.accepts(now) && !domains_out.contains(&listing.domain),
+            speed: worker.speed,
+            steps,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/planner.rs
@@ -0,0 +1,414 @@
+//! The planner: state of jobs and workers, and the events that change it.
+//!
+//! [`FleetPlanner::handle`] applies an event. [`FleetPlanner::plan`] then decides and returns orders;
+//! a caller may apply several events before it asks for orders.
+//!
+//! A new scheduler knows which jobs exist from the store and what runs from the workers. Until every
+//! listed worker has reported, or the leases that an earlier scheduler may have extended are
+//! certainly over, it does not start tasks of jobs that it found in the store: such a task may run
+//! on a worker that has not been heard yet.
+
+mod dispatch;
+mod ends;
+mod lease;
+mod upkeep;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use lacewingrail_model::{DomainName, Epoch, WorkerId};
+
+use crate::admission::{self, AdmissionRefusal};
+use crate::config::FleetConfig;
+use crate::event::{FleetEvent, StartOutcome, StartRefusal, WorkerListing};
+use crate::job::{JobEntry, JobPhase, TaskPhase};
+use crate::order::{FleetOrder, TaskRun};
+use crate::placement::StepKey;
+use crate::queue::{WorkMeans, job_work};
+use crate::record::JobProgress;
+use crate::spec::{JobKey, JobSpec, JobSubmission, RunNumber, TaskKey};
+use crate::worker::{RunPhase, WorkerEntry};
+
+/// Runs that one scheduler may give a task before its numbers reach those of the next scheduler.
+const RUNS_PER_EPOCH: RunNumber = 1000;
+
+/// Holds the bounds that the platform sets.
+#[derive(Clone, Debug)]
+pub struct PlannerSettings {
+    /// Number of the leadership; serves as fencing token.
+    pub epoch: Epoch,
+    /// Longest lease that a worker grants.
+    pub lease: Duration,
+    /// Time for which a worker waits with an answer when it has no end to report.
+    pub report_wait: Duration,
+    /// Time after its end for which the state of a job is kept.
+    pub keep_ended: Duration,
+    /// Offset of the wall clock: milliseconds since the Unix epoch at time zero.
+    pub unix_origin_ms: u64,
+}
+
+/// Reserves workers for urgent work until borrowers have left them.
+#[derive(Clone, Debug)]
+struct Reservation {
+    key: StepKey,
+    places: Vec<(u32, WorkerId)>,
+    since: Duration,
+}
+
+/// Counts what the planner did, for metrics.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PlannerCounts {
+    /// Start orders.
+    pub starts: u64,
+    /// Stops of borrowers.
+    pub preemptions: u64,
+    /// Start orders that were refused or not answered.
+    pub failed_starts: u64,
+    /// Jobs completed.
+    pub completed: u64,
+    /// Jobs failed.
+    pub failed: u64,
+}
+
+/// Decides over all jobs and workers of a region.
+#[derive(Clone, Debug)]
+pub struct FleetPlanner {
+    settings: PlannerSettings,
+    started: Duration,
+    config: Arc<FleetConfig>,
+    domains_out: BTreeSet<DomainName>,
+    jobs: BTreeMap<JobKey, JobEntry>,
+    workers: BTreeMap<WorkerId, WorkerEntry>,
+    listed_once: bool,
+    recovered: bool,
+    starts_allowed: bool,
+    restored: BTreeSet<JobKey>,
+    reservations: Vec<Reservation>,
+    broken_since: BTreeMap<StepKey, Duration>,
+    means: WorkMeans,
+    counts: PlannerCounts,
+    orders: Vec<FleetOrder>,
+}
+
+impl FleetPlanner {
+    /// Creates the planner of a new leadership.
+    pub fn new(settings: PlannerSettings, now: Duration) -> Self {
+        Self {
+            settings,
+            started: now,
+            config: Arc::default(),
+            domains_out: BTreeSet::new(),
+            jobs: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            listed_once: false,
+            recovered: false,
+            starts_allowed: true,
+            restored: BTreeSet::new(),
+            reservations: Vec::new(),
+            broken_since: BTreeMap::new(),
+            means: WorkMeans::default(),
+            counts: PlannerCounts::default(),
+            orders: Vec::new(),
+        }
+    }
+
+    /// Allows or forbids new starts; renewals and stops go on.
+    pub fn allow_starts(&mut self, allowed: bool) {
+        self.starts_allowed = allowed;
+    }
+
+    /// Continues under a later leadership that no other scheduler has come between.
+    pub fn set_epoch(&mut self, epoch: Epoch) {
+        self.settings.epoch = epoch;
+    }
+
+    /// Returns what the planner has done.
+    pub fn counts(&self) -> PlannerCounts {
+        self.counts
+    }
+
+    /// Returns a job.
+    pub fn job(&self, key: JobKey) -> Option<&JobEntry> {
+        self.jobs.get(&key)
+    }
+
+    /// Returns the workers.
+    pub fn workers(&self) -> impl Iterator<Item = &WorkerEntry> {
+        self.workers.values()
+    }
+
+    /// Returns whether every listed worker has reported or its former lease is over.
+    pub fn is_recovered(&self) -> bool {
+        self.recovered
+    }
+
+    /// Returns the number of jobs of a queue of which no task has started.
+    pub fn pending(&self, queue: &str) -> usize {
+        let waits = |entry: &&JobEntry| {
+            entry.submission.queue == queue && !entry.begun && !entry.phase.is_final()
+        };
+        self.jobs.values().filter(waits).count()
+    }
+
+    /// Returns why a submission can't be served by the fleet, if so.
+    pub fn check_submission(&self, queue: &str, spec: &JobSpec) -> Result<(), AdmissionRefusal> {
+        let Some(policy) = self.config.queues.get(queue) else {
+            return Ok(());
+        };
+        let serves = |worker: &&WorkerEntry| worker.listing.service == policy.service;
+        if !self.recovered || !self.workers.values().any(|worker| serves(&worker)) {
+            return Ok(());
+        }
+        admission::check_fleet(spec, self.workers.values().filter(serves))
+    }
+
+    /// Applies an event.
+    pub fn handle(&mut self, now: Duration, event: FleetEvent) {
+        match event {
+            FleetEvent::ConfigChanged(config) => self.config = config,
+            FleetEvent::DomainsOut(domains) => self.domains_out = domains,
+            FleetEvent::WorkersListed(listings) => self.take_list(listings),
+            FleetEvent::JobAccepted { submission, progress, age, restored } => {
+                if restored && !self.recovered {
+                    self.restored.insert(submission.key);
+                }
+                self.accept(submission, progress.as_ref(), now.saturating_sub(age), now);
+            }
+            FleetEvent::JobCancelled(job) => self.cancel(job, now),
+            FleetEvent::LeaseAnswered { worker, sent, report } => {
+                self.take_report(&worker, sent, report, now);
+            }
+            FleetEvent::LeaseUnanswered { worker, stale_token } => {
+                self.note_silence(&worker, stale_token, now);
+            }
+            FleetEvent::StartAnswered { worker, task, run, outcome } => {
+                self.take_start(&worker, task, run, outcome, now);
+            }
+            FleetEvent::StopAnswered { worker, task, run, confirmed } => {
+                self.take_stop(&worker, task, run, confirmed, now);
+            }
+            FleetEvent::ProgressStored { job, sequence } => self.note_stored(job, sequence),
+            FleetEvent::ProgressUnstored { job } => {
+                if let Some(entry) = self.jobs.get_mut(&job) {
+                    entry.offered = entry.stored;
+                }
+            }
+        }
+    }
+
+    /// Decides and returns all orders since the last call.
+    pub fn plan(&mut self, now: Duration) -> Vec<FleetOrder> {
+        self.keep_up(now);
+        self.dispatch(now);
+        self.renew(now);
+        self.offer_progress();
+        std::mem::take(&mut self.orders)
+    }
+
+    fn accept(
+        &mut self,
+        submission: Arc<JobSubmission>,
+        progress: Option<&JobProgress>,
+        accepted: Duration,
+        now: Duration,
+    ) {
+        let key = submission.key;
+        if self.jobs.contains_key(&key) {
+            return;
+        }
+        if !submission.spec.steps.is_empty() {
+            self.means.note(&submission.queue, job_work(&submission.spec.steps));
+        }
+        let mut entry = JobEntry::new(submission, progress, accepted);
+        if entry.phase.is_final() {
+            entry.ended = Some(now);
+        }
+        self.jobs.insert(key, entry);
+    }
+
+    fn cancel(&mut self, job: JobKey, now: Duration) {
+        self.end_job(job, JobPhase::Cancelled, now);
+    }
+
+    /// Ends a job and stops what it has running.
+    fn end_job(&mut self, job: JobKey, phase: JobPhase, now: Duration) {
+        let Some(entry) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        if entry.phase.is_final() {
+            return;
+        }
+        entry.phase = phase;
+        entry.ended = Some(now);
+        entry.touch();
+        match phase {
+            JobPhase::Completed => self.counts.completed += 1,
+            JobPhase::Failed => self.counts.failed += 1,
+            JobPhase::Active | JobPhase::Cancelled => {}
+        }
+        self.reservations.retain(|reservation| reservation.key.0 != job);
+        let runs = self.runs_of(|task| task.job == job);
+        for (worker, task, run) in runs {
+            self.order_stop(&worker, task, run, now);
+        }
+    }
+
+    /// Returns the runs of all workers whose task satisfies a condition.
+    fn runs_of<F>(&self, condition: F) -> Vec<(WorkerId, TaskKey, RunNumber)>
+    where
+        F: Fn(&TaskKey) -> bool,
+    {
+        let mut found = Vec::new();
+        for (id, worker) in &self.workers {
+            let runs = worker.runs.keys().filter(|(task, _)| condition(task));
+            found.extend(runs.map(|(task, run)| (id.clone(), *task, *run)));
+        }
+        found
+    }
+
+    fn take_list(&mut self, listings: Vec<WorkerListing>) {
+        self.listed_once = true;
+        let named: BTreeSet<WorkerId> = listings.iter().map(|listing| listing.id.clone()).collect();
+        for (id, worker) in &mut self.workers {
+            worker.listed = named.contains(id);
+        }
+        for listing in listings {
+            match self.workers.get_mut(&listing.id) {
+                None => {
+                    self.workers.insert(listing.id.clone(), WorkerEntry::new(listing));
+                }
+                Some(worker) if listing.born > worker.listing.born => {
+                    let id = listing.id.clone();
+                    let lost = worker.begin_life(listing.born);
+                    worker.listing = listing;
+                    worker.looked_at = false;
+                    lost.into_iter().for_each(|(task, run)| self.unassign(&id, task, run));
+                }
+                // A list may lag behind what the worker said itself.
+                Some(worker) if listing.born == worker.listing.born => worker.listing = listing,
+                Some(_) => {}
+            }
+        }
+    }
+
+    /// Returns a task to the queue unless it is done or was given to another run since.
+    fn unassign(&mut self, worker: &str, task: TaskKey, run: RunNumber) {
+        let entry = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task));
+        if let Some(entry) = entry
+            && entry.phase == (TaskPhase::Assigned { worker: worker.to_owned(), run })
+        {
+            entry.phase = TaskPhase::Waiting;
+        }
+    }
+
+    /// Removes a run whose end is known and returns its task to the queue.
+    fn release(&mut self, worker: &str, task: TaskKey, run: RunNumber) {
+        if let Some(entry) = self.workers.get_mut(worker) {
+            entry.remove_run(task, run);
+        }
+        self.unassign(worker, task, run);
+    }
+
+    fn take_start(
+        &mut self,
+        worker: &str,
+        task: TaskKey,
+        run: RunNumber,
+        outcome: StartOutcome,
+        now: Duration,
+    ) {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let Some(run_entry) = entry.runs.get_mut(&(task, run)) else {
+            return;
+        };
+        match outcome {
+            StartOutcome::Started => {
+                run_entry.confirmed.get_or_insert(now);
+                if run_entry.phase == RunPhase::Starting {
+                    run_entry.phase = RunPhase::Running;
+                }
+                return;
+            }
+            StartOutcome::Refused(StartRefusal::StaleToken) => {
+                self.orders.push(FleetOrder::StepDown);
+            }
+            StartOutcome::Refused(_) | StartOutcome::Unclear => entry.pause(now),
+        }
+        self.counts.failed_starts += 1;
+        if outcome == StartOutcome::Unclear {
+            self.order_stop(worker, task, run, now);
+        } else {
+            self.release(worker, task, run);
+        }
+        self.stop_gang_rest(task, now);
+    }
+
+    fn take_stop(
+        &mut self,
+        worker: &str,
+        task: TaskKey,
+        run: RunNumber,
+        answered: bool,
+        now: Duration,
+    ) {
+        let entry = self.workers.get_mut(worker).and_then(|entry| entry.runs.get_mut(&(task, run)));
+        if let Some(run_entry) = entry
+            && let RunPhase::Stopping { confirmed, .. } = &mut run_entry.phase
+            && answered
+        {
+            confirmed.get_or_insert(now);
+        }
+    }
+
+    /// Stops the other members of a gang of which one can't run.
+    fn stop_gang_rest(&mut self, task: TaskKey, now: Duration) {
+        let gang = self.jobs.get(&task.job).and_then(|job| job.step_spec(task.step));
+        if !gang.is_some_and(|spec| spec.gang) {
+            return;
+        }
+        let same_step = |other: &TaskKey| {
+            other.job == task.job && other.occurrence == task.occurrence && other.step == task.step
+        };
+        for (worker, task, run) in self.runs_of(same_step) {
+            self.order_stop(&worker, task, run, now);
+        }
+    }
+
+    /// Orders the stop of a run unless that was done already.
+    fn order_stop(&mut self, worker: &str, task: TaskKey, run: RunNumber, now: Duration) {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let address = entry.listing.address.clone();
+        let Some(run_entry) = entry.runs.get_mut(&(task, run)) else {
+            return;
+        };
+        if matches!(run_entry.phase, RunPhase::Stopping { .. }) {
+            return;
+        }
+        run_entry.phase = RunPhase::Stopping { ordered: now, confirmed: None };
+        let target = TaskRun { worker: worker.to_owned(), address, task, run };
+        self.orders.push(FleetOrder::Stop(target));
+    }
+
+    fn note_stored(&mut self, job: JobKey, sequence: u64) {
+        if let Some(entry) = self.jobs.get_mut(&job) {
+            entry.stored = entry.stored.max(sequence);
+            if entry.stored == entry.sequence {
+                entry.stored_phase = entry.phase;
+            }
+        }
+        let jobs = &self.jobs;
+        let stored = |job: JobKey| jobs.get(&job).map_or(u64::MAX, |entry| entry.stored);
+        self.workers.values_mut().for_each(|worker| worker.advance_ends(stored));
+    }
+
+    /// Returns the lowest run number of this leadership.
+    fn first_run(&self) -> RunNumber {
+        let earlier = RunNumber::try_from(self.settings.epoch.saturating_sub(1)).unwrap_or(0);
+        earlier.saturating_mul(RUNS_PER_EPOCH) + 1
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/planner/ends.rs
@@ -0,0 +1,136 @@
+//! Ends of runs and what follows for their jobs.
+//!
+//! An end counts at once for the decisions of this scheduler. The worker forgets it only after it was
+//! acknowledged, and it is acknowledged only after the job's progress was stored, so a later
+//! scheduler learns of it either from the store or from the worker.
+
+use std::time::Duration;
+
+use super::FleetPlanner;
+use crate::event::{EndReason, EndedRun};
+use crate::job::{JobPhase, TaskPhase};
+use crate::spec::TaskKey;
+
+impl FleetPlanner {
+    pub(super) fn take_end(&mut self, worker: &str, end: EndedRun, now: Duration) {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if !entry.take_end(end.number) {
+            return;
+        }
+        let run = entry.remove_run(end.task, end.run);
+        if let Some(run) = &run {
+            self.judge_worker(worker, end.task, end.reason, run, now);
+        }
+        self.apply_checkpoint(end.task, end.checkpoint);
+        self.apply_end(worker, end.task, end.run, end.reason, now);
+        let sequence = self.jobs.get(&end.task.job).map_or(0, |job| job.sequence);
+        if let Some(entry) = self.workers.get_mut(worker) {
+            entry.await_storage(end.number, end.task.job, sequence);
+        }
+        let jobs = &self.jobs;
+        let stored = |job| jobs.get(&job).map_or(u64::MAX, |entry| entry.stored);
+        if let Some(entry) = self.workers.get_mut(worker) {
+            entry.advance_ends(stored);
+        }
+    }
+
+    fn apply_end(
+        &mut self,
+        worker: &str,
+        task: TaskKey,
+        run: u32,
+        reason: EndReason,
+        now: Duration,
+    ) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(spec) = job.step_spec(task.step) else {
+            return;
+        };
+        let (gang, continuous) = (spec.gang, spec.continuous);
+        if job.phase.is_final() {
+            self.unassign(worker, task, run);
+            return;
+        }
+        job.begun = true;
+        job.touch();
+        if let Some(entry) = job.task_mut(task) {
+            entry.last_run = entry.last_run.max(run);
+        }
+        if reason == EndReason::Done && !continuous {
+            self.finish_tasks(task, gang);
+            self.settle_job(task, now);
+            return;
+        }
+        self.unassign(worker, task, run);
+        if reason == EndReason::Failed && !continuous {
+            self.count_failure(task, run, gang, now);
+        }
+    }
+
+    fn finish_tasks(&mut self, task: TaskKey, gang: bool) {
+        let step =
+            self.jobs.get_mut(&task.job).and_then(|job| job.step_mut(task.occurrence, task.step));
+        let Some(step) = step else {
+            return;
+        };
+        // The members of a gang are done together, so one such end stands for all.
+        let last = if gang { step.tasks.len() as u32 } else { task.index + 1 };
+        let first = if gang { 0 } else { task.index };
+        (first..last).for_each(|index| step.finish(index));
+    }
+
+    fn settle_job(&mut self, task: TaskKey, now: Duration) {
+        let done = self.jobs.get(&task.job).is_some_and(|job| job.is_done());
+        if done {
+            self.end_job(task.job, JobPhase::Completed, now);
+        }
+        // Another run of a task that is done, such as one carried out late, is of no use.
+        let leftover = |other: &TaskKey| {
+            other == &task
+                && self
+                    .jobs
+                    .get(&task.job)
+                    .and_then(|job| job.task(task))
+                    .is_some_and(|entry| entry.phase == TaskPhase::Done)
+        };
+        for (worker, task, run) in self.runs_of(leftover) {
+            self.order_stop(&worker, task, run, now);
+        }
+    }
+
+    fn count_failure(&mut self, task: TaskKey, run: u32, gang: bool, now: Duration) {
+        let limit = self.max_failures(task);
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let failures = if gang {
+            let Some(step) = job.step_mut(task.occurrence, task.step) else {
+                return;
+            };
+            if run > step.failed_run {
+                step.failed_run = run;
+                step.gang_failures += 1;
+            }
+            step.gang_failures
+        } else {
+            let Some(entry) = job.task_mut(task) else {
+                return;
+            };
+            entry.failures += 1;
+            entry.failures
+        };
+        if failures >= limit {
+            self.end_job(task.job, JobPhase::Failed, now);
+        }
+    }
+
+    fn max_failures(&self, task: TaskKey) -> u32 {
+        let queue = self.jobs.get(&task.job).map(|job| &job.submission.queue);
+        let policy = queue.and_then(|queue| self.config.queues.get(queue));
+        policy.map_or(u32::MAX, |policy| policy.max_failures.max(1))
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/planner/upkeep.rs
@@ -0,0 +1,186 @@
+//! What is due with time: lapsed leases, repeated stops, broken gangs, renewals and storing.
+
+use std::time::Duration;
+
+use super::FleetPlanner;
+use crate::job::TaskPhase;
+use crate::order::{FleetOrder, RenewOrder, TaskRun};
+use crate::placement::{StepKey, step_key};
+use crate::spec::TaskKey;
+use crate::worker::{RunPhase, STOP_RETRY, WorkerEntry};
+
+/// Share of the lease after which a renewal is sent although ends wait to be stored.
+const RENEW_SHARE: u32 = 4;
+/// Time between attempts to reach a worker that does not answer.
+const SILENT_RETRY: Duration = Duration::from_millis(300);
+/// Time for which the ends of the other members of a gang are awaited before they are stopped.
+const GANG_END_WAIT: Duration = Duration::from_millis(700);
+/// Factor on the lease after which nothing of an earlier scheduler runs any more: the slowest clock
+/// and a renewal that was under way.
+const FORMER_LEASE_FACTOR: f64 = 1.05;
+
+impl FleetPlanner {
+    pub(super) fn keep_up(&mut self, now: Duration) {
+        self.drop_lapsed(now);
+        self.repeat_stops(now);
+        self.check_recovery(now);
+        if self.recovered {
+            self.stop_broken_gangs(now);
+        }
+        self.add_due_occurrences(now);
+        self.forget_ended(now);
+    }
+
+    /// Releases what ran on workers whose lease is certainly over.
+    fn drop_lapsed(&mut self, now: Duration) {
+        let mut lapsed = Vec::new();
+        for (id, worker) in &self.workers {
+            if !worker.runs.is_empty() && worker.is_lease_over(now) {
+                lapsed.extend(worker.runs.keys().map(|(task, run)| (id.clone(), *task, *run)));
+            }
+        }
+        for (worker, task, run) in lapsed {
+            self.release(&worker, task, run);
+        }
+        let leases = &mut self.workers;
+        leases.retain(|_, worker| worker.listed || worker.renewing || !worker.is_lease_over(now));
+    }
+
+    fn repeat_stops(&mut self, now: Duration) {
+        for (id, worker) in &mut self.workers {
+            let address = worker.listing.address.clone();
+            for ((task, run), entry) in &mut worker.runs {
+                if let RunPhase::Stopping { ordered, confirmed: None } = &mut entry.phase
+                    && now.saturating_sub(*ordered) >= STOP_RETRY
+                {
+                    *ordered = now;
+                    let target = TaskRun {
+                        worker: id.clone(),
+                        address: address.clone(),
+                        task: *task,
+                        run: *run,
+                    };
+                    self.orders.push(FleetOrder::Stop(target));
+                }
+            }
+        }
+    }
+
+    fn check_recovery(&mut self, now: Duration) {
+        if self.recovered || !self.listed_once {
+            return;
+        }
+        let former = self.settings.lease.mul_f64(FORMER_LEASE_FACTOR);
+        let all_seen = self.workers.values().all(|worker| worker.looked_at || !worker.listed);
+        if all_seen || now.saturating_sub(self.started) > former {
+            self.recovered = true;
+            self.restored.clear();
+        }
+    }
+
+    /// Stops gangs of which some members run and others do not.
+    fn stop_broken_gangs(&mut self, now: Duration) {
+        let mut broken: Vec<TaskKey> = Vec::new();
+        for (job, entry) in &self.jobs {
+            for occurrence in &entry.occurrences {
+                for (index, step) in occurrence.steps.iter().enumerate() {
+                    let gang = entry.submission.spec.steps[index].gang;
+                    let waits = step.tasks.iter().any(|task| task.phase == TaskPhase::Waiting);
+                    if gang && waits && step.is_assigned() {
+                        let (occurrence, step) = (occurrence.number, index as u32);
+                        broken.push(TaskKey { job: *job, occurrence, step, index: 0 });
+                    }
+                }
+            }
+        }
+        let is_broken = |key: &StepKey| broken.iter().any(|task| step_key(*task) == *key);
+        self.broken_since.retain(|key, _| is_broken(key));
+        for task in broken {
+            self.stop_overdue_members(task, now);
+        }
+    }
+
+    fn stop_overdue_members(&mut self, task: TaskKey, now: Duration) {
+        let key = step_key(task);
+        let since = self.broken_since.entry(key).or_insert(now);
+        if now.saturating_sub(*since) >= GANG_END_WAIT {
+            self.broken_since.remove(&key);
+            self.stop_gang_rest(task, now);
+        }
+    }
+
+    fn add_due_occurrences(&mut self, now: Duration) {
+        let unix_ms = self.settings.unix_origin_ms + now.as_millis() as u64;
+        for entry in self.jobs.values_mut() {
+            let Some(schedule) = entry.submission.spec.schedule.clone() else {
+                continue;
+            };
+            let next = entry.occurrences.len() as u32;
+            let period_ms = schedule.period.as_millis() as u64;
+            let due = schedule.first_unix_ms + u64::from(next) * period_ms;
+            if !entry.phase.is_final() && next < schedule.times && unix_ms >= due {
+                entry.add_occurrence(next);
+            }
+        }
+    }
+
+    fn forget_ended(&mut self, now: Duration) {
+        let keep = self.settings.keep_ended;
+        self.jobs
+            .retain(|_, entry| entry.ended.is_none_or(|ended| now.saturating_sub(ended) < keep));
+    }
+
+    /// Asks workers for reports and extends their leases.
+    pub(super) fn renew(&mut self, now: Duration) {
+        let (lease, wait) = (self.settings.lease, self.settings.report_wait);
+        for (id, worker) in &mut self.workers {
+            if worker.renewing || !needs_renewal(worker, lease, now) {
+                continue;
+            }
+            let lease_end = if worker.runs.is_empty() {
+                None
+            } else {
+                worker.clock_at(now).map(|clock| clock + lease)
+            };
+            if let Some(lease_end) = lease_end {
+                worker.extend_lease(lease_end);
+            }
+            let waits = worker.looked_at && !worker.awaits_storage() && worker.unanswered == 0;
+            worker.renewing = true;
+            worker.renewed = Some(now);
+            self.orders.push(FleetOrder::Renew(RenewOrder {
+                worker: id.clone(),
+                address: worker.listing.address.clone(),
+                lease_end,
+                acknowledge: worker.acknowledgeable(),
+                wait: if waits && !worker.runs.is_empty() { wait } else { Duration::ZERO },
+            }));
+            worker.note_acknowledged(worker.acknowledgeable());
+        }
+    }
+
+    /// Offers changed progress for storing.
+    pub(super) fn offer_progress(&mut self) {
+        for (job, entry) in &mut self.jobs {
+            if entry.offered < entry.sequence {
+                entry.offered = entry.sequence;
+                let progress = entry.progress();
+                self.orders.push(FleetOrder::Store { job: *job, progress });
+            }
+        }
+    }
+}
+
+fn needs_renewal(worker: &WorkerEntry, lease: Duration, now: Duration) -> bool {
+    let elapsed = worker.renewed.map_or(Duration::MAX, |renewed| now.saturating_sub(renewed));
+    if worker.unanswered > 0 {
+        return (worker.listed || !worker.runs.is_empty()) && elapsed >= SILENT_RETRY;
+    }
+    if !worker.looked_at {
+        return true;
+    }
+    if worker.awaits_storage() {
+        return !worker.runs.is_empty() && elapsed >= lease / RENEW_SHARE;
+    }
+    worker.owes_acknowledgement() || !worker.runs.is_empty()
+}
--- /dev/null
+++ b/crates/fleet/src/record.rs
@@ -0,0 +1,47 @@
+//! Progress of a job as kept in the store.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::job::JobPhase;
+use crate::spec::CheckpointName;
+
+/// Holds the progress of one step of one occurrence.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct StepProgress {
+    /// Occurrence.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub occurrence: u32,
+    /// Step.
+    pub step: u32,
+    /// Tasks that are done.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub done: Vec<u32>,
+    /// Failed runs by task; of a gang, under task 0.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub failures: BTreeMap<u32, u32>,
+    /// Newest checkpoint by task; of a gang, under task 0.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub checkpoints: BTreeMap<u32, CheckpointName>,
+}
+
+/// Holds the progress of one job.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct JobProgress {
+    /// Rises with every change of the job under one scheduler.
+    #[serde(default)]
+    pub sequence: u64,
+    /// Phase.
+    pub phase: JobPhase,
+    /// Whether a task has ever been started.
+    #[serde(default)]
+    pub begun: bool,
+    /// Steps with any progress.
+    #[serde(default)]
+    pub steps: Vec<StepProgress>,
+}
+
+fn is_zero(value: &u32) -> bool {
+    *value == 0
+}
--- /dev/null
+++ b/crates/fleet/src/worker.rs
@@ -0,0 +1,271 @@
+//! What the scheduler knows of one worker.
+//!
+//! Everything on a worker runs under one lease that the scheduler extends. A run counts against the
+//! worker's capacity from its order until its end is known: by the worker's report, by a new life of
+//! the worker, or because the lease is certainly over. Until then the task starts nowhere else.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use crate::amount::ResourceAmount;
+use crate::event::WorkerListing;
+use crate::spec::{CheckpointName, JobKey, RunNumber, TaskKey};
+
+/// Lowest rate of a worker's steady clock against ours.
+const SLOWEST_CLOCK_RATE: f64 = 0.98;
+/// Time added to a lease bound for rounding and late timers.
+const LEASE_MARGIN: Duration = Duration::from_millis(50);
+/// Time between repetitions of a stop order that was not confirmed.
+pub const STOP_RETRY: Duration = Duration::from_millis(500);
+/// Failed runs of different jobs in a row after which a worker is set aside.
+const FAILURE_STREAK: u32 = 2;
+/// Time for which a worker is set aside after a streak of failures.
+const QUARANTINE: Duration = Duration::from_secs(6);
+/// Time for which nothing is started on a worker that has refused a start or not answered.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(400);
+
+/// States how far a run has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunPhase {
+    /// The start was ordered and not answered yet.
+    Starting,
+    /// The worker has confirmed the start.
+    Running,
+    /// A stop was ordered.
+    Stopping {
+        /// When the order was last sent.
+        ordered: Duration,
+        /// When the worker confirmed it.
+        confirmed: Option<Duration>,
+    },
+}
+
+/// Holds one run that is or may be on a worker.
+#[derive(Clone, Debug)]
+pub struct RunEntry {
+    /// Phase.
+    pub phase: RunPhase,
+    /// When the start was ordered or the run was first seen.
+    pub since: Duration,
+    /// When the worker confirmed the start.
+    pub confirmed: Option<Duration>,
+    /// Resources taken.
+    pub demand: ResourceAmount,
+    /// Newest checkpoint.
+    pub checkpoint: Option<CheckpointName>,
+    /// Share of the work done, 0 to 100.
+    pub percent: u32,
+    /// When the share last rose.
+    pub progressed: Duration,
+}
+
+/// Names an end that waits for its job's progress to be stored.
+#[derive(Clone, Copy, Debug)]
+struct PendingEnd {
+    number: u64,
+    job: JobKey,
+    sequence: u64,
+}
+
+/// Holds what is known of one worker.
+#[derive(Clone, Debug)]
+pub struct WorkerEntry {
+    /// Newest listing.
+    pub listing: WorkerListing,
+    /// Whether the newest list names the worker.
+    pub listed: bool,
+    /// Runs that are or may be on the worker.
+    pub runs: BTreeMap<(TaskKey, RunNumber), RunEntry>,
+    /// Resources taken by the runs.
+    pub used: ResourceAmount,
+    /// Whether a renewal is in flight.
+    pub renewing: bool,
+    /// When the last renewal was sent.
+    pub renewed: Option<Duration>,
+    /// Whether the worker has reported to this scheduler.
+    pub looked_at: bool,
+    /// Renewals without an answer in a row.
+    pub unanswered: u32,
+    /// Estimated speed against declared run times; 1 before anything is known.
+    pub speed: f64,
+    clock: Option<(Duration, Duration)>,
+    lease_end: Duration,
+    paused_until: Duration,
+    failure_streak: u32,
+    last_failed: Option<JobKey>,
+    pending_ends: VecDeque<PendingEnd>,
+    applied_end: u64,
+    acknowledgeable: u64,
+    acknowledged: u64,
+}
+
+impl WorkerEntry {
+    /// Creates the entry of a worker that was listed for the first time.
+    pub fn new(listing: WorkerListing) -> Self {
+        Self {
+            listing,
+            listed: true,
+            runs: BTreeMap::new(),
+            used: ResourceAmount::default(),
+            renewing: false,
+            renewed: None,
+            looked_at: false,
+            unanswered: 0,
+            speed: 1.0,
+            clock: None,
+            lease_end: Duration::ZERO,
+            paused_until: Duration::ZERO,
+            failure_streak: 0,
+            last_failed: None,
+            pending_ends: VecDeque::new(),
+            applied_end: 0,
+            acknowledgeable: 0,
+            acknowledged: 0,
+        }
+    }
+
+    /// Returns the capacity that nothing takes.
+    pub fn free(&self) -> ResourceAmount {
+        self.listing.capacity - self.used
+    }
+
+    /// Returns whether tasks may be started on the worker now.
+    pub fn accepts(&self, now: Duration) -> bool {
+        self.listed
+            && !self.listing.draining
+            && self.looked_at
+            && self.unanswered == 0
+            && now >= self.paused_until
+    }
+
+    /// Adds a run.
+    pub fn add_run(&mut self, task: TaskKey, run: RunNumber, entry: RunEntry) {
+        self.used += entry.demand;
+        if let Some(former) = self.runs.insert((task, run), entry) {
+            self.used -= former.demand;
+        }
+    }
+
+    /// Removes a run.
+    pub fn remove_run(&mut self, task: TaskKey, run: RunNumber) -> Option<RunEntry> {
+        let entry = self.runs.remove(&(task, run))?;
+        self.used -= entry.demand;
+        Some(entry)
+    }
+
+    /// Forgets everything of a former life of the worker and returns the runs that it had.
+    pub fn begin_life(&mut self, born: u64) -> Vec<(TaskKey, RunNumber)> {
+        let runs = self.runs.keys().copied().collect();
+        let mut listing = self.listing.clone();
+        listing.born = born;
+        let (listed, renewing, looked_at) = (self.listed, self.renewing, self.looked_at);
+        *self = Self { listed, renewing, looked_at, ..Self::new(listing) };
+        runs
+    }
+
+    /// Notes the worker's clock as of an answer received `now`.
+    pub fn note_clock(&mut self, clock: Duration, now: Duration) {
+        self.clock = Some((clock, now));
+    }
+
+    /// Returns the worker's clock, at least as far as it has come.
+    pub fn clock_at(&self, now: Duration) -> Option<Duration> {
+        let (clock, read) = self.clock?;
+        Some(clock + now.saturating_sub(read))
+    }
+
+    /// Notes that an order may extend the lease up to a time on the worker's clock.
+    pub fn extend_lease(&mut self, lease_end: Duration) {
+        self.lease_end = self.lease_end.max(lease_end);
+    }
+
+    /// Returns whether the lease of everything on the worker is certainly over.
+    ///
+    /// The worker's clock showed `clock` before its answer was received and may be slow.
+    pub fn is_lease_over(&self, now: Duration) -> bool {
+        let Some((clock, read)) = self.clock else {
+            return self.runs.is_empty();
+        };
+        let left = self.lease_end.saturating_sub(clock).div_f64(SLOWEST_CLOCK_RATE);
+        now > read + left + LEASE_MARGIN
+    }
+
+    /// Lets the worker pause after it has refused a start or not answered.
+    pub fn pause(&mut self, now: Duration) {
+        self.paused_until = self.paused_until.max(now + REFUSAL_PAUSE);
+    }
+
+    /// Notes a failed run; several of different jobs in a row set the worker aside.
+    ///
+    /// Returns whether the worker was set aside by this failure.
+    pub fn note_failure(&mut self, job: JobKey, now: Duration) -> bool {
+        if self.last_failed != Some(job) {
+            self.failure_streak += 1;
+        }
+        self.last_failed = Some(job);
+        if self.failure_streak < FAILURE_STREAK {
+            return false;
+        }
+        let set_aside = self.paused_until < now + QUARANTINE;
+        self.paused_until = now + QUARANTINE;
+        set_aside
+    }
+
+    /// Notes a run that ended well.
+    pub fn note_success(&mut self) {
+        self.failure_streak = 0;
+        self.last_failed = None;
+    }
+
+    /// Notes how long a task took against its declared run time.
+    pub fn note_speed(&mut self, estimate: Duration, taken: Duration) {
+        const WEIGHT: f64 = 0.3;
+        let observed = estimate.as_secs_f64() / taken.as_secs_f64().max(0.05);
+        self.speed += WEIGHT * (observed.clamp(0.2, 4.0) - self.speed);
+    }
+
+    /// Returns whether an end is new; each end is applied once.
+    pub fn take_end(&mut self, number: u64) -> bool {
+        let fresh = number > self.applied_end;
+        self.applied_end = self.applied_end.max(number);
+        fresh
+    }
+
+    /// Notes that an end may be acknowledged once progress with a sequence number is stored.
+    pub fn await_storage(&mut self, number: u64, job: JobKey, sequence: u64) {
+        self.pending_ends.push_back(PendingEnd { number, job, sequence });
+    }
+
+    /// Moves the acknowledgement over all ends whose progress is stored.
+    pub fn advance_ends<F>(&mut self, stored: F)
+    where
+        F: Fn(JobKey) -> u64,
+    {
+        while let Some(end) = self.pending_ends.front()
+            && stored(end.job) >= end.sequence
+        {
+            self.acknowledgeable = end.number;
+            self.pending_ends.pop_front();
+        }
+    }
+
+    /// Returns the number of the newest end that may be acknowledged.
+    pub fn acknowledgeable(&self) -> u64 {
+        self.acknowledgeable
+    }
+
+    /// Returns whether ends may be acknowledged that have not been.
+    pub fn owes_acknowledgement(&self) -> bool {
+        self.acknowledgeable > self.acknowledged
+    }
+
+    /// Returns whether ends wait for their progress to be stored.
+    pub fn awaits_storage(&self) -> bool {
+        !self.pending_ends.is_empty()
+    }
+
+    /// Notes that a renewal with an acknowledgement was answered.
+    pub fn note_acknowledged(&mut self, number: u64) {
+        self.acknowledged = self.acknowledged.max(number);
+    }
+}
--- /dev/null
+++ b/crates/instance/src/executor.rs
@@ -0,0 +1,109 @@
+//! Carries out the orders of the planner.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lacewingrail_fleet::order::RenewOrder;
+use lacewingrail_fleet::{FleetEvent, FleetOrder, StartOrder, StartOutcome, StartRefusal, TaskRun};
+use lacewingrail_model::Epoch;
+use tokio::sync::watch;
+
+use crate::border::{RenewError, WorkerService};
+use crate::clock;
+use crate::progress_writer::ProgressSender;
+use crate::schedule_controller::ScheduleSender;
+
+/// States under which leadership orders are sent and until when starts may be.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct LeadershipPermit {
+    /// Number of the leadership; the fencing token.
+    pub epoch: Epoch,
+    /// Time on the process's clock until which no other process can have taken over.
+    pub valid_until: Duration,
+}
+
+impl LeadershipPermit {
+    /// Returns whether starts are allowed now.
+    pub fn is_valid(&self) -> bool {
+        clock::now() < self.valid_until
+    }
+}
+
+/// Sends orders to workers and progress to the store.
+#[derive(Clone)]
+pub struct OrderExecutor {
+    /// Workers.
+    pub workers: Arc<dyn WorkerService>,
+    /// Leadership.
+    pub permit: watch::Receiver<LeadershipPermit>,
+    /// Progress to write.
+    pub progress: ProgressSender,
+    /// Scheduler to tell of answers.
+    pub schedule: ScheduleSender,
+}
+
+impl OrderExecutor {
+    /// Carries out an order; its result comes back as an event.
+    pub fn execute(&self, order: FleetOrder) {
+        match order {
+            FleetOrder::Start(order) => {
+                tokio::spawn(self.clone().start(order));
+            }
+            FleetOrder::Stop(run) => {
+                tokio::spawn(self.clone().stop(run));
+            }
+            FleetOrder::Renew(order) => {
+                tokio::spawn(self.clone().renew(order));
+            }
+            FleetOrder::Store { job, progress } => {
+                // The writer ends only together with the leadership, so nothing is lost.
+                let _ = self.progress.send((job, progress));
+            }
+            FleetOrder::StepDown => {}
+        }
+    }
+
+    async fn start(self, order: StartOrder) {
+        let permit = *self.permit.borrow();
+        let outcome = if permit.is_valid() {
+            self.workers.start(&order, permit.epoch).await
+        } else {
+            StartOutcome::Refused(StartRefusal::LeaseOver)
+        };
+        let TaskRun { worker, task, run, .. } = order.target;
+        log::info!(
+            job = format!("{:016x}", task.job), step = task.step, task = task.index, run = run,
+            worker = worker, epoch = permit.epoch, outcome = format!("{outcome:?}");
+            "start ordered"
+        );
+        self.schedule.tell(FleetEvent::StartAnswered { worker, task, run, outcome }).await;
+    }
+
+    async fn stop(self, run: TaskRun) {
+        let epoch = self.permit.borrow().epoch;
+        let confirmed = self.workers.stop(&run, epoch).await;
+        let TaskRun { worker, task, run, .. } = run;
+        log::info!(
+            job = format!("{:016x}", task.job), step = task.step, task = task.index, run = run,
+            worker = worker, epoch = epoch, confirmed = confirmed;
+            "stop ordered"
+        );
+        self.schedule.tell(FleetEvent::StopAnswered { worker, task, run, confirmed }).await;
+    }
+
+    async fn renew(self, order: RenewOrder) {
+        let epoch = self.permit.borrow().epoch;
+        let sent = clock::now();
+        let answer = self.workers.renew(&order, epoch).await;
+        let worker = order.worker;
+        let event = match answer {
+            Ok(report) => FleetEvent::LeaseAnswered { worker, sent, report },
+            Err(error) => {
+                let stale_token = error == RenewError::StaleToken;
+                log::warn!(worker = worker, epoch = epoch, error = format!("{error:?}"); "renewal failed");
+                FleetEvent::LeaseUnanswered { worker, stale_token }
+            }
+        };
+        self.schedule.tell(event).await;
+    }
+}
--- /dev/null
+++ b/crates/instance/src/leadership.rs
@@ -0,0 +1,291 @@
+//! Selects the active scheduler of the region and keeps its leadership.
+//!
+//! The leadership is a key bound to a lease. Its holder starts tasks only while the lease can't have
+//! ended by the holder's own clock. When the key-value service stops answering, the holder goes on
+//! renewing the workers' leases, so that running work survives an outage, and starts nothing. It
+//! gives up when another holder is seen in the service or by the fencing token at a worker.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::actor::Spawn;
+use lacewingrail_fleet::{FleetPlanner, PlannerSettings};
+use lacewingrail_model::Epoch;
+use lacewingrail_model::clock::unix_millis;
+use lacewingrail_model::store::{
+    KeyExpectation, KeyWrite, LeaseId, Revision, StoreBatch, StoreError, StoreEvent,
+};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+
+use crate::clock;
+use crate::executor::{LeadershipPermit, OrderExecutor};
+use crate::feeds;
+use crate::process::InstanceContext;
+use crate::progress_writer::ProgressWriter;
+use crate::records::{EPOCH_KEY, HOLDER_KEY, LEAD_PREFIX, LeaderRecord};
+use crate::schedule_controller::{Connect, ScheduleController, ScheduleSender, SetEpoch};
+
+/// Time to live of the leadership: the shortest that survives two lost renewals.
+const LEADERSHIP_TTL: Duration = Duration::from_millis(2000);
+/// Time between renewals.
+const RENEW_PERIOD: Duration = Duration::from_millis(400);
+/// Time by which the holder stops starting before the lease can end.
+const VALIDITY_MARGIN: Duration = Duration::from_millis(100);
+/// Longest wait of a watch; bounds the time until a silent connection is noticed.
+pub const WATCH_WAIT: Duration = Duration::from_millis(1500);
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Longest random pause before a candidacy, so that candidates do not collide.
+const CANDIDACY_SPREAD_MS: u64 = 40;
+/// Time for which the end of a job is kept in memory beyond the time clients may ask for it.
+const KEEP_MARGIN: Duration = Duration::from_secs(10);
+
+/// Tells who schedules.
+#[derive(Clone, Default)]
+pub struct LeadershipView {
+    /// Holder that was seen last.
+    pub leader: Option<LeaderRecord>,
+    /// Scheduler of this process while it holds the leadership.
+    pub own: Option<ScheduleSender>,
+}
+
+/// Follows the leadership and takes it when it is free.
+pub struct LeadershipController {
+    context: Arc<InstanceContext>,
+    view: watch::Sender<LeadershipView>,
+    nonce: u64,
+    revision: Revision,
+    holder: Option<(LeaderRecord, Revision)>,
+    epoch: (Epoch, Revision),
+}
+
+/// Holds what a leadership consists of.
+struct HeldLeadership {
+    lease: LeaseId,
+    holder: Revision,
+    epoch: Epoch,
+    valid_until: Duration,
+}
+
+impl LeadershipController {
+    /// Creates the controller.
+    pub fn new(context: Arc<InstanceContext>, view: watch::Sender<LeadershipView>) -> Self {
+        Self { context, view, nonce: rand::random(), revision: 0, holder: None, epoch: (0, 0) }
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(mut self) {
+        let mut wait = Duration::ZERO;
+        loop {
+            match self.context.store.watch(LEAD_PREFIX, self.revision, wait).await {
+                Ok(batch) => {
+                    if batch.reset {
+                        self.holder = None;
+                        self.epoch = (0, 0);
+                    }
+                    batch.events.into_iter().for_each(|event| self.apply(event));
+                    self.revision = batch.revision;
+                    wait = WATCH_WAIT;
+                    self.publish();
+                }
+                Err(error) => {
+                    log::debug!(error = error.to_string(); "leadership not readable");
+                    self.context.timer.wait(RETRY_PAUSE).await;
+                    continue;
+                }
+            }
+            if self.holder.is_none() && !self.context.is_draining() {
+                let spread = rand::random::<u64>() % CANDIDACY_SPREAD_MS;
+                self.context.timer.wait(Duration::from_millis(spread)).await;
+                if let Some(held) = self.acquire().await {
+                    self.lead(held).await;
+                }
+                // What happened meanwhile is read anew.
+                (self.revision, wait) = (0, Duration::ZERO);
+                (self.holder, self.epoch) = (None, (0, 0));
+            }
+        }
+    }
+
+    fn apply(&mut self, event: StoreEvent) {
+        match (event.key.as_str(), event.value) {
+            (HOLDER_KEY, None) => self.holder = None,
+            (HOLDER_KEY, Some(value)) => match serde_json::from_str(&value) {
+                Ok(record) => self.holder = Some((record, event.revision)),
+                Err(error) => log::error!(error = error.to_string(); "leadership record malformed"),
+            },
+            (EPOCH_KEY, Some(value)) => {
+                let epoch = value.parse().unwrap_or_else(|_| {
+                    log::error!(value = value; "epoch record malformed");
+                    self.epoch.0
+                });
+                self.epoch = (epoch, event.revision);
+            }
+            _ => {}
+        }
+    }
+
+    fn publish(&self) {
+        let leader = self.holder.as_ref().map(|(record, _)| record.clone());
+        let changed = self.view.borrow().leader != leader;
+        if changed {
+            if let Some(record) = &leader {
+                log::info!(leader = record.instance, epoch = record.epoch, revision = self.revision; "leader seen");
+            }
+            self.view.send_modify(|view| view.leader = leader);
+        }
+    }
+
+    fn record(&self, epoch: Epoch) -> LeaderRecord {
+        LeaderRecord {
+            instance: self.context.settings.name.clone(),
+            address: self.context.settings.peer_address.to_string(),
+            epoch,
+            nonce: self.nonce,
+        }
+    }
+
+    /// Takes the free leadership, unless another process was faster.
+    async fn acquire(&mut self) -> Option<HeldLeadership> {
+        let sent = clock::now();
+        let lease = match self.context.store.grant_lease(LEADERSHIP_TTL).await {
+            Ok(lease) => lease,
+            Err(error) => {
+                log::warn!(error = error.to_string(); "no lease for the leadership");
+                return None;
+            }
+        };
+        let (newest, epoch_revision) = self.epoch;
+        let epoch = newest + 1;
+        let record = self.record(epoch);
+        let value = serde_json::to_string(&record).ok()?;
+        let batch = StoreBatch {
+            expected: vec![
+                KeyExpectation { key: HOLDER_KEY.to_owned(), revision: 0 },
+                KeyExpectation { key: EPOCH_KEY.to_owned(), revision: epoch_revision },
+            ],
+            writes: vec![
+                KeyWrite { key: HOLDER_KEY.to_owned(), value, lease: Some(lease) },
+                KeyWrite { key: EPOCH_KEY.to_owned(), value: epoch.to_string(), lease: None },
+            ],
+            deletes: Vec::new(),
+        };
+        let holder = match self.context.store.commit(batch).await {
+            Ok(revision) => revision,
+            Err(StoreError::Unclear(_)) => self.confirm(&record).await?,
+            Err(error) => {
+                log::info!(epoch = epoch, error = error.to_string(); "leadership not taken");
+                return None;
+            }
+        };
+        self.epoch = (epoch, holder);
+        let valid_until = sent + LEADERSHIP_TTL - VALIDITY_MARGIN;
+        self.holder = Some((record, holder));
+        self.publish();
+        Some(HeldLeadership { lease, holder, epoch, valid_until })
+    }
+
+    /// Reads whether a write of the leadership without an answer took effect.
+    async fn confirm(&self, record: &LeaderRecord) -> Option<Revision> {
+        let entry = self.context.store.get(HOLDER_KEY).await.ok()??;
+        let found: LeaderRecord = serde_json::from_str(&entry.value).ok()?;
+        (found == *record).then_some(entry.revision)
+    }
+
+    /// Schedules until the leadership is lost or given up.
+    async fn lead(&mut self, mut held: HeldLeadership) {
+        log::info!(epoch = held.epoch, revision = held.holder; "leadership taken");
+        let context = self.context.clone();
+        context.metrics.epoch.set(held.epoch as i64);
+        let permit = LeadershipPermit { epoch: held.epoch, valid_until: held.valid_until };
+        let (permit_sender, permit) = watch::channel(permit);
+        let (holder_sender, holder) = watch::channel(held.holder);
+        let planner = FleetPlanner::new(planner_settings(&context, held.epoch), clock::now());
+        let controller =
+            ScheduleController::spawn(ScheduleController::new(planner, context.metrics.clone()));
+        let schedule = ScheduleSender(controller.clone());
+        let (progress, receiver) = mpsc::unbounded_channel();
+        let executor = OrderExecutor {
+            workers: context.workers.clone(),
+            permit,
+            progress,
+            schedule: schedule.clone(),
+        };
+        let _ = controller.tell(Connect(executor)).await;
+        let writer =
+            ProgressWriter { store: context.store.clone(), holder, schedule: schedule.clone() };
+        let mut tasks = JoinSet::new();
+        tasks.spawn(writer.run(receiver));
+        feeds::spawn(&mut tasks, &context, &schedule);
+        self.view.send_modify(|view| view.own = Some(schedule));
+
+        let mut ticks = context.timer.subscribe(RENEW_PERIOD);
+        while controller.is_alive() && !context.is_draining() {
+            ticks.tick().await;
+            if !self.keep(&mut held).await {
+                break;
+            }
+            permit_sender.send_replace(LeadershipPermit {
+                epoch: held.epoch,
+                valid_until: held.valid_until,
+            });
+            if *holder_sender.borrow() != held.holder {
+                holder_sender.send_replace(held.holder);
+                let _ = controller.tell(SetEpoch(held.epoch)).await;
+                context.metrics.epoch.set(held.epoch as i64);
+            }
+        }
+        self.view.send_modify(|view| view.own = None);
+        controller.kill();
+        tasks.shutdown().await;
+        let released = context.store.revoke_lease(held.lease).await;
+        context.metrics.epoch.set(0);
+        log::info!(epoch = held.epoch, released = released.is_ok(); "leadership ended");
+    }
+
+    /// Renews the leadership; returns whether this process still holds it or may regain it.
+    async fn keep(&mut self, held: &mut HeldLeadership) -> bool {
+        let sent = clock::now();
+        match self.context.store.renew_lease(held.lease).await {
+            Ok(()) => {
+                held.valid_until = sent + LEADERSHIP_TTL - VALIDITY_MARGIN;
+                true
+            }
+            Err(StoreError::LeaseLapsed) => self.regain(held).await,
+            Err(error) => {
+                let overdue = clock::now().saturating_sub(held.valid_until);
+                log::warn!(epoch = held.epoch, overdue_ms = overdue.as_millis() as u64, error = error.to_string(); "leadership not renewed");
+                true
+            }
+        }
+    }
+
+    /// Takes the leadership again if no other process has held it since its lease ended.
+    async fn regain(&mut self, held: &mut HeldLeadership) -> bool {
+        self.holder = None;
+        match self.acquire().await {
+            Some(regained) => {
+                log::info!(epoch = regained.epoch; "leadership regained");
+                *held = regained;
+                true
+            }
+            None => {
+                let entry = self.context.store.get(EPOCH_KEY).await;
+                // An unreadable epoch proves nothing; the next renewal tries again.
+                entry.is_err() || matches!(entry, Ok(Some(entry)) if entry.revision == self.epoch.1)
+            }
+        }
+    }
+}
+
+fn planner_settings(context: &InstanceContext, epoch: Epoch) -> PlannerSettings {
+    let origin = unix_millis().saturating_sub(clock::now().as_millis() as u64);
+    PlannerSettings {
+        epoch,
+        lease: context.settings.worker_lease,
+        report_wait: context.settings.report_wait,
+        keep_ended: context.settings.keep_ended + KEEP_MARGIN,
+        unix_origin_ms: origin,
+    }
+}
--- /dev/null
+++ b/crates/instance/src/lib.rs
@@ -0,0 +1,27 @@
+//! The process that runs on every instance of a platform whose instances keep nothing.
+//!
+//! All instances are alike. Each answers clients; one of them, selected by a lease in the key-value
+//! service, schedules all jobs of the region with the planner of `lacewingrail-fleet`. Accepted jobs,
+//! cancellations and progress are kept in the key-value service; what runs is known to the workers.
+//!
+//! The platform is reached through the traits of [`border`], which an adapter implements.
+
+pub mod border;
+pub mod clock;
+pub mod front;
+pub mod metrics;
+pub mod peer;
+pub mod process;
+pub mod records;
+pub mod routes;
+
+mod executor;
+mod feeds;
+mod leadership;
+mod progress_writer;
+mod schedule_controller;
+
+pub use border::{FleetDirectory, OperatorState, RenewError, WorkerService};
+pub use front::{CallHead, ClientAnswer, ClientOperation, JobFront};
+pub use process::{InstanceProcess, InstanceSettings};
+pub use routes::{ConfigTree, CustomerRule, RouteRule};
--- /dev/null
+++ b/crates/instance/src/schedule_controller.rs
@@ -0,0 +1,231 @@
+//! Runs the planner of one leadership.
+//!
+//! Events are applied as they come; a planning pass follows a few milliseconds later, so that events
+//! that arrive together are decided together.
+
+use std::time::Duration;
+
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::message::{Context, Message};
+use lacewingrail_fleet::admission::AdmissionRefusal;
+use lacewingrail_fleet::job::JobEntry;
+use lacewingrail_fleet::{FleetEvent, FleetOrder, FleetPlanner, JobKey, JobPhase, JobSubmission};
+use lacewingrail_model::Epoch;
+use lacewingrail_model::message::JobStanding;
+
+use crate::clock;
+use crate::executor::OrderExecutor;
+use crate::metrics::InstanceMetrics;
+
+/// Time for which events are collected before a planning pass.
+const COLLECT_TIME: Duration = Duration::from_millis(3);
+
+/// Decides over the region while this process leads.
+#[derive(Actor)]
+pub struct ScheduleController {
+    planner: FleetPlanner,
+    executor: Option<OrderExecutor>,
+    metrics: InstanceMetrics,
+    plan_due: bool,
+    loaded: bool,
+}
+
+/// Sends events to the scheduler; events to a scheduler that has ended are dropped.
+#[derive(Clone)]
+pub struct ScheduleSender(pub ActorRef<ScheduleController>);
+
+impl ScheduleSender {
+    /// Sends an event.
+    pub async fn tell(&self, event: FleetEvent) {
+        // A scheduler that has ended left its leadership; its events mean nothing any more.
+        let _ = self.0.tell(event).await;
+    }
+}
+
+/// Connects the executor, which needs the controller's address.
+pub struct Connect(pub OrderExecutor);
+
+/// Continues under a later leadership of the same process.
+pub struct SetEpoch(pub Epoch);
+
+/// States that everything in the store has been read.
+pub struct Loaded;
+
+/// Asks for a planning pass.
+pub struct PlanNow;
+
+/// Asks whether a submission may be accepted.
+pub struct CheckSubmission(pub JobSubmission);
+
+/// Answers [`CheckSubmission`].
+#[derive(Debug, kameo::Reply)]
+pub enum SubmissionVerdict {
+    /// The job is known already.
+    Known,
+    /// The job may be stored.
+    Acceptable,
+    /// The fleet can't serve the job.
+    Refused(AdmissionRefusal),
+}
+
+/// Asks how far a job has come.
+pub struct AskStanding(pub JobKey);
+
+/// Answers [`AskStanding`].
+#[derive(Debug, kameo::Reply)]
+pub enum StandingReply {
+    /// The job's standing.
+    Known(JobStanding),
+    /// The job is not known; the store may know it.
+    Unknown,
+    /// The scheduler has not read the store yet.
+    Loading,
+}
+
+/// Asks how many jobs of a queue have not started.
+pub struct AskPending(pub String);
+
+impl ScheduleController {
+    /// Creates the controller of a new leadership.
+    pub fn new(planner: FleetPlanner, metrics: InstanceMetrics) -> Self {
+        Self { planner, executor: None, metrics, plan_due: false, loaded: false }
+    }
+
+    fn schedule_plan(&mut self, controller: ActorRef<Self>) {
+        if self.plan_due {
+            return;
+        }
+        self.plan_due = true;
+        tokio::spawn(async move {
+            tokio::time::sleep(COLLECT_TIME).await;
+            let _ = controller.tell(PlanNow).await;
+        });
+    }
+
+    fn plan(&mut self, controller: &ActorRef<Self>) {
+        self.plan_due = false;
+        let Some(executor) = self.executor.clone() else {
+            return;
+        };
+        if !self.loaded {
+            return;
+        }
+        self.planner.allow_starts(executor.permit.borrow().is_valid());
+        let orders = self.planner.plan(clock::now());
+        let mut step_down = false;
+        for order in orders {
+            step_down |= matches!(order, FleetOrder::StepDown);
+            executor.execute(order);
+        }
+        let counts = self.planner.counts();
+        self.metrics.starts.set(counts.starts as i64);
+        self.metrics.failed_starts.set(counts.failed_starts as i64);
+        self.metrics.preemptions.set(counts.preemptions as i64);
+        if step_down {
+            log::warn!(epoch = executor.permit.borrow().epoch; "a worker follows a later leadership; this one ends");
+            controller.kill();
+        }
+    }
+}
+
+impl Message<Connect> for ScheduleController {
+    type Reply = ();
+
+    async fn handle(&mut self, message: Connect, _context: &mut Context<Self, ()>) {
+        self.executor = Some(message.0);
+    }
+}
+
+impl Message<SetEpoch> for ScheduleController {
+    type Reply = ();
+
+    async fn handle(&mut self, message: SetEpoch, _context: &mut Context<Self, ()>) {
+        self.planner.set_epoch(message.0);
+    }
+}
+
+impl Message<Loaded> for ScheduleController {
+    type Reply = ();
+
+    async fn handle(&mut self, _message: Loaded, context: &mut Context<Self, ()>) {
+        self.loaded = true;
+        self.schedule_plan(context.actor_ref().clone());
+    }
+}
+
+impl Message<PlanNow> for ScheduleController {
+    type Reply = ();
+
+    async fn handle(&mut self, _message: PlanNow, context: &mut Context<Self, ()>) {
+        let controller = context.actor_ref().clone();
+        self.plan(&controller);
+    }
+}
+
+impl Message<FleetEvent> for ScheduleController {
+    type Reply = ();
+
+    async fn handle(&mut self, event: FleetEvent, context: &mut Context<Self, ()>) {
+        self.planner.handle(clock::now(), event);
+        self.schedule_plan(context.actor_ref().clone());
+    }
+}
+
+impl Message<CheckSubmission> for ScheduleController {
+    type Reply = SubmissionVerdict;
+
+    async fn handle(
+        &mut self,
+        message: CheckSubmission,
+        _context: &mut Context<Self, SubmissionVerdict>,
+    ) -> SubmissionVerdict {
+        let submission = message.0;
+        if self.planner.job(submission.key).is_some() {
+            return SubmissionVerdict::Known;
+        }
+        match self.planner.check_submission(&submission.queue, &submission.spec) {
+            Ok(()) => SubmissionVerdict::Acceptable,
+            Err(refusal) => SubmissionVerdict::Refused(refusal),
+        }
+    }
+}
+
+impl Message<AskStanding> for ScheduleController {
+    type Reply = StandingReply;
+
+    async fn handle(
+        &mut self,
+        message: AskStanding,
+        _context: &mut Context<Self, StandingReply>,
+    ) -> StandingReply {
+        match self.planner.job(message.0) {
+            Some(entry) if self.loaded => StandingReply::Known(standing(entry)),
+            _ if !self.loaded => StandingReply::Loading,
+            _ => StandingReply::Unknown,
+        }
+    }
+}
+
+impl Message<AskPending> for ScheduleController {
+    type Reply = Option<usize>;
+
+    async fn handle(
+        &mut self,
+        message: AskPending,
+        _context: &mut Context<Self, Option<usize>>,
+    ) -> Option<usize> {
+        self.loaded.then(|| self.planner.pending(&message.0))
+    }
+}
+
+/// Returns a job's standing; an end is shown only once it is stored.
+fn standing(entry: &JobEntry) -> JobStanding {
+    match entry.phase {
+        JobPhase::Cancelled => JobStanding::Cancelled,
+        JobPhase::Completed if entry.stored_phase == JobPhase::Completed => JobStanding::Completed,
+        JobPhase::Failed if entry.stored_phase == JobPhase::Failed => JobStanding::Failed,
+        _ if entry.begun => JobStanding::Running,
+        _ => JobStanding::Queued,
+    }
+}
--- a/crates/membership/src/handler.rs
+++ b/crates/membership/src/handler.rs
@@ -60,6 +60,9 @@
             PeerRequest::ClaimForward { .. } => PeerResponse::Refused {
                 reason: "this process writes no claims; ask an entry process".to_owned(),
             },
+            PeerRequest::Fleet(_) => PeerResponse::Refused {
+                reason: "this process schedules no region; ask an instance process".to_owned(),
+            },
         }
     }
 }
--- a/crates/membership/tests/common/mod.rs
+++ b/crates/membership/tests/common/mod.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
+use lacewingrail_clients::MemoryStore;
 use lacewingrail_membership::{Membership, MembershipSettings};
 use lacewingrail_model::DomainName;
 use lacewingrail_model::config::{ConfigView, DomainConfig};
@@ -17,7 +18,6 @@
     KeyValueService, LeaseId, Revision, StoreEntry, StoreError, WatchBatch,
 };
 use lacewingrail_model::timer::TimerService;
-use lacewingrail_platform::MemoryStore;
 use lacewingrail_wire::{PeerHandler, PeerServer};
 use serde::{Deserialize, Serialize};
 
--- a/crates/membership/tests/spreading.rs
+++ b/crates/membership/tests/spreading.rs
@@ -6,8 +6,8 @@
 
 use assert_matches::assert_matches;
 use common::{Cluster, TestProcess, eventually, write_tree};
+use lacewingrail_clients::StoreFaults;
 use lacewingrail_model::message::{ConfigPayload, PeerRequest, PeerResponse};
-use lacewingrail_platform::StoreFaults;
 use lacewingrail_wire::PeerClient;
 
 const PROCESSES_PER_DOMAIN: usize = 6;
--- a/crates/model/src/message.rs
+++ b/crates/model/src/message.rs
@@ -95,6 +95,76 @@
         /// Time for which the change is of use, in milliseconds.
         limit_ms: u64,
     },
+    /// Hands a call of a client to the active scheduler of the region.
+    Fleet(FleetCall),
+}
+
+/// Names what a client asks the active scheduler of the region.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum FleetCall {
+    /// Accept a job.
+    Submit {
+        /// Job.
+        job: u64,
+        /// Submission as JSON text, as it is stored.
+        record: String,
+    },
+    /// Cancel a job.
+    Cancel {
+        /// Job.
+        job: u64,
+    },
+    /// Tell how far a job has come.
+    State {
+        /// Job.
+        job: u64,
+    },
+    /// Count the jobs of a queue of which no task has started.
+    Pending {
+        /// Queue.
+        queue: String,
+    },
+}
+
+/// Answers a [`FleetCall`].
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum FleetReply {
+    /// The job is accepted and stored.
+    Accepted,
+    /// The job was not accepted, has not run and never will by this call.
+    NotAccepted {
+        /// Reason.
+        reason: String,
+        /// Time after which the client should come back, in milliseconds.
+        retry_ms: u64,
+    },
+    /// The cancellation is stored.
+    Cancelled,
+    /// How far the job has come.
+    State(JobStanding),
+    /// Number of jobs of which no task has started.
+    Pending(u64),
+    /// No such job exists.
+    Unknown,
+    /// The receiver is not the active scheduler, or can't answer now.
+    NotActive,
+    /// The outcome of a write is unknown.
+    Unclear,
+}
+
+/// States how far a job has come, as its customer sees it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum JobStanding {
+    /// No task has started.
+    Queued,
+    /// A task has started.
+    Running,
+    /// All tasks are done.
+    Completed,
+    /// A task has failed too often.
+    Failed,
+    /// The customer has cancelled the job.
+    Cancelled,
 }
 
 /// Answers a [`PeerRequest`].
@@ -128,6 +198,8 @@
         /// Answer as JSON text.
         reply: String,
     },
+    /// Answers a call of a client that was handed on.
+    Fleet(FleetReply),
 }
 
 /// Wraps a request with the context of its trace.
--- a/crates/model/src/store.rs
+++ b/crates/model/src/store.rs
@@ -139,3 +139,41 @@
     /// Ends a lease and deletes the keys bound to it.
     async fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError>;
 }
+
+/// Asks for several writes that take effect together or not at all.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct StoreBatch {
+    /// Keys that must have a revision; 0 means that the key must not exist.
+    pub expected: Vec<KeyExpectation>,
+    /// Keys to write.
+    pub writes: Vec<KeyWrite>,
+    /// Keys to delete.
+    pub deletes: Vec<String>,
+}
+
+/// Names the revision that a key must have.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KeyExpectation {
+    /// Key.
+    pub key: String,
+    /// Revision.
+    pub revision: Revision,
+}
+
+/// Describes the write of one key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KeyWrite {
+    /// Key.
+    pub key: String,
+    /// Value, UTF-8 text.
+    pub value: String,
+    /// Lease that the key is bound to, if any.
+    pub lease: Option<LeaseId>,
+}
+
+/// Calls a key-value service that also writes several keys at once.
+#[async_trait]
+pub trait BatchStore: KeyValueService {
+    /// Writes a batch; on a conflict nothing is written.
+    async fn commit(&self, batch: StoreBatch) -> Result<Revision, StoreError>;
+}
--- a/crates/scheduler/src/handover.rs
+++ b/crates/scheduler/src/handover.rs
@@ -9,11 +9,11 @@
 //! A crash after any step is completed by the successors. A delayed write of step 2, after the new
 //! owner has finished the job, creates a record whose former record is gone: it is deleted unstarted.
 
+use lacewingrail_clients::read;
 use lacewingrail_model::job::{JobArrival, JobRecord};
 use lacewingrail_model::mark::MarkIssuer;
 use lacewingrail_model::store::{Revision, StoreError};
 use lacewingrail_model::{DomainName, JobId, keys};
-use lacewingrail_platform::read;
 
 use crate::context::ProcessContext;
 use crate::records::{self, WriteOutcome};
--- a/crates/scheduler/src/history.rs
+++ b/crates/scheduler/src/history.rs
@@ -8,12 +8,12 @@
 use std::time::Duration;
 
 use futures::{StreamExt, stream};
+use lacewingrail_clients::{MarkedRecord, UpdateError, update};
 use lacewingrail_model::clock::unix_millis;
 use lacewingrail_model::job::{HistoryPage, JobRecord};
 use lacewingrail_model::mark::{MarkIssuer, WriteMark};
 use lacewingrail_model::store::Revision;
 use lacewingrail_model::{DomainName, keys};
-use lacewingrail_platform::{MarkedRecord, UpdateError, update};
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
--- a/crates/scheduler/src/lease.rs
+++ b/crates/scheduler/src/lease.rs
@@ -8,10 +8,10 @@
 use std::convert::Infallible;
 use std::time::Duration;
 
+use lacewingrail_clients::{MarkedRecord, UpdateError, read, update};
 use lacewingrail_model::mark::{MarkIssuer, WriteMark};
 use lacewingrail_model::store::{KeyValueService, LeaseId, Revision, StoreError};
 use lacewingrail_model::{Epoch, InstanceId, keys};
-use lacewingrail_platform::{MarkedRecord, UpdateError, read, update};
 use serde::{Deserialize, Serialize};
 
 /// Time after which the lease lapses unless renewed.
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -4,8 +4,8 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use lacewingrail_clients::{HttpInstanceList, HttpStore, HttpWorkerClient};
 use lacewingrail_model::timer::TimerService;
-use lacewingrail_platform::{HttpInstanceList, HttpStore, HttpWorkerClient};
 use lacewingrail_scheduler::SchedulerProcess;
 use lacewingrail_settings::ProcessSettings;
 use lacewingrail_telemetry::JsonLogger;
--- a/crates/scheduler/src/records.rs
+++ b/crates/scheduler/src/records.rs
@@ -5,10 +5,10 @@
 
 use std::time::Duration;
 
+use lacewingrail_clients::read;
 use lacewingrail_model::job::JobRecord;
 use lacewingrail_model::store::{KeyValueService, Revision, StoreError};
 use lacewingrail_model::timer::TimerService;
-use lacewingrail_platform::read;
 
 /// Attempts to learn the outcome of one write.
 const ATTEMPTS: u32 = 5;
--- a/crates/scheduler/tests/domains.rs
+++ b/crates/scheduler/tests/domains.rs
@@ -6,9 +6,9 @@
 use crate::support::{Bench, gang};
 use futures::future::join_all;
 use lacewingrail_admin::{AdminContext, VetoOutcome};
+use lacewingrail_clients::StoreFaults;
 use lacewingrail_model::admin::{DomainAnswer, DomainQuery};
 use lacewingrail_model::job::{JobArrival, JobRecord, JobSpec, JobState};
-use lacewingrail_platform::StoreFaults;
 use lacewingrail_standins::worker_fleet::faults::{WorkerFaults, WorkerSelection};
 
 const LIMIT: Duration = Duration::from_secs(20);
--- a/crates/scheduler/tests/leases.rs
+++ b/crates/scheduler/tests/leases.rs
@@ -6,11 +6,11 @@
 use crate::support::gates::{GateState, GatedStore};
 use crate::support::{Bench, gang};
 use futures::future::join_all;
+use lacewingrail_clients::{HttpWorkerClient, MemoryStore, StoreFaults};
 use lacewingrail_model::job::JobState;
 use lacewingrail_model::mark::MarkIssuer;
 use lacewingrail_model::store::KeyValueService;
 use lacewingrail_model::worker::{WorkerError, WorkerService};
-use lacewingrail_platform::{HttpWorkerClient, MemoryStore, StoreFaults};
 use lacewingrail_scheduler::lease::{self, AcquireOutcome, LeaseHolder};
 
 const LIMIT: Duration = Duration::from_secs(20);
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -13,6 +13,7 @@
 
 use async_trait::async_trait;
 use lacewingrail_admin::AdminContext;
+use lacewingrail_clients::{HttpWorkerClient, MemoryStore};
 use lacewingrail_model::instance::{InstanceEntry, InstanceError, InstanceList};
 use lacewingrail_model::job::{HistoryPage, JobRecord, JobSpec, JobState, WorkClass};
 use lacewingrail_model::keys;
@@ -21,7 +22,6 @@
 use lacewingrail_model::store::{KeyValueService, StoreError};
 use lacewingrail_model::timer::TimerService;
 use lacewingrail_model::worker::WorkerSpec;
-use lacewingrail_platform::{HttpWorkerClient, MemoryStore};
 use lacewingrail_scheduler::SchedulerProcess;
 use lacewingrail_settings::{
     ListenSettings, LogLevel, ProcessSettings, StoredTree, set_domain_out,
--- a/crates/standins/src/store_server.rs
+++ b/crates/standins/src/store_server.rs
@@ -8,11 +8,11 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{delete, get, post};
 use axum::{Json, Router};
-use lacewingrail_model::store::{KeyValueService, LeaseId, Revision, StoreError};
-use lacewingrail_platform::protocol::{
+use lacewingrail_clients::protocol::{
     ConflictAnswer, GetAnswer, LeaseAnswer, LeaseRequest, ListAnswer, WriteAnswer,
 };
-use lacewingrail_platform::{MemoryStore, StoreFaults, StoreStats};
+use lacewingrail_clients::{MemoryStore, StoreFaults, StoreStats};
+use lacewingrail_model::store::{KeyValueService, LeaseId, Revision, StoreError};
 use serde::{Deserialize, Serialize};
 
 use crate::server::{ServerHandle, broken_answer};
--- a/crates/standins/src/worker_fleet/routes.rs
+++ b/crates/standins/src/worker_fleet/routes.rs
@@ -8,12 +8,12 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
-use lacewingrail_model::Epoch;
-use lacewingrail_model::worker::{WorkerError, WorkerSpec};
-use lacewingrail_platform::protocol::{
+use lacewingrail_clients::protocol::{
     CheckpointAnswer, CommitBody, MemberBody, RenewBody, ReserveBody, StartBody, ThrottleBody,
     WORKER_CLOCK_HEADER,
 };
+use lacewingrail_model::Epoch;
+use lacewingrail_model::worker::{WorkerError, WorkerSpec};
 use serde::{Deserialize, Serialize};
 
 use crate::journal::JournalPage;
--- a/crates/standins/tests/fault_proxy.rs
+++ b/crates/standins/tests/fault_proxy.rs
@@ -3,11 +3,11 @@
 use std::time::{Duration, Instant};
 
 use assert_matches::assert_matches;
+use lacewingrail_clients::{HttpStore, HttpWorkerClient};
 use lacewingrail_model::store::{KeyValueService, StoreError};
 use lacewingrail_model::worker::{
     MemberId, ReserveRequest, TASK_LEASE_TTL, WorkerError, WorkerService, WorkerSpec,
 };
-use lacewingrail_platform::{HttpStore, HttpWorkerClient};
 use lacewingrail_standins::fault_proxy::control::spawn_control;
 use lacewingrail_standins::{
     FaultProxy, FleetLayout, FleetSettings, LinkRule, LinkSelection, LinkSpec, StoreServer,
--- a/crates/standins/tests/instance_list.rs
+++ b/crates/standins/tests/instance_list.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use lacewingrail_clients::HttpInstanceList;
 use lacewingrail_model::instance::{InstanceEntry, InstanceList, InstanceRole};
 use lacewingrail_model::worker::WorkerSpec;
-use lacewingrail_platform::HttpInstanceList;
 use lacewingrail_standins::instance_server::ListFaults;
 use lacewingrail_standins::{FaultProxy, InstanceChange, InstanceListServer, LinkSpec};
 
--- a/crates/standins/tests/store_contract.rs
+++ b/crates/standins/tests/store_contract.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
+use lacewingrail_clients::{CallKind, HttpStore, MarkedRecord, MemoryStore, StoreFaults, update};
 use lacewingrail_model::mark::{MarkIssuer, WriteMark, fresh_instance};
 use lacewingrail_model::store::{KeyValueService, MAX_VALUE_BYTES, StoreError};
-use lacewingrail_platform::{CallKind, HttpStore, MarkedRecord, MemoryStore, StoreFaults, update};
 use lacewingrail_standins::StoreServer;
 use proptest::prelude::*;
 use proptest::test_runner::TestRunner;
@@ -157,7 +157,7 @@
     let unknown = serde_json::json!({ "unavailble": true });
     assert!(client.post(&url).json(&unknown).send().await.unwrap().status().is_client_error());
     let url = format!("{}/v1/stats", server.url());
-    let stats: lacewingrail_platform::StoreStats =
+    let stats: lacewingrail_clients::StoreStats =
         client.get(url).send().await.unwrap().json().await.unwrap();
     assert_eq!((stats.kind(CallKind::Get).unwrap().total, stats.refused), (1, 1));
 }
--- a/crates/standins/tests/worker_fleet.rs
+++ b/crates/standins/tests/worker_fleet.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
+use lacewingrail_clients::HttpWorkerClient;
 use lacewingrail_model::worker::{
     MemberId, MemberPhase, RenewItem, ReserveRequest, TASK_LEASE_TTL, WorkerError, WorkerService,
     WorkerSpec,
 };
-use lacewingrail_platform::HttpWorkerClient;
 use lacewingrail_standins::{
     EndReason, FleetLayout, FleetSettings, HoldingRecord, JournalPage, WorkerFaults, WorkerFleet,
     WorkerSelection,
--- a/crates/telemetry/src/logger.rs
+++ b/crates/telemetry/src/logger.rs
@@ -4,8 +4,14 @@
 use std::sync::{Mutex, PoisonError};
 
 use lacewingrail_model::clock::unix_millis;
+use log::kv::{Error, Key, Value, VisitSource};
 use log::{LevelFilter, Log, Metadata, Record, SetLoggerError};
+use serde_json::Map;
 use simplelog::{CombinedLogger, Config, SharedLogger};
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
+
+/// Lines that wait to be written at the most; at about 250 bytes a line, 256 KB.
+const QUEUED_LINES: usize = 1024;
 
 /// Writes each log record as one JSON object on one line.
 pub struct JsonLogger {
@@ -38,6 +44,24 @@
         let logger = Self::new(level, component, instance, std::io::stderr());
         CombinedLogger::init(vec![Box::new(logger)])
     }
+
+    /// Installs a logger on standard output that never blocks the process.
+    ///
+    /// Lines wait in a bounded queue for a thread that writes them; lines beyond it are dropped. The
+    /// guard writes what is queued when it is dropped.
+    pub fn install_bounded(
+        level: LevelFilter,
+        component: &str,
+        instance: &str,
+    ) -> Result<WorkerGuard, SetLoggerError> {
+        let (output, guard) = NonBlockingBuilder::default()
+            .lossy(true)
+            .buffered_lines_limit(QUEUED_LINES)
+            .finish(std::io::stdout());
+        let logger = Self::new(level, component, instance, output);
+        CombinedLogger::init(vec![Box::new(logger)])?;
+        Ok(guard)
+    }
 }
 
 impl Log for JsonLogger {
@@ -51,7 +75,7 @@
         if !self.enabled(record.metadata()) {
             return;
         }
-        let line = serde_json::json!({
+        let mut line = serde_json::json!({
             "time_ms": unix_millis(),
             "level": record.level().as_str().to_ascii_lowercase(),
             "component": self.component,
@@ -59,6 +83,10 @@
             "module": record.target(),
             "message": record.args().to_string(),
         });
+        if let Some(fields) = line.as_object_mut() {
+            // The visitor never fails, so every field is visited.
+            let _ = record.key_values().visit(&mut FieldVisitor(fields));
+        }
         let mut output = self.output.lock().unwrap_or_else(PoisonError::into_inner);
         let _ = writeln!(output, "{line}");
     }
@@ -81,3 +109,16 @@
         self
     }
 }
+
+/// Copies the fields of a record into its line.
+struct FieldVisitor<'a>(&'a mut Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for FieldVisitor<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let text = || serde_json::Value::from(value.to_string());
+        let number = value.to_u64().map(serde_json::Value::from);
+        let flag = value.to_bool().map(serde_json::Value::from);
+        self.0.insert(key.to_string(), number.or(flag).unwrap_or_else(text));
+        Ok(())
+    }
+}
