Learn workers' speeds from progress and place urgent gangs on fast workers

Ruled out: waiting (half start within 40 ms).

Change: each report of progress corrects the speed of its worker and the work of its step; urgent work takes or reclaims workers that can keep its objective, and a gang that is not urgent takes equal workers.

Tests: crates/fleet/tests/speed.rs; the placement ones failed before.

--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -9,6 +9,7 @@
 
 use crate::record::{JobProgress, StepProgress};
 use crate::spec::{CheckpointName, JobSubmission, RunNumber, StepSpec, TaskKey};
+use crate::speed::StepPace;
 
 /// States how far a job has come.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -72,6 +73,8 @@
     pub gang_failures: u32,
     /// Run of the gang whose failure was counted last.
     pub failed_run: RunNumber,
+    /// Estimated work of a task.
+    pub pace: StepPace,
     /// Since when the step has waited for workers.
     pub waiting_since: Option<Duration>,
 }
@@ -244,6 +247,7 @@
             done: 0,
             gang_failures: 0,
             failed_run: 0,
+            pace: StepPace::default(),
             waiting_since: None,
         }
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod reclaim;
 pub mod record;
 pub mod spec;
+pub mod speed;
 pub mod worker;
 
 pub use amount::ResourceAmount;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -14,6 +14,11 @@
 use crate::spec::{StepSpec, TaskKey};
 use crate::worker::WorkerEntry;
 
+/// Ratio above which two speeds are told apart.
+const DISTINCT_SPEEDS: f64 = 1.12;
+/// Cost of an accelerator that stays free in the group of a gang, against one idle member.
+const FREE_COST: f64 = 0.02;
+
 /// Index of a worker on the board.
 pub type SlotIndex = usize;
 
@@ -73,8 +78,8 @@
     pub key: StepKey,
     /// Number of tasks to place.
     pub count: usize,
-    /// Whether fast workers are preferred over a tight packing.
-    pub prefer_fast: bool,
+    /// Speed that a worker must have at least.
+    pub least_speed: f64,
 }
 
 /// Returns the step that a task belongs to.
@@ -118,6 +123,7 @@
         let labelled = request.spec.label.as_ref().is_none_or(|label| slot.labels.contains(label));
         slot.open
             && slot.service == request.service
+            && slot.speed >= request.least_speed
             && labelled
             && slot.capacity.covers(&request.spec.demand)
     }
@@ -157,7 +163,7 @@
             slot.free = slot.capacity;
             slot.steps.clear();
         }
-        self.groups(request, reach).iter().any(|group| empty.fill(request, group).is_some())
+        self.groups(request, reach).iter().any(|group| empty.fill(request, group, 0.0).is_some())
     }
 
     /// Returns the narrowest reach within which a step should be placed.
@@ -198,30 +204,66 @@
     ) -> Option<Vec<SlotIndex>> {
         let mut best: Option<(f64, Vec<SlotIndex>)> = None;
         for group in self.groups(request, reach) {
-            let Some(places) = self.fill(request, &group) else {
+            if !self.has_accelerators(request, &group) {
                 continue;
-            };
-            let cost = self.group_cost(request, &group, &places);
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                best = Some((cost, places));
+            }
+            for floor in self.speed_floors(&group) {
+                let Some(places) = self.fill(request, &group, floor) else {
+                    break;
+                };
+                let cost = self.gang_cost(&group, &places);
+                if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                    best = Some((cost, places));
+                }
             }
         }
         best.map(|(_, places)| places)
     }
 
+    /// Returns the speeds above which a group may be filled, slowest first.
+    fn speed_floors(&self, group: &[SlotIndex]) -> Vec<f64> {
+        let mut floors: Vec<f64> = vec![0.0];
+        let mut speeds: Vec<f64> = group.iter().map(|index| self.slots[*index].speed).collect();
+        speeds.sort_by(f64::total_cmp);
+        for speed in speeds {
+            if floors.last().is_some_and(|last| speed > last * DISTINCT_SPEEDS) {
+                floors.push(speed);
+            }
+        }
+        floors
+    }
+
+    fn has_accelerators(&self, request: &PlaceRequest<'_>, group: &[SlotIndex]) -> bool {
+        let free: i64 = group.iter().map(|index| self.slots[*index].free.accelerators.max(0)).sum();
+        free >= request.spec.demand.accelerators * request.count as i64
+    }
+
+    /// Returns the cost of a gang: the capacity of its workers that idles because the slowest member
+    /// sets the pace, and a little for what stays free in the group.
+    fn gang_cost(&self, group: &[SlotIndex], places: &[SlotIndex]) -> f64 {
+        let speed = |index: &SlotIndex| self.slots[*index].speed;
+        let slowest = places.iter().map(speed).fold(f64::INFINITY, f64::min);
+        let held: f64 = places.iter().map(speed).sum();
+        let free: i64 = group.iter().map(|index| self.slots[*index].free.accelerators).sum();
+        held / slowest.max(f64::MIN_POSITIVE) + FREE_COST * free as f64
+    }
+
     /// Returns the worker for one more task.
     pub fn place_one(&self, request: &PlaceRequest<'_>, reach: PlaceReach) -> Option<SlotIndex> {
         let candidates = self.groups(request, reach).into_iter().flatten();
         self.tightest(request, candidates)
     }
 
-    /// Fills a group with all tasks of a request, if they fit.
-    fn fill(&self, request: &PlaceRequest<'_>, group: &[SlotIndex]) -> Option<Vec<SlotIndex>> {
-        let free: i64 = group.iter().map(|index| self.slots[*index].free.accelerators.max(0)).sum();
-        if free < request.spec.demand.accelerators * request.count as i64 {
-            return None;
-        }
-        let mut board = SubBoard::new(self, group);
+    /// Fills the workers of a group that are fast enough with all tasks, if they fit.
+    fn fill(
+        &self,
+        request: &PlaceRequest<'_>,
+        group: &[SlotIndex],
+        floor: f64,
+    ) -> Option<Vec<SlotIndex>> {
+        let fast: Vec<SlotIndex> =
+            group.iter().copied().filter(|index| self.slots[*index].speed >= floor).collect();
+        let mut board = SubBoard::new(self, &fast);
         let mut places = Vec::with_capacity(request.count);
         for _ in 0..request.count {
             places.push(board.take_tightest(request)?);
@@ -244,18 +286,7 @@
         let left = slot.free - request.spec.demand;
         let tightness = left.accelerators as f64
             + left.cpu_milli as f64 / slot.capacity.cpu_milli.max(1) as f64;
-        if request.prefer_fast { tightness - slot.speed * 100.0 } else { tightness - slot.speed }
-    }
-
-    fn group_cost(
-        &self,
-        request: &PlaceRequest<'_>,
-        group: &[SlotIndex],
-        places: &[SlotIndex],
-    ) -> f64 {
-        let free: i64 = group.iter().map(|index| self.slots[*index].free.accelerators).sum();
-        let slowest = places.iter().map(|index| self.slots[*index].speed).fold(4.0, f64::min);
-        if request.prefer_fast { -slowest * 1000.0 + free as f64 } else { free as f64 - slowest }
+        tightness - slot.speed
     }
 }
 
@@ -281,8 +312,8 @@
                 continue;
             }
             let left = *free - request.spec.demand;
-            let fast = if request.prefer_fast { slot.speed * 100.0 } else { slot.speed };
-            let cost = left.accelerators as f64 - fast;
+            // The slowest that is fast enough first, so that fast workers stay for others.
+            let cost = left.accelerators as f64 + slot.speed;
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, position));
             }
@@ -311,7 +342,7 @@
             capacity: listing.capacity,
             free: worker.free(),
             open: worker.accepts(now) && !domains_out.contains(&listing.domain),
-            speed: worker.speed,
+            speed: worker.speed.value(),
             steps,
         }
     }
--- a/crates/fleet/src/planner/dispatch.rs
+++ b/crates/fleet/src/planner/dispatch.rs
@@ -8,7 +8,7 @@
 use crate::job::{JobEntry, TaskPhase};
 use crate::order::{FleetOrder, StartOrder, TaskRun};
 use crate::placement::{PlaceBoard, PlaceReach, PlaceRequest, SlotIndex, StepKey, step_key};
-use crate::queue::{URGENT, WorkItem, rank_work, step_work};
+use crate::queue::{URGENT, WorkItem, objective, rank_work, step_work};
 use crate::reclaim::{BorrowerPart, BorrowerUnit, plan_reclaim};
 use crate::spec::{RunNumber, StepSpec, TaskKey};
 use crate::worker::{RunEntry, RunPhase};
@@ -16,6 +16,12 @@
 /// Time after which workers reserved for urgent work are chosen anew: borrowers that were stopped
 /// are gone long before.
 const RESERVATION_LIMIT: Duration = Duration::from_millis(1200);
+/// Time from a decision until a task works: the order, the worker and its first progress.
+const START_TIME: Duration = Duration::from_millis(60);
+/// Margin on the speed that urgent work needs, for errors of the estimates.
+const SPEED_MARGIN: f64 = 1.1;
+/// Speed above which no worker is expected; work that needs it is late anyway.
+const BEST_SPEED: f64 = 2.0;
 /// Time after which a gang that needs no common rack spreads over failure domains.
 const SPREAD_WAIT: Duration = Duration::from_millis(500);
 /// Time after which work runs away from its rack while the fleet is idle.
@@ -100,17 +106,18 @@
         if waiting.is_empty() {
             return;
         }
+        let waited = self.note_waiting(key, now);
+        let urgent = item.priority == URGENT;
         let request = PlaceRequest {
             service: &service,
             spec: &spec,
             key,
             count: waiting.len(),
-            prefer_fast: item.priority == URGENT,
+            least_speed: if urgent { self.needed_speed(key, now) } else { 0.0 },
         };
-        let waited = self.note_waiting(key, now);
         let reach = board.preferred_reach(&request);
-        let mut placed = place_step(board, &request, reach);
         let wider = wider_reach(board, &request, reach, waited);
+        let mut placed = place_step(board, &request, reach);
         if placed.is_empty() && wider > reach {
             placed = place_step(board, &request, wider);
         }
@@ -123,10 +130,52 @@
         let rest = waiting[placed.len()..].to_vec();
         self.start_or_announce(key, tasks, now);
         placed.clear();
-        if item.priority == URGENT && !rest.is_empty() {
+        if urgent && !rest.is_empty() {
             let request = PlaceRequest { count: rest.len(), ..request };
-            self.reclaim(board, &request, reach, &rest, now);
+            self.make_room(board, request, reach, &rest, now);
+        }
+    }
+
+    /// Makes room for urgent tasks, on workers that are fast enough if there are any.
+    fn make_room(
+        &mut self,
+        board: &mut PlaceBoard,
+        request: PlaceRequest<'_>,
+        reach: PlaceReach,
+        tasks: &[u32],
+        now: Duration,
+    ) {
+        if self.reclaim(board, &request, reach, tasks, now) || request.least_speed == 0.0 {
+            return;
+        }
+        let request = PlaceRequest { least_speed: 0.0, ..request };
+        let reach = board.preferred_reach(&request);
+        let placed = place_step(board, &request, reach);
+        if placed.is_empty() {
+            self.reclaim(board, &request, reach, tasks, now);
+            return;
         }
+        let (job, occurrence, step) = request.key;
+        let place = |(index, slot): (&u32, &SlotIndex)| {
+            let task = TaskKey { job, occurrence, step, index: *index };
+            (task, board.slots[*slot].id.clone())
+        };
+        let tasks = tasks.iter().zip(&placed).map(place).collect();
+        self.start_or_announce(request.key, tasks, now);
+    }
+
+    /// Returns the speed that urgent work needs to be on time; 0 if it can't be any more.
+    fn needed_speed(&self, key: StepKey, now: Duration) -> f64 {
+        let Some(job) = self.jobs.get(&key.0) else {
+            return 0.0;
+        };
+        let Some(policy) = self.config.queues.get(&job.submission.queue) else {
+            return 0.0;
+        };
+        let left = (job.accepted + objective(job, policy)).saturating_sub(now + START_TIME);
+        let path = job.submission.spec.critical_path().as_secs_f64();
+        let needed = path / left.as_secs_f64().max(f64::MIN_POSITIVE) * SPEED_MARGIN;
+        if needed > BEST_SPEED { 0.0 } else { needed }
     }
 
     /// Starts tasks, or reserves their workers while the job's first start is announced.
@@ -166,12 +215,13 @@
         reach: PlaceReach,
         tasks: &[u32],
         now: Duration,
-    ) {
+    ) -> bool {
         let units = self.borrowers(board);
-        let reaches = [reach, PlaceReach::Region];
-        let plan = reaches.iter().find_map(|reach| plan_reclaim(board, request, *reach, &units));
+        let wide = if request.least_speed > 0.0 { reach } else { PlaceReach::Region };
+        let plan =
+            [reach, wide].iter().find_map(|reach| plan_reclaim(board, request, *reach, &units));
         let Some(plan) = plan else {
-            return;
+            return false;
         };
         if let Some(job) = self.jobs.get_mut(&request.key.0) {
             job.announce();
@@ -190,6 +240,7 @@
             places.push((*task, board.slots[*slot].id.clone()));
         }
         self.reservations.push(Reservation { key: request.key, places, since: now });
+        true
     }
 
     /// Returns what may be stopped for urgent work.
@@ -290,6 +341,7 @@
             checkpoint: checkpoint.clone(),
             percent: 0,
             progressed: now,
+            mark: None,
         };
         target.add_run(task, run, run_entry);
         self.counts.starts += 1;
--- a/crates/fleet/src/planner/ends.rs
+++ b/crates/fleet/src/planner/ends.rs
@@ -19,9 +19,8 @@
         if !entry.take_end(end.number) {
             return;
         }
-        let run = entry.remove_run(end.task, end.run);
-        if let Some(run) = &run {
-            self.judge_worker(worker, end.task, end.reason, run, now);
+        if entry.remove_run(end.task, end.run).is_some() {
+            self.judge_worker(worker, end.reason, now);
         }
         self.apply_checkpoint(end.task, end.checkpoint);
         self.apply_end(worker, end.task, end.run, end.reason, now);
--- a/crates/fleet/src/planner/lease.rs
+++ b/crates/fleet/src/planner/lease.rs
@@ -8,7 +8,8 @@
 use crate::job::TaskPhase;
 use crate::order::FleetOrder;
 use crate::spec::{RunNumber, TaskKey};
-use crate::worker::{RunEntry, RunPhase, WorkerEntry};
+use crate::speed::{ProgressMark, note_progress};
+use crate::worker::{RunEntry, RunPhase};
 
 impl FleetPlanner {
     pub(super) fn take_report(
@@ -62,6 +63,7 @@
 
     fn take_running(&mut self, worker: &str, running: RunningRun, now: Duration) {
         let key = (running.task, running.run);
+        self.measure(worker, &running, now);
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
@@ -105,6 +107,7 @@
             checkpoint: running.checkpoint.clone(),
             percent: running.percent,
             progressed: now,
+            mark: None,
         };
         let lease = self.settings.lease;
         if let Some(entry) = self.workers.get_mut(worker) {
@@ -149,36 +152,68 @@
     }
 
     /// Notes a run that ended well or badly for the judgement of its worker.
-    pub(super) fn judge_worker(
-        &mut self,
-        worker: &str,
-        task: TaskKey,
-        end: EndReason,
-        run: &RunEntry,
-        now: Duration,
-    ) {
-        let estimate = self
-            .jobs
-            .get(&task.job)
-            .and_then(|job| job.step_spec(task.step))
-            .map(|spec| spec.estimate);
+    pub(super) fn judge_worker(&mut self, worker: &str, end: EndReason, now: Duration) {
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
         match end {
-            EndReason::Failed => {
-                entry.note_failure(task.job, now);
-            }
-            EndReason::Done => note_done(entry, estimate, run, now),
+            EndReason::Failed => entry.note_failure(now),
+            EndReason::Done => entry.note_success(),
             _ => {}
         }
     }
-}
 
-fn note_done(entry: &mut WorkerEntry, estimate: Option<Duration>, run: &RunEntry, now: Duration) {
-    entry.note_success();
-    if let (Some(estimate), Some(confirmed)) = (estimate, run.confirmed) {
-        entry.note_speed(estimate, now.saturating_sub(confirmed));
+    /// Returns whether a step that asks for one rack runs on several.
+    fn spans_racks(&self, task: TaskKey) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        if !job.step_spec(task.step).is_some_and(|spec| spec.one_rack) {
+            return false;
+        }
+        let step =
+            job.occurrence(task.occurrence).and_then(|entry| entry.steps.get(task.step as usize));
+        let mut racks = step.into_iter().flat_map(|step| &step.tasks).filter_map(|entry| {
+            let TaskPhase::Assigned { worker, .. } = &entry.phase else {
+                return None;
+            };
+            self.workers.get(worker).map(|worker| &worker.listing.rack)
+        });
+        let first = racks.next();
+        racks.any(|rack| Some(rack) != first)
+    }
+
+    /// Learns from the progress of a run.
+    fn measure(&mut self, worker: &str, running: &RunningRun, now: Duration) {
+        let task = running.task;
+        let spans_racks = self.spans_racks(task);
+        let Some(spec) = self.jobs.get(&task.job).and_then(|job| job.step_spec(task.step)) else {
+            return;
+        };
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        // Away from its rack a task is slow through no fault of the worker.
+        let away = spec.data_rack.is_some() && spec.data_rack != entry.listing.rack;
+        if spec.continuous || away || spans_racks {
+            return;
+        }
+        let declared = spec.estimate;
+        let Some(run) = entry.runs.get_mut(&(task, running.run)) else {
+            return;
+        };
+        let to = ProgressMark { at: now, percent: running.percent };
+        let Some(from) = run.mark else {
+            run.mark = Some(to);
+            return;
+        };
+        let job = self.jobs.get_mut(&task.job);
+        let Some(step) = job.and_then(|job| job.step_mut(task.occurrence, task.step)) else {
+            return;
+        };
+        if note_progress(&mut step.pace, &mut entry.speed, declared, from, to) {
+            run.mark = Some(to);
+        }
     }
 }
 
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -10,6 +10,7 @@
 use crate::amount::ResourceAmount;
 use crate::event::WorkerListing;
 use crate::spec::{CheckpointName, JobKey, RunNumber, TaskKey};
+use crate::speed::{ProgressMark, WorkerSpeed};
 
 /// Lowest rate of a worker's steady clock against ours.
 const SLOWEST_CLOCK_RATE: f64 = 0.98;
@@ -17,10 +18,10 @@
 const LEASE_MARGIN: Duration = Duration::from_millis(50);
 /// Time between repetitions of a stop order that was not confirmed.
 pub const STOP_RETRY: Duration = Duration::from_millis(500);
-/// Failed runs of different jobs in a row after which a worker is set aside.
-const FAILURE_STREAK: u32 = 2;
-/// Time for which a worker is set aside after a streak of failures.
-const QUARANTINE: Duration = Duration::from_secs(6);
+/// Time for which nothing is started on a worker after a failed run; doubles with each in a row.
+const FAILURE_PAUSE: Duration = Duration::from_millis(1000);
+/// Failures in a row after which the pause does not grow any more.
+const LONGEST_STREAK: u32 = 4;
 /// Time for which nothing is started on a worker that has refused a start or not answered.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(400);
 
@@ -57,6 +58,8 @@
     pub percent: u32,
     /// When the share last rose.
     pub progressed: Duration,
+    /// Start of the span over which the rate of progress is measured.
+    pub mark: Option<ProgressMark>,
 }
 
 /// Names an end that waits for its job's progress to be stored.
@@ -86,13 +89,12 @@
     pub looked_at: bool,
     /// Renewals without an answer in a row.
     pub unanswered: u32,
-    /// Estimated speed against declared run times; 1 before anything is known.
-    pub speed: f64,
+    /// Estimated speed.
+    pub speed: WorkerSpeed,
     clock: Option<(Duration, Duration)>,
     lease_end: Duration,
     paused_until: Duration,
     failure_streak: u32,
-    last_failed: Option<JobKey>,
     pending_ends: VecDeque<PendingEnd>,
     applied_end: u64,
     acknowledgeable: u64,
@@ -111,12 +113,11 @@
             renewed: None,
             looked_at: false,
             unanswered: 0,
-            speed: 1.0,
+            speed: WorkerSpeed::default(),
             clock: None,
             lease_end: Duration::ZERO,
             paused_until: Duration::ZERO,
             failure_streak: 0,
-            last_failed: None,
             pending_ends: VecDeque::new(),
             applied_end: 0,
             acknowledgeable: 0,
@@ -216,33 +217,16 @@
         self.paused_until = self.paused_until.max(now + REFUSAL_PAUSE);
     }
 
-    /// Notes a failed run; several of different jobs in a row set the worker aside.
-    ///
-    /// Returns whether the worker was set aside by this failure.
-    pub fn note_failure(&mut self, job: JobKey, now: Duration) -> bool {
-        if self.last_failed != Some(job) {
-            self.failure_streak += 1;
-        }
-        self.last_failed = Some(job);
-        if self.failure_streak < FAILURE_STREAK {
-            return false;
-        }
-        let set_aside = self.paused_until < now + QUARANTINE;
-        self.paused_until = now + QUARANTINE;
-        set_aside
+    /// Notes a failed or stalled run: the worker pauses, the longer the more failures in a row.
+    pub fn note_failure(&mut self, now: Duration) {
+        self.failure_streak += 1;
+        let pause = FAILURE_PAUSE * 2u32.pow(self.failure_streak.min(LONGEST_STREAK) - 1);
+        self.paused_until = self.paused_until.max(now + pause);
     }
 
     /// Notes a run that ended well.
     pub fn note_success(&mut self) {
         self.failure_streak = 0;
-        self.last_failed = None;
-    }
-
-    /// Notes how long a task took against its declared run time.
-    pub fn note_speed(&mut self, estimate: Duration, taken: Duration) {
-        const WEIGHT: f64 = 0.3;
-        let observed = estimate.as_secs_f64() / taken.as_secs_f64().max(0.05);
-        self.speed += WEIGHT * (observed.clamp(0.2, 4.0) - self.speed);
     }
 
     /// Returns whether an end is new; each end is applied once.
--- /dev/null
+++ b/crates/fleet/tests/speed.rs
@@ -0,0 +1,110 @@
+//! Workers of unequal speed.
+
+#[path = "support/scene.rs"]
+mod scene;
+
+use std::time::Duration;
+
+use lacewingrail_fleet::speed::{ProgressMark, StepPace, WorkerSpeed, note_progress};
+use lacewingrail_fleet::{EndReason, StepSpec};
+use scene::{Scene, listing, step, submission};
+
+const SLOW: f64 = 0.6;
+const FAST: f64 = 1.6;
+
+/// Returns a scene with two racks of two slow and two fast workers each, whose speeds the planner has
+/// seen at work.
+fn unequal_workers() -> Scene {
+    let worker =
+        |index: usize| listing(&format!("w{index}"), "north", if index < 4 { "r1" } else { "r2" });
+    let mut scene = Scene::new(1, (0..8).map(worker).collect());
+    for (index, worker) in scene.workers.values_mut().enumerate() {
+        worker.speed = if index % 4 < 2 { SLOW } else { FAST };
+    }
+    scene.accept(submission(1, "slow", vec![step(8, 8)]));
+    scene.pass(Duration::from_millis(5000));
+    for order in scene.starts.clone() {
+        scene.end(&order, EndReason::Done);
+    }
+    scene.pass(Duration::from_millis(300));
+    scene
+}
+
+fn gang(count: u32) -> StepSpec {
+    StepSpec { gang: true, one_rack: true, ..step(count, 8) }
+}
+
+/// A steady rate of progress must give the worker's speed, although the declared work is wrong.
+#[test]
+fn speed_is_learned_from_progress() {
+    let (mut pace, mut slow, mut fast) =
+        (StepPace::default(), WorkerSpeed::default(), WorkerSpeed::default());
+    // The work is 1.4 times what was declared.
+    let declared = Duration::from_secs(10);
+    for second in 0..6u32 {
+        let mark = |rate: f64, second: u32| ProgressMark {
+            at: Duration::from_secs(u64::from(second)),
+            percent: (rate * f64::from(second) * 100.0 / 14.0) as u32,
+        };
+        note_progress(&mut pace, &mut slow, declared, mark(SLOW, second), mark(SLOW, second + 1));
+        note_progress(&mut pace, &mut fast, declared, mark(FAST, second), mark(FAST, second + 1));
+    }
+    let ratio = fast.value() / slow.value();
+    assert!((2.2..=3.1).contains(&ratio), "speeds {} and {}", slow.value(), fast.value());
+}
+
+/// Too short a span or too little progress must not count, since percent points are whole.
+#[test]
+fn short_spans_are_not_measured() {
+    let (mut pace, mut speed) = (StepPace::default(), WorkerSpeed::default());
+    let mark = |ms: u64, percent: u32| ProgressMark { at: Duration::from_millis(ms), percent };
+    let declared = Duration::from_secs(4);
+    assert!(!note_progress(&mut pace, &mut speed, declared, mark(0, 0), mark(300, 9)));
+    assert!(!note_progress(&mut pace, &mut speed, declared, mark(0, 0), mark(900, 2)));
+    assert!(!note_progress(&mut pace, &mut speed, declared, mark(0, 90), mark(900, 100)));
+    assert_eq!(speed, WorkerSpeed::default());
+}
+
+/// An urgent gang must not be late because one member sits on a slow worker while fast ones are free
+/// (half of the hold-checks of a calm day were late for this).
+#[test]
+fn urgent_gang_takes_workers_that_are_fast_enough() {
+    let mut scene = unequal_workers();
+    scene.accept(submission(2, "urgent", vec![gang(2)]));
+    let workers = scene.started(2);
+    assert_eq!(workers.len(), 2);
+    assert!(workers.iter().all(|worker| scene.workers[worker].speed == FAST), "{workers:?}");
+}
+
+/// An urgent gang must displace a borrower on fast workers rather than take free slow ones.
+#[test]
+fn urgent_gang_reclaims_fast_workers() {
+    let mut scene = unequal_workers();
+    let borrower = StepSpec { checkpoints: true, label: None, ..step(8, 8) };
+    scene.accept(submission(2, "slow", vec![borrower]));
+    scene.pass(Duration::from_millis(500));
+    for order in scene.starts.clone() {
+        let slow = scene.workers[&order.target.worker].speed == SLOW;
+        if order.target.task.job == 2 && slow {
+            scene.end(&order, EndReason::Done);
+        }
+    }
+    scene.pass(Duration::from_millis(300));
+    scene.accept(submission(3, "urgent", vec![gang(2)]));
+    scene.pass(Duration::from_millis(500));
+    let workers = scene.started(3);
+    assert_eq!(workers.len(), 2);
+    assert!(workers.iter().all(|worker| scene.workers[worker].speed == FAST), "{workers:?}");
+}
+
+/// A gang that is not urgent must not mix slow and fast workers when equal ones are free: the fast
+/// ones would wait for the slow ones.
+#[test]
+fn gang_prefers_equal_workers() {
+    let mut scene = unequal_workers();
+    scene.accept(submission(2, "normal", vec![gang(2)]));
+    let speeds: Vec<f64> =
+        scene.started(2).iter().map(|worker| scene.workers[worker].speed).collect();
+    assert_eq!(speeds.len(), 2);
+    assert_eq!(speeds[0], speeds[1]);
+}
--- a/crates/fleet/tests/support/scene.rs
+++ b/crates/fleet/tests/support/scene.rs
@@ -15,15 +15,27 @@
 pub const CAPACITY: ResourceAmount =
     ResourceAmount { cpu_milli: 64_000, memory_mb: 131_072, accelerators: 8 };
 
+/// Declared run time of every task.
+pub const ESTIMATE: Duration = Duration::from_secs(4);
+
 /// What a worker runs and has to report.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct SceneWorker {
-    pub running: BTreeMap<(TaskKey, RunNumber), ()>,
+    /// Start of each run.
+    pub running: BTreeMap<(TaskKey, RunNumber), Duration>,
+    /// Speed at which progress is reported.
+    pub speed: f64,
     pub ended: Vec<EndedRun>,
     pub ends: u64,
     pub silent: bool,
 }
 
+impl Default for SceneWorker {
+    fn default() -> Self {
+        Self { running: BTreeMap::new(), speed: 1.0, ended: Vec::new(), ends: 0, silent: false }
+    }
+}
+
 /// Drives a planner and keeps what it orders.
 pub struct Scene {
     pub planner: FleetPlanner,
@@ -70,7 +82,7 @@
     StepSpec {
         count,
         demand: ResourceAmount { cpu_milli: 1000 * accelerators, memory_mb: 1000, accelerators },
-        estimate: Duration::from_secs(4),
+        estimate: ESTIMATE,
         ..StepSpec::default()
     }
 }
@@ -222,7 +234,7 @@
                 let outcome = if worker.silent {
                     StartOutcome::Unclear
                 } else {
-                    worker.running.insert((target.task, target.run), ());
+                    worker.running.insert((target.task, target.run), self.now);
                     StartOutcome::Started
                 };
                 let TaskRun { worker, task, run, .. } = target;
@@ -262,16 +274,16 @@
             return;
         }
         worker.ended.retain(|end| end.number > order.acknowledge);
-        let row = |(task, run): &(TaskKey, RunNumber)| RunningRun {
-            task: *task,
-            run: *run,
-            checkpoint: None,
-            percent: 10,
+        let (now, speed) = (self.now, worker.speed);
+        let row = |((task, run), start): (&(TaskKey, RunNumber), &Duration)| {
+            let done = (now - *start).as_secs_f64() * speed / ESTIMATE.as_secs_f64();
+            let percent = (done * 100.0).min(100.0) as u32;
+            RunningRun { task: *task, run: *run, checkpoint: None, percent }
         };
         let report = LeaseReport {
             born: 1,
             clock: self.now,
-            running: worker.running.keys().map(row).collect(),
+            running: worker.running.iter().map(row).collect(),
             ended: worker.ended.clone(),
         };
         let (worker, sent) = (order.worker.clone(), self.now);
--- a/crates/instance/src/front.rs
+++ b/crates/instance/src/front.rs
@@ -273,10 +273,9 @@
                 // The write may still be carried out late, so this is no refusal.
                 Ok(None) | Err(_) => Err(ClientAnswer::Unclear),
             },
-            Err(error) => Err(ClientAnswer::NotAccepted {
-                reason: error.to_string(),
-                retry: OUTAGE_RETRY,
-            }),
+            Err(error) => {
+                Err(ClientAnswer::NotAccepted { reason: error.to_string(), retry: OUTAGE_RETRY })
+            }
         }
     }
 
