Keep workers' speeds over a change of scheduler and expose less work to reclaims

Work without checkpoints ran on fast workers, from which urgent work displaces it.

Change: the stored list of workers carries their speeds, written every two seconds; a worker that was never measured is not relied on for urgent work; work that a stop sets back prefers slow workers; urgent work waits a moment for its rack rather than spread. Log lines for ends, reclaims, set-aside workers, lapses.

Test: speeds_survive_a_change_of_scheduler, which failed before.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -8,7 +8,7 @@
 
 use crate::amount::ResourceAmount;
 use crate::config::FleetConfig;
-use crate::record::JobProgress;
+use crate::record::{JobProgress, WorkerRoster};
 use crate::spec::{CheckpointName, JobKey, JobSubmission, RunNumber, TaskKey};
 
 /// Describes a worker as the platform lists it.
@@ -130,7 +130,7 @@
     /// The whole list of workers.
     WorkersListed(Vec<WorkerListing>),
     /// The workers that an earlier scheduler used, as it stored them.
-    RosterLoaded(BTreeSet<WorkerId>),
+    RosterLoaded(WorkerRoster),
     /// A job was accepted and stored; `progress` is what an earlier scheduler stored, if any.
     JobAccepted {
         /// Submission as stored.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -32,6 +32,6 @@
 };
 pub use job::JobPhase;
 pub use order::{FleetOrder, StartOrder, TaskRun};
-pub use planner::{FleetPlanner, PlannerSettings};
+pub use planner::{FleetPlanner, PlannerNote, PlannerSettings};
 pub use record::JobProgress;
 pub use spec::{JobKey, JobSpec, JobSubmission, RunNumber, StepSpec, TaskKey};
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -1,12 +1,11 @@
 //! What the planner asks for.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
-use lacewingrail_model::WorkerId;
+use lacewingrail_model::{RackName, WorkerId};
 
-use crate::record::JobProgress;
+use crate::record::{JobProgress, WorkerRoster};
 use crate::spec::{CheckpointName, JobKey, JobSubmission, RunNumber, TaskKey};
 
 /// Names one run of a task on a worker.
@@ -33,6 +32,21 @@
     pub checkpoint: Option<CheckpointName>,
     /// End of the lease on the worker's clock.
     pub lease_end: Duration,
+    /// Why the worker was chosen, for logs.
+    pub basis: StartBasis,
+}
+
+/// Holds what a choice of a worker was based on.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct StartBasis {
+    /// Rack of the worker.
+    pub rack: Option<RackName>,
+    /// Estimated speed of the worker.
+    pub speed: f64,
+    /// Time since the worker's newest report.
+    pub report_age: Duration,
+    /// Time for which the step had waited.
+    pub waited: Duration,
 }
 
 /// Asks a worker for a report and, with `lease_end`, to keep its tasks running.
@@ -67,7 +81,7 @@
         progress: JobProgress,
     },
     /// Write the list of workers that may hold runs to the store.
-    StoreRoster(BTreeSet<WorkerId>),
+    StoreRoster(WorkerRoster),
     /// Another scheduler holds the leadership.
     StepDown,
 }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -19,6 +19,9 @@
 /// Cost of an accelerator that stays free in the group of a gang, against one idle member.
 const FREE_COST: f64 = 0.02;
 
+/// Cost of the speed of workers for work that a stop sets back, against one idle member.
+const EXPOSURE_COST: f64 = 0.5;
+
 /// Index of a worker on the board.
 pub type SlotIndex = usize;
 
@@ -43,6 +46,8 @@
     pub open: bool,
     /// Estimated speed.
     pub speed: f64,
+    /// Speed that may be relied on.
+    pub cautious_speed: f64,
     steps: BTreeMap<StepKey, u32>,
 }
 
@@ -123,7 +128,7 @@
         let labelled = request.spec.label.as_ref().is_none_or(|label| slot.labels.contains(label));
         slot.open
             && slot.service == request.service
-            && slot.speed >= request.least_speed
+            && slot.cautious_speed >= request.least_speed
             && labelled
             && slot.capacity.covers(&request.spec.demand)
     }
@@ -211,7 +216,7 @@
                 let Some(places) = self.fill(request, &group, floor) else {
                     break;
                 };
-                let cost = self.gang_cost(&group, &places);
+                let cost = self.gang_cost(request, &group, &places);
                 if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                     best = Some((cost, places));
                 }
@@ -240,12 +245,20 @@
 
     /// Returns the cost of a gang: the capacity of its workers that idles because the slowest member
     /// sets the pace, and a little for what stays free in the group.
-    fn gang_cost(&self, group: &[SlotIndex], places: &[SlotIndex]) -> f64 {
+    fn gang_cost(
+        &self,
+        request: &PlaceRequest<'_>,
+        group: &[SlotIndex],
+        places: &[SlotIndex],
+    ) -> f64 {
         let speed = |index: &SlotIndex| self.slots[*index].speed;
         let slowest = places.iter().map(speed).fold(f64::INFINITY, f64::min);
         let held: f64 = places.iter().map(speed).sum();
         let free: i64 = group.iter().map(|index| self.slots[*index].free.accelerators).sum();
-        held / slowest.max(f64::MIN_POSITIVE) + FREE_COST * free as f64
+        let mean = held / places.len().max(1) as f64;
+        // Urgent work displaces others from fast workers: there, what checkpoints loses least.
+        let exposure = if request.spec.checkpoints { -mean } else { mean };
+        held / slowest.max(f64::MIN_POSITIVE) + FREE_COST * free as f64 + EXPOSURE_COST * exposure
     }
 
     /// Returns the worker for one more task.
@@ -286,7 +299,8 @@
         let left = slot.free - request.spec.demand;
         let tightness = left.accelerators as f64
             + left.cpu_milli as f64 / slot.capacity.cpu_milli.max(1) as f64;
-        tightness - slot.speed
+        let favoured = if request.spec.checkpoints { slot.speed } else { -slot.speed };
+        tightness - favoured
     }
 }
 
@@ -343,6 +357,7 @@
             free: worker.free(),
             open: worker.accepts(now) && !domains_out.contains(&listing.domain),
             speed: worker.speed.value(),
+            cautious_speed: worker.speed.cautious(),
             steps,
         }
     }
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -25,8 +25,8 @@
 use crate::job::{JobEntry, JobPhase, TaskPhase};
 use crate::order::{FleetOrder, TaskRun};
 use crate::placement::StepKey;
-use crate::queue::{WorkMeans, job_work};
-use crate::record::JobProgress;
+use crate::queue::{WorkMeans, job_work, objective};
+use crate::record::{JobProgress, WorkerRoster};
 use crate::spec::{JobKey, JobSpec, JobSubmission, RunNumber, TaskKey};
 use crate::worker::{RunPhase, WorkerEntry};
 
@@ -73,6 +73,49 @@
     pub failed: u64,
 }
 
+/// Reports a decision or a change of what the planner believes, for logs.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PlannerNote {
+    /// A job has ended.
+    JobEnded {
+        /// Job.
+        job: JobKey,
+        /// Queue.
+        queue: String,
+        /// Final phase.
+        phase: JobPhase,
+        /// Time since its acceptance.
+        age: Duration,
+        /// Time within which it is on time.
+        objective: Duration,
+    },
+    /// Borrowers were stopped for an urgent job.
+    Reclaimed {
+        /// Urgent job.
+        job: JobKey,
+        /// Time for which it had waited.
+        waited: Duration,
+        /// Jobs of the borrowers.
+        borrowers: Vec<JobKey>,
+        /// Work lost, in core-seconds.
+        loss: f64,
+    },
+    /// A worker gets no work for some time because runs failed or stalled on it.
+    WorkerSetAside {
+        /// Worker.
+        worker: WorkerId,
+        /// Failures in a row.
+        failures: u32,
+    },
+    /// All runs of a worker that does not answer count as ended, because its lease is over.
+    LeaseLapsed {
+        /// Worker.
+        worker: WorkerId,
+        /// Number of runs.
+        runs: usize,
+    },
+}
+
 /// Decides over all jobs and workers of a region.
 #[derive(Clone, Debug)]
 pub struct FleetPlanner {
@@ -87,13 +130,15 @@
     listed_once: bool,
     recovered: bool,
     starts_allowed: bool,
-    former_workers: BTreeSet<WorkerId>,
-    roster: BTreeSet<WorkerId>,
+    former_workers: WorkerRoster,
+    roster_members: BTreeSet<WorkerId>,
+    roster_stored: Duration,
     renewals_allowed: bool,
     reservations: Vec<Reservation>,
     broken_since: BTreeMap<StepKey, Duration>,
     means: WorkMeans,
     counts: PlannerCounts,
+    notes: Vec<PlannerNote>,
     orders: Vec<FleetOrder>,
 }
 
@@ -111,13 +156,15 @@
             listed_once: false,
             recovered: false,
             starts_allowed: true,
-            former_workers: BTreeSet::new(),
-            roster: BTreeSet::new(),
+            former_workers: WorkerRoster::new(),
+            roster_members: BTreeSet::new(),
+            roster_stored: now,
             renewals_allowed: true,
             reservations: Vec::new(),
             broken_since: BTreeMap::new(),
             means: WorkMeans::default(),
             counts: PlannerCounts::default(),
+            notes: Vec::new(),
             orders: Vec::new(),
         }
     }
@@ -134,6 +181,11 @@
         self.settings.epoch = epoch;
     }
 
+    /// Returns what is worth a log line since the last call.
+    pub fn take_notes(&mut self) -> Vec<PlannerNote> {
+        std::mem::take(&mut self.notes)
+    }
+
     /// Returns what the planner has done.
     pub fn counts(&self) -> PlannerCounts {
         self.counts
@@ -257,6 +309,14 @@
         entry.phase = phase;
         entry.ended = Some(now);
         entry.touch();
+        let policy = self.config.queues.get(&entry.submission.queue);
+        self.notes.push(PlannerNote::JobEnded {
+            job,
+            queue: entry.submission.queue.clone(),
+            phase,
+            age: now.saturating_sub(entry.accepted),
+            objective: policy.map(|policy| objective(entry, policy)).unwrap_or_default(),
+        });
         match phase {
             JobPhase::Completed => self.counts.completed += 1,
             JobPhase::Failed => self.counts.failed += 1,
@@ -291,7 +351,13 @@
         for listing in listings {
             match self.workers.get_mut(&listing.id) {
                 None => {
-                    self.workers.insert(listing.id.clone(), WorkerEntry::new(listing));
+                    let mut worker = WorkerEntry::new(listing);
+                    let digest = self.former_workers.get(&worker.listing.id);
+                    if let Some(digest) = digest.filter(|digest| digest.born == worker.listing.born)
+                    {
+                        worker.speed = digest.speed;
+                    }
+                    self.workers.insert(worker.listing.id.clone(), worker);
                 }
                 Some(worker) if listing.born > worker.listing.born => {
                     let id = listing.id.clone();
--- a/crates/fleet/src/planner/dispatch.rs
+++ b/crates/fleet/src/planner/dispatch.rs
@@ -4,9 +4,9 @@
 
 use lacewingrail_model::WorkerId;
 
-use super::{FleetPlanner, Reservation};
+use super::{FleetPlanner, PlannerNote, Reservation};
 use crate::job::{JobEntry, TaskPhase};
-use crate::order::{FleetOrder, StartOrder, TaskRun};
+use crate::order::{FleetOrder, StartBasis, StartOrder, TaskRun};
 use crate::placement::{PlaceBoard, PlaceReach, PlaceRequest, SlotIndex, StepKey, step_key};
 use crate::queue::{URGENT, WorkItem, objective, rank_work, step_work};
 use crate::reclaim::{BorrowerPart, BorrowerUnit, plan_reclaim};
@@ -22,6 +22,9 @@
 const SPEED_MARGIN: f64 = 1.1;
 /// Speed above which no worker is expected; work that needs it is late anyway.
 const BEST_SPEED: f64 = 2.0;
+/// Time for which urgent work waits for room in its rack; half of the time within which guaranteed
+/// accelerators have to be reclaimed.
+const RACK_WAIT: Duration = Duration::from_millis(1400);
 /// Time after which a gang that needs no common rack spreads over failure domains.
 const SPREAD_WAIT: Duration = Duration::from_millis(500);
 /// Time after which work runs away from its rack while the fleet is idle.
@@ -217,7 +220,11 @@
         now: Duration,
     ) -> bool {
         let units = self.borrowers(board);
-        let wide = if request.least_speed > 0.0 { reach } else { PlaceReach::Region };
+        // Away from its rack the work would be late, so it rather waits for a moment.
+        let waited = self.note_waiting(request.key, now);
+        let spread =
+            request.least_speed == 0.0 && (reach != PlaceReach::Rack || waited > RACK_WAIT);
+        let wide = if spread { PlaceReach::Region } else { reach };
         let plan =
             [reach, wide].iter().find_map(|reach| plan_reclaim(board, request, *reach, &units));
         let Some(plan) = plan else {
@@ -226,6 +233,14 @@
         if let Some(job) = self.jobs.get_mut(&request.key.0) {
             job.announce();
         }
+        if !plan.stopped.is_empty() {
+            self.notes.push(PlannerNote::Reclaimed {
+                job: request.key.0,
+                waited,
+                borrowers: plan.stopped.iter().map(|index| units[*index].key.0).collect(),
+                loss: plan.loss,
+            });
+        }
         for index in &plan.stopped {
             let unit = &units[*index];
             self.counts.preemptions += 1;
@@ -303,8 +318,15 @@
                 (task, worker, run)
             })
             .collect();
-        for (task, worker, run) in numbered {
-            self.start_task(task, &worker, run, now);
+        for (task, worker, run) in &numbered {
+            self.start_task(*task, worker, *run, now);
+        }
+        let steps = numbered.iter().map(|(task, _, _)| step_key(*task));
+        for (job, occurrence, step) in steps {
+            let step = self.jobs.get_mut(&job).and_then(|job| job.step_mut(occurrence, step));
+            if let Some(step) = step {
+                step.waiting_since = None;
+            }
         }
     }
 
@@ -317,9 +339,8 @@
             return;
         };
         job.begun = true;
-        if let Some(step) = job.step_mut(task.occurrence, task.step) {
-            step.waiting_since = None;
-        }
+        let step = job.step_mut(task.occurrence, task.step);
+        let waited = step.and_then(|step| step.waiting_since).unwrap_or(now);
         let submission = job.submission.clone();
         let gang_checkpoint = if spec.gang { first_checkpoint(job, task) } else { None };
         let Some(entry) = job.task_mut(task) else {
@@ -346,8 +367,14 @@
         target.add_run(task, run, run_entry);
         self.counts.starts += 1;
         let address = target.listing.address.clone();
+        let basis = StartBasis {
+            rack: target.listing.rack.clone(),
+            speed: target.speed.value(),
+            report_age: target.report_age(now),
+            waited: now.saturating_sub(waited),
+        };
         let target = TaskRun { worker: worker.to_owned(), address, task, run };
-        let order = StartOrder { target, submission, checkpoint, lease_end };
+        let order = StartOrder { target, submission, checkpoint, lease_end, basis };
         self.orders.push(FleetOrder::Start(order));
     }
 
--- a/crates/fleet/src/planner/lease.rs
+++ b/crates/fleet/src/planner/lease.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::FleetPlanner;
+use super::{FleetPlanner, PlannerNote};
 use crate::event::{EndReason, LeaseReport, RunningRun};
 use crate::job::TaskPhase;
 use crate::order::FleetOrder;
@@ -157,7 +157,11 @@
             return;
         };
         match end {
-            EndReason::Failed => entry.note_failure(now),
+            EndReason::Failed => {
+                let failures = entry.note_failure(now);
+                let worker = worker.to_owned();
+                self.notes.push(PlannerNote::WorkerSetAside { worker, failures });
+            }
             EndReason::Done => entry.note_success(),
             _ => {}
         }
--- a/crates/fleet/src/planner/upkeep.rs
+++ b/crates/fleet/src/planner/upkeep.rs
@@ -1,19 +1,21 @@
 //! What is due with time: lapsed leases, repeated stops, broken gangs, renewals and storing.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use lacewingrail_model::WorkerId;
 
-use super::FleetPlanner;
+use super::{FleetPlanner, PlannerNote};
 use crate::job::TaskPhase;
 use crate::order::{FleetOrder, RenewOrder, TaskRun};
 use crate::placement::{StepKey, step_key};
+use crate::record::WorkerDigest;
 use crate::spec::TaskKey;
 use crate::worker::{RunPhase, STOP_RETRY, WorkerEntry};
 
 /// Share of the lease after which a renewal is sent although ends wait to be stored.
 const RENEW_SHARE: u32 = 4;
+/// Time between writes of what is known of the workers; a new scheduler learns it anew in as long.
+const ROSTER_PERIOD: Duration = Duration::from_secs(2);
 /// Time between attempts to reach a worker that does not answer.
 const SILENT_RETRY: Duration = Duration::from_millis(300);
 /// Time for which the ends of the other members of a gang are awaited before they are stopped.
@@ -39,6 +41,8 @@
         let mut lapsed = Vec::new();
         for (id, worker) in &self.workers {
             if !worker.runs.is_empty() && worker.is_lease_over(now) {
+                let note = PlannerNote::LeaseLapsed { worker: id.clone(), runs: worker.runs.len() };
+                self.notes.push(note);
                 lapsed.extend(worker.runs.keys().map(|(task, run)| (id.clone(), *task, *run)));
             }
         }
@@ -50,13 +54,26 @@
             let heard = worker.looked_at || recovered;
             worker.listed || worker.renewing || !heard || !worker.is_lease_over(now)
         });
-        let roster: BTreeSet<WorkerId> = self.workers.keys().cloned().collect();
-        if roster != self.roster && recovered {
-            self.roster.clone_from(&roster);
-            self.orders.push(FleetOrder::StoreRoster(roster));
+        if recovered {
+            self.offer_roster(now);
         }
     }
 
+    /// Offers the list of workers for storing when it changes, and what is known of them at times.
+    fn offer_roster(&mut self, now: Duration) {
+        let due = now.saturating_sub(self.roster_stored) >= ROSTER_PERIOD;
+        let changed = !self.workers.keys().eq(self.roster_members.iter());
+        if !due && !changed {
+            return;
+        }
+        self.roster_stored = now;
+        self.roster_members = self.workers.keys().cloned().collect();
+        let digest =
+            |worker: &WorkerEntry| WorkerDigest { born: worker.listing.born, speed: worker.speed };
+        let roster = self.workers.iter().map(|(id, worker)| (id.clone(), digest(worker)));
+        self.orders.push(FleetOrder::StoreRoster(roster.collect()));
+    }
+
     fn repeat_stops(&mut self, now: Duration) {
         for (id, worker) in &mut self.workers {
             let address = worker.listing.address.clone();
@@ -84,7 +101,7 @@
         let former = self.settings.grace + self.settings.lease.mul_f64(FORMER_LEASE_FACTOR);
         let seen = |id: &WorkerId| self.workers.get(id).is_some_and(|worker| worker.looked_at);
         let all_seen = self.workers.values().all(|worker| worker.looked_at)
-            && self.former_workers.iter().all(seen);
+            && self.former_workers.keys().all(seen);
         self.recovered = all_seen || now.saturating_sub(self.started) > former;
     }
 
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeMap;
 
+use lacewingrail_model::WorkerId;
 use serde::{Deserialize, Serialize};
 
 use crate::job::JobPhase;
 use crate::spec::CheckpointName;
+use crate::speed::WorkerSpeed;
 
 /// Holds the progress of one step of one occurrence.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -45,6 +47,19 @@
     pub steps: Vec<StepProgress>,
 }
 
+/// Holds what the next scheduler should know of a worker.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct WorkerDigest {
+    /// Start of the worker's present life, in milliseconds since the Unix epoch.
+    pub born: u64,
+    /// Estimated speed.
+    #[serde(default)]
+    pub speed: WorkerSpeed,
+}
+
+/// Workers that may hold runs, as kept in the store.
+pub type WorkerRoster = BTreeMap<WorkerId, WorkerDigest>;
+
 fn is_zero(value: &u32) -> bool {
     *value == 0
 }
--- a/crates/fleet/src/speed.rs
+++ b/crates/fleet/src/speed.rs
@@ -7,6 +7,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// Shortest time over which a rate is measured.
 const SHORTEST_SPAN: Duration = Duration::from_millis(700);
 /// Smallest progress over which a rate is measured, in percent points: it is reported in whole ones.
@@ -15,6 +17,8 @@
 const DECLARED_WEIGHT: f64 = 1.5;
 /// Least weight of a new measurement of a worker, so that a change is followed within seconds.
 const LEAST_WEIGHT: f64 = 0.25;
+/// Share by which a worker that was never measured may be slower than thought.
+const UNCERTAINTY: f64 = 0.35;
 /// Bounds of a speed against the mean.
 const SLOWEST: f64 = 0.05;
 const FASTEST: f64 = 10.0;
@@ -27,7 +31,7 @@
 }
 
 /// Estimates the speed of a worker.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct WorkerSpeed {
     log: f64,
     count: f64,
@@ -48,6 +52,11 @@
         self.log.exp()
     }
 
+    /// Returns the speed that may be relied on: lower as long as little has been measured.
+    pub fn cautious(&self) -> f64 {
+        self.value() * (1.0 - UNCERTAINTY / (1.0 + self.count))
+    }
+
     fn note(&mut self, log: f64) {
         self.count += 1.0;
         let weight = (1.0 / (self.count + 1.0)).max(LEAST_WEIGHT);
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -175,6 +175,11 @@
         Some(clock + now.saturating_sub(read))
     }
 
+    /// Returns the time since the worker's newest report.
+    pub fn report_age(&self, now: Duration) -> Duration {
+        self.clock.map_or(Duration::MAX, |(_, read)| now.saturating_sub(read))
+    }
+
     /// Notes that an order may extend the lease up to a time on the worker's clock.
     pub fn extend_lease(&mut self, lease_end: Duration) {
         self.lease_end = self.lease_end.max(lease_end);
@@ -218,10 +223,13 @@
     }
 
     /// Notes a failed or stalled run: the worker pauses, the longer the more failures in a row.
-    pub fn note_failure(&mut self, now: Duration) {
+    ///
+    /// Returns the number of failures in a row.
+    pub fn note_failure(&mut self, now: Duration) -> u32 {
         self.failure_streak += 1;
         let pause = FAILURE_PAUSE * 2u32.pow(self.failure_streak.min(LONGEST_STREAK) - 1);
         self.paused_until = self.paused_until.max(now + pause);
+        self.failure_streak
     }
 
     /// Notes a run that ended well.
--- a/crates/fleet/tests/speed.rs
+++ b/crates/fleet/tests/speed.rs
@@ -108,3 +108,17 @@
     assert_eq!(speeds.len(), 2);
     assert_eq!(speeds[0], speeds[1]);
 }
+
+/// A new scheduler must not forget which workers are slow (with rolling restarts half of the urgent
+/// jobs ran on workers of unknown speed).
+#[test]
+fn speeds_survive_a_change_of_scheduler() {
+    let mut scene = unequal_workers();
+    scene.pass(Duration::from_millis(2500));
+    let mut scene = scene.take_over(2, &[]);
+    scene.pass(Duration::from_millis(300));
+    scene.accept(submission(2, "urgent", vec![gang(2)]));
+    let workers = scene.started(2);
+    assert_eq!(workers.len(), 2);
+    assert!(workers.iter().all(|worker| scene.workers[worker].speed == FAST), "{workers:?}");
+}
--- a/crates/fleet/tests/support/scene.rs
+++ b/crates/fleet/tests/support/scene.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use lacewingrail_fleet::order::RenewOrder;
+use lacewingrail_fleet::record::WorkerRoster;
 use lacewingrail_fleet::{
     EndReason, EndedRun, FleetConfig, FleetEvent, FleetOrder, FleetPlanner, JobKey, JobProgress,
     JobSpec, JobSubmission, LeaseReport, PlannerSettings, QueuePolicy, ResourceAmount, RunNumber,
@@ -44,6 +45,7 @@
     pub starts: Vec<StartOrder>,
     pub stops: Vec<TaskRun>,
     pub stored: BTreeMap<JobKey, JobProgress>,
+    pub roster: WorkerRoster,
     pub listings: Vec<WorkerListing>,
     pub stepped_down: bool,
     pub store_down: bool,
@@ -133,6 +135,7 @@
             starts: Vec::new(),
             stops: Vec::new(),
             stored: BTreeMap::new(),
+            roster: WorkerRoster::new(),
             listings,
             stepped_down: false,
             store_down: false,
@@ -147,7 +150,7 @@
         self.starts.clear();
         self.stops.clear();
         self.tell(FleetEvent::ConfigChanged(Arc::new(config())));
-        let roster = self.listings.iter().map(|listing| listing.id.clone()).collect();
+        let roster = self.roster.clone();
         self.tell(FleetEvent::RosterLoaded(roster));
         for submission in submissions {
             let progress = self.stored.get(&submission.key).cloned();
@@ -261,7 +264,7 @@
                 self.stored.insert(job, progress);
                 self.tell(FleetEvent::ProgressStored { job, sequence });
             }
-            FleetOrder::StoreRoster(_) => {}
+            FleetOrder::StoreRoster(roster) => self.roster = roster,
             FleetOrder::StepDown => self.stepped_down = true,
         }
     }
--- a/crates/instance/src/executor.rs
+++ b/crates/instance/src/executor.rs
@@ -78,10 +78,13 @@
         } else {
             StartOutcome::Refused(StartRefusal::LeaseOver)
         };
-        let TaskRun { worker, task, run, .. } = order.target;
+        let (TaskRun { worker, task, run, .. }, basis) = (order.target, order.basis);
         log::info!(
             job = format!("{:016x}", task.job), step = task.step, task = task.index, run = run,
-            worker = worker, epoch = permit.epoch, outcome = format!("{outcome:?}");
+            worker = worker, rack = basis.rack.unwrap_or_default(),
+            speed = format!("{:.2}", basis.speed), report_age_ms = millis(basis.report_age),
+            waited_ms = millis(basis.waited), epoch = permit.epoch,
+            outcome = format!("{outcome:?}");
             "start ordered"
         );
         self.schedule.tell(FleetEvent::StartAnswered { worker, task, run, outcome }).await;
@@ -115,3 +118,7 @@
         self.schedule.tell(event).await;
     }
 }
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/instance/src/progress_writer.rs
+++ b/crates/instance/src/progress_writer.rs
@@ -4,12 +4,12 @@
 //! of jobs. Every batch requires that this process still holds the leadership, so that a write that
 //! is carried out late can't undo what a later scheduler wrote.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use lacewingrail_fleet::record::WorkerRoster;
 use lacewingrail_fleet::{FleetEvent, JobKey, JobProgress};
-use lacewingrail_model::WorkerId;
 use lacewingrail_model::store::{
     BatchStore, KeyExpectation, KeyWrite, Revision, StoreBatch, StoreError,
 };
@@ -31,7 +31,7 @@
     /// Progress of a job.
     Job(JobKey, JobProgress),
     /// Workers that may hold runs.
-    Roster(BTreeSet<WorkerId>),
+    Roster(WorkerRoster),
 }
 
 /// Takes what is to be written.
@@ -82,7 +82,7 @@
     async fn write(
         &self,
         batch: &[(JobKey, JobProgress)],
-        roster: Option<&BTreeSet<WorkerId>>,
+        roster: Option<&WorkerRoster>,
     ) -> Result<Revision, StoreError> {
         let mut writes = Vec::with_capacity(batch.len() + 1);
         for (job, progress) in batch {
@@ -106,7 +106,7 @@
 #[derive(Default)]
 struct ProgressBacklog {
     jobs: BTreeMap<JobKey, JobProgress>,
-    roster: Option<BTreeSet<WorkerId>>,
+    roster: Option<WorkerRoster>,
 }
 
 impl ProgressBacklog {
@@ -129,7 +129,7 @@
     }
 
     /// Removes what was written unless something newer came meanwhile.
-    fn remove(&mut self, batch: &[(JobKey, JobProgress)], roster: Option<&BTreeSet<WorkerId>>) {
+    fn remove(&mut self, batch: &[(JobKey, JobProgress)], roster: Option<&WorkerRoster>) {
         for (job, written) in batch {
             if self.jobs.get(job).is_some_and(|newest| newest.sequence == written.sequence) {
                 self.jobs.remove(job);
--- a/crates/instance/src/schedule_controller.rs
+++ b/crates/instance/src/schedule_controller.rs
@@ -10,7 +10,9 @@
 use kameo::message::{Context, Message};
 use lacewingrail_fleet::admission::AdmissionRefusal;
 use lacewingrail_fleet::job::JobEntry;
-use lacewingrail_fleet::{FleetEvent, FleetOrder, FleetPlanner, JobKey, JobPhase, JobSubmission};
+use lacewingrail_fleet::{
+    FleetEvent, FleetOrder, FleetPlanner, JobKey, JobPhase, JobSubmission, PlannerNote,
+};
 use lacewingrail_model::Epoch;
 use lacewingrail_model::message::JobStanding;
 
@@ -119,6 +121,8 @@
             let runs: usize = self.planner.workers().map(|worker| worker.runs.len()).sum();
             log::info!(epoch = executor.permit.borrow().epoch, workers = workers, runs = runs; "workers heard");
         }
+        let epoch = executor.permit.borrow().epoch;
+        self.planner.take_notes().into_iter().for_each(|note| log_note(epoch, note));
         let mut step_down = false;
         for order in orders {
             step_down |= matches!(order, FleetOrder::StepDown);
@@ -235,3 +239,26 @@
         _ => JobStanding::Queued,
     }
 }
+
+fn log_note(epoch: Epoch, note: PlannerNote) {
+    match note {
+        PlannerNote::JobEnded { job, queue, phase, age, objective } => log::info!(
+            epoch = epoch, job = format!("{job:016x}"), queue = queue, phase = format!("{phase:?}"),
+            age_ms = age.as_millis() as u64, objective_ms = objective.as_millis() as u64;
+            "job ended"
+        ),
+        PlannerNote::Reclaimed { job, waited, borrowers, loss } => log::info!(
+            epoch = epoch, job = format!("{job:016x}"), waited_ms = waited.as_millis() as u64,
+            borrowers = format!("{borrowers:016x?}"), lost_core_seconds = loss.round() as u64;
+            "borrowers stopped"
+        ),
+        PlannerNote::WorkerSetAside { worker, failures } => log::info!(
+            epoch = epoch, worker = worker, failures = failures;
+            "worker set aside"
+        ),
+        PlannerNote::LeaseLapsed { worker, runs } => log::info!(
+            epoch = epoch, worker = worker, runs = runs;
+            "lease lapsed"
+        ),
+    }
+}
