Let urgent work wait a moment before it throws away much work of others

Change: above 600 core-seconds an urgent step first waits up to 0.9 s beside workers that are kept free for it, then takes what loses the least, or free workers too slow to be on time where speed would cost over 900 more.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -12,6 +12,7 @@
 mod ends;
 mod lease;
 mod upkeep;
+mod urgent;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
--- a/crates/fleet/src/planner/dispatch.rs
+++ b/crates/fleet/src/planner/dispatch.rs
@@ -4,37 +4,23 @@
 
 use lacewingrail_model::WorkerId;
 
-use super::{FleetPlanner, PlannerNote, Reservation};
+use super::{FleetPlanner, Reservation};
 use crate::job::{JobEntry, TaskPhase};
 use crate::order::{FleetOrder, StartBasis, StartOrder, TaskRun};
 use crate::placement::{PlaceBoard, PlaceReach, PlaceRequest, SlotIndex, StepKey, step_key};
-use crate::queue::{URGENT, WorkItem, objective, rank_work, step_work};
-use crate::reclaim::{BorrowerPart, BorrowerUnit, plan_reclaim};
+use crate::queue::{URGENT, WorkItem, rank_work};
 use crate::spec::{RunNumber, StepSpec, TaskKey};
 use crate::worker::{RunEntry, RunPhase};
 
 /// Time after which workers reserved for urgent work are chosen anew: borrowers that were stopped
 /// are gone long before.
 const RESERVATION_LIMIT: Duration = Duration::from_millis(1200);
-/// Time from a decision until a task works: the order, the worker and its first progress.
-const START_TIME: Duration = Duration::from_millis(60);
-/// Margin on the speed that urgent work needs, for errors of the estimates.
-const SPEED_MARGIN: f64 = 1.1;
-/// Speed above which no worker is expected; work that needs it is late anyway.
-const BEST_SPEED: f64 = 2.0;
-/// Time for which urgent work waits for room in its rack; half of the time within which guaranteed
-/// accelerators have to be reclaimed.
-const RACK_WAIT: Duration = Duration::from_millis(1400);
 /// Time after which a gang that needs no common rack spreads over failure domains.
 const SPREAD_WAIT: Duration = Duration::from_millis(500);
 /// Time after which work runs away from its rack while the fleet is idle.
 const SPILL_WAIT: Duration = Duration::from_millis(1000);
 /// Idle share of the fleet's accelerators above which work runs away from its rack.
 const SPILL_IDLE_SHARE: f64 = 0.5;
-/// Work that a stop costs a run that checkpoints, in seconds.
-const RESTORE_COST: f64 = 0.8;
-/// Smallest loss of a stop in core-seconds, so that fewer stops are preferred.
-const LEAST_LOSS: f64 = 1.0;
 
 impl FleetPlanner {
     pub(super) fn dispatch(&mut self, now: Duration) {
@@ -139,50 +125,13 @@
         }
     }
 
-    /// Makes room for urgent tasks, on workers that are fast enough if there are any.
-    fn make_room(
+    /// Starts tasks, or reserves their workers while the job's first start is announced.
+    pub(super) fn start_or_announce(
         &mut self,
-        board: &mut PlaceBoard,
-        request: PlaceRequest<'_>,
-        reach: PlaceReach,
-        tasks: &[u32],
+        key: StepKey,
+        tasks: Vec<(TaskKey, WorkerId)>,
         now: Duration,
     ) {
-        if self.reclaim(board, &request, reach, tasks, now) || request.least_speed == 0.0 {
-            return;
-        }
-        let request = PlaceRequest { least_speed: 0.0, ..request };
-        let reach = board.preferred_reach(&request);
-        let placed = place_step(board, &request, reach);
-        if placed.is_empty() {
-            self.reclaim(board, &request, reach, tasks, now);
-            return;
-        }
-        let (job, occurrence, step) = request.key;
-        let place = |(index, slot): (&u32, &SlotIndex)| {
-            let task = TaskKey { job, occurrence, step, index: *index };
-            (task, board.slots[*slot].id.clone())
-        };
-        let tasks = tasks.iter().zip(&placed).map(place).collect();
-        self.start_or_announce(request.key, tasks, now);
-    }
-
-    /// Returns the speed that urgent work needs to be on time; 0 if it can't be any more.
-    fn needed_speed(&self, key: StepKey, now: Duration) -> f64 {
-        let Some(job) = self.jobs.get(&key.0) else {
-            return 0.0;
-        };
-        let Some(policy) = self.config.queues.get(&job.submission.queue) else {
-            return 0.0;
-        };
-        let left = (job.accepted + objective(job, policy)).saturating_sub(now + START_TIME);
-        let path = job.submission.spec.critical_path().as_secs_f64();
-        let needed = path / left.as_secs_f64().max(f64::MIN_POSITIVE) * SPEED_MARGIN;
-        if needed > BEST_SPEED { 0.0 } else { needed }
-    }
-
-    /// Starts tasks, or reserves their workers while the job's first start is announced.
-    fn start_or_announce(&mut self, key: StepKey, tasks: Vec<(TaskKey, WorkerId)>, now: Duration) {
         if tasks.is_empty() {
             return;
         }
@@ -199,7 +148,7 @@
     }
 
     /// Notes that a step waits for workers and returns for how long it has.
-    fn note_waiting(&mut self, key: StepKey, now: Duration) -> Duration {
+    pub(super) fn note_waiting(&mut self, key: StepKey, now: Duration) -> Duration {
         let step = self.jobs.get_mut(&key.0).and_then(|job| job.step_mut(key.1, key.2));
         step.map_or(Duration::ZERO, |step| {
             now.saturating_sub(*step.waiting_since.get_or_insert(now))
@@ -210,96 +159,6 @@
         self.jobs.get(&job).is_some_and(|job| job.announced.is_some())
     }
 
-    /// Stops borrowers and reserves their room for urgent tasks.
-    fn reclaim(
-        &mut self,
-        board: &mut PlaceBoard,
-        request: &PlaceRequest<'_>,
-        reach: PlaceReach,
-        tasks: &[u32],
-        now: Duration,
-    ) -> bool {
-        let units = self.borrowers(board);
-        // Away from its rack the work would be late, so it rather waits for a moment.
-        let waited = self.note_waiting(request.key, now);
-        let spread =
-            request.least_speed == 0.0 && (reach != PlaceReach::Rack || waited > RACK_WAIT);
-        let wide = if spread { PlaceReach::Region } else { reach };
-        let plan =
-            [reach, wide].iter().find_map(|reach| plan_reclaim(board, request, *reach, &units));
-        let Some(plan) = plan else {
-            return false;
-        };
-        if let Some(job) = self.jobs.get_mut(&request.key.0) {
-            job.announce();
-        }
-        if !plan.stopped.is_empty() {
-            self.notes.push(PlannerNote::Reclaimed {
-                job: request.key.0,
-                waited,
-                borrowers: plan.stopped.iter().map(|index| units[*index].key.0).collect(),
-                loss: plan.loss,
-            });
-        }
-        for index in &plan.stopped {
-            let unit = &units[*index];
-            self.counts.preemptions += 1;
-            for part in &unit.parts {
-                let worker = board.slots[part.slot].id.clone();
-                self.order_stop(&worker, part.task, part.run, now);
-            }
-        }
-        let mut places = Vec::new();
-        for (task, slot) in tasks.iter().zip(&plan.places) {
-            board.take(*slot, request.key, &request.spec.demand);
-            places.push((*task, board.slots[*slot].id.clone()));
-        }
-        self.reservations.push(Reservation { key: request.key, places, since: now });
-        true
-    }
-
-    /// Returns what may be stopped for urgent work.
-    fn borrowers(&self, board: &PlaceBoard) -> Vec<BorrowerUnit> {
-        let mut units: Vec<BorrowerUnit> = Vec::new();
-        let mut gangs = std::collections::BTreeMap::new();
-        for (id, worker) in &self.workers {
-            let Some(slot) = board.index(id) else {
-                continue;
-            };
-            for ((task, run), entry) in &worker.runs {
-                let stopping = matches!(entry.phase, RunPhase::Stopping { .. });
-                if stopping || self.priority_of(*task) == Some(URGENT) {
-                    continue;
-                }
-                let Some(spec) = self.spec_of(step_key(*task)) else {
-                    continue;
-                };
-                let part = BorrowerPart { slot, task: *task, run: *run, demand: entry.demand };
-                let loss = stop_loss(&spec, entry);
-                let position = if spec.gang {
-                    *gangs.entry(step_key(*task)).or_insert(units.len())
-                } else {
-                    units.len()
-                };
-                match units.get_mut(position) {
-                    Some(unit) => {
-                        unit.loss += loss;
-                        unit.parts.push(part);
-                    }
-                    None => {
-                        let key = step_key(*task);
-                        units.push(BorrowerUnit {
-                            loss: loss + LEAST_LOSS,
-                            key,
-                            parts: vec![part],
-                        });
-                    }
-                }
-            }
-        }
-        units
-    }
-
     fn start_tasks(&mut self, tasks: Vec<(TaskKey, WorkerId)>, now: Duration) {
         let Some((first, _)) = tasks.first() else {
             return;
@@ -378,7 +237,7 @@
         self.orders.push(FleetOrder::Start(order));
     }
 
-    fn spec_of(&self, key: StepKey) -> Option<StepSpec> {
+    pub(super) fn spec_of(&self, key: StepKey) -> Option<StepSpec> {
         self.jobs.get(&key.0)?.step_spec(key.2).cloned()
     }
 
@@ -386,7 +245,7 @@
         Some(self.config.queues.get(&job.submission.queue)?.service.clone())
     }
 
-    fn priority_of(&self, task: TaskKey) -> Option<u32> {
+    pub(super) fn priority_of(&self, task: TaskKey) -> Option<u32> {
         let queue = &self.jobs.get(&task.job)?.submission.queue;
         Some(self.config.queues.get(queue)?.priority)
     }
@@ -416,7 +275,7 @@
 }
 
 /// Places what fits of a step, of a gang all or nothing, and takes the room.
-fn place_step(
+pub(super) fn place_step(
     board: &mut PlaceBoard,
     request: &PlaceRequest<'_>,
     reach: PlaceReach,
@@ -459,13 +318,3 @@
     }
     placed
 }
-
-/// Returns the work that a stop loses, in core-seconds.
-fn stop_loss(spec: &StepSpec, entry: &RunEntry) -> f64 {
-    let whole = step_work(spec, 1);
-    if spec.checkpoints {
-        whole * (RESTORE_COST / spec.estimate.as_secs_f64().max(RESTORE_COST))
-    } else {
-        whole * f64::from(entry.percent) / 100.0
-    }
-}
--- /dev/null
+++ b/crates/fleet/src/planner/urgent.rs
@@ -0,0 +1,204 @@
+//! Room for urgent work when the fleet is full.
+//!
+//! Urgent work is best started at once on workers that are fast enough for its objective. Where that
+//! would throw away more work of others than a late start costs its customer, it first waits a moment
+//! beside workers that are kept free for it, and then takes what loses the least.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::dispatch::place_step;
+use super::{FleetPlanner, PlannerNote, Reservation};
+use crate::placement::{PlaceBoard, PlaceReach, PlaceRequest, SlotIndex, StepKey, step_key};
+use crate::queue::{URGENT, objective, step_work};
+use crate::reclaim::{BorrowerPart, BorrowerUnit, ReclaimPlan, plan_reclaim};
+use crate::spec::{StepSpec, TaskKey};
+use crate::worker::{RunEntry, RunPhase};
+
+/// Time for which urgent work waits for room in its rack; half of the time within which guaranteed
+/// accelerators have to be reclaimed.
+const RACK_WAIT: Duration = Duration::from_millis(1400);
+/// Time from a decision until a task works: the order, the worker and its first progress.
+const START_TIME: Duration = Duration::from_millis(60);
+/// Margin on the speed that urgent work needs, for errors of the estimates.
+const SPEED_MARGIN: f64 = 1.1;
+/// Speed above which no worker is expected; work that needs it is late anyway.
+const BEST_SPEED: f64 = 2.0;
+/// Work that a stop costs a run that checkpoints, in seconds.
+const RESTORE_COST: f64 = 0.3;
+/// Smallest loss of a stop in core-seconds, so that fewer stops are preferred.
+const LEAST_LOSS: f64 = 1.0;
+/// Work of others that may be thrown away for an urgent step at once, in core-seconds.
+const LOSS_AT_ONCE: f64 = 600.0;
+/// Time for which an urgent step waits for cheaper room: a third of the time within which guaranteed
+/// accelerators have to be reclaimed.
+const CHEAPER_WAIT: Duration = Duration::from_millis(900);
+/// Work of others that is thrown away rather than an urgent step started too slow to be on time.
+const LOSS_FOR_SPEED: f64 = 900.0;
+
+impl FleetPlanner {
+    /// Makes room for urgent tasks that did not fit.
+    pub(super) fn make_room(
+        &mut self,
+        board: &mut PlaceBoard,
+        request: PlaceRequest<'_>,
+        reach: PlaceReach,
+        tasks: &[u32],
+        now: Duration,
+    ) {
+        let units = self.borrowers(board);
+        let waited = self.note_waiting(request.key, now);
+        let fast = if request.least_speed > 0.0 {
+            plan_reclaim(board, &request, reach, &units)
+        } else {
+            None
+        };
+        if let Some(plan) = &fast {
+            if plan.loss <= LOSS_AT_ONCE {
+                self.carry_out(board, &request, plan, &units, tasks, now);
+                return;
+            }
+            if waited < CHEAPER_WAIT {
+                plan.places.iter().for_each(|slot| board.slots[*slot].open = false);
+                return;
+            }
+        }
+        let any = PlaceRequest { least_speed: 0.0, ..request };
+        if self.place_slow(board, &any, tasks, now) {
+            return;
+        }
+        // Away from its rack the work would be late, so it rather waits for a moment.
+        let reach = board.preferred_reach(&any);
+        let wide = reach != PlaceReach::Rack || waited > RACK_WAIT;
+        let reaches = if wide { [reach, PlaceReach::Region] } else { [reach, reach] };
+        let slow = reaches.iter().find_map(|reach| plan_reclaim(board, &any, *reach, &units));
+        let loss = |plan: &Option<ReclaimPlan>| plan.as_ref().map_or(f64::MAX, |plan| plan.loss);
+        let best = if loss(&fast) <= loss(&slow) + LOSS_FOR_SPEED { &fast } else { &slow };
+        if let Some(plan) = best.as_ref().or(slow.as_ref()) {
+            self.carry_out(board, &any, plan, &units, tasks, now);
+        }
+    }
+
+    /// Starts urgent tasks on free workers of any speed.
+    fn place_slow(
+        &mut self,
+        board: &mut PlaceBoard,
+        request: &PlaceRequest<'_>,
+        tasks: &[u32],
+        now: Duration,
+    ) -> bool {
+        let reach = board.preferred_reach(request);
+        let placed = place_step(board, request, reach);
+        let (job, occurrence, step) = request.key;
+        let place = |(index, slot): (&u32, &SlotIndex)| {
+            let task = TaskKey { job, occurrence, step, index: *index };
+            (task, board.slots[*slot].id.clone())
+        };
+        let places = tasks.iter().zip(&placed).map(place).collect();
+        self.start_or_announce(request.key, places, now);
+        !placed.is_empty()
+    }
+
+    /// Stops borrowers and reserves their room for urgent tasks.
+    fn carry_out(
+        &mut self,
+        board: &mut PlaceBoard,
+        request: &PlaceRequest<'_>,
+        plan: &ReclaimPlan,
+        units: &[BorrowerUnit],
+        tasks: &[u32],
+        now: Duration,
+    ) {
+        let waited = self.note_waiting(request.key, now);
+        if let Some(job) = self.jobs.get_mut(&request.key.0) {
+            job.announce();
+        }
+        if !plan.stopped.is_empty() {
+            self.notes.push(PlannerNote::Reclaimed {
+                job: request.key.0,
+                waited,
+                borrowers: plan.stopped.iter().map(|index| units[*index].key.0).collect(),
+                loss: plan.loss,
+            });
+        }
+        for index in &plan.stopped {
+            self.counts.preemptions += 1;
+            for part in &units[*index].parts {
+                let worker = board.slots[part.slot].id.clone();
+                self.order_stop(&worker, part.task, part.run, now);
+            }
+        }
+        let mut places = Vec::new();
+        for (task, slot) in tasks.iter().zip(&plan.places) {
+            board.take(*slot, request.key, &request.spec.demand);
+            places.push((*task, board.slots[*slot].id.clone()));
+        }
+        self.reservations.push(Reservation { key: request.key, places, since: now });
+    }
+
+    /// Returns the speed that urgent work needs to be on time; 0 if it can't be any more.
+    pub(super) fn needed_speed(&self, key: StepKey, now: Duration) -> f64 {
+        let Some(job) = self.jobs.get(&key.0) else {
+            return 0.0;
+        };
+        let Some(policy) = self.config.queues.get(&job.submission.queue) else {
+            return 0.0;
+        };
+        let left = (job.accepted + objective(job, policy)).saturating_sub(now + START_TIME);
+        let path = job.submission.spec.critical_path().as_secs_f64();
+        let needed = path / left.as_secs_f64().max(f64::MIN_POSITIVE) * SPEED_MARGIN;
+        if needed > BEST_SPEED { 0.0 } else { needed }
+    }
+
+    /// Returns what may be stopped for urgent work.
+    fn borrowers(&self, board: &PlaceBoard) -> Vec<BorrowerUnit> {
+        let mut units: Vec<BorrowerUnit> = Vec::new();
+        let mut gangs = BTreeMap::new();
+        for (id, worker) in &self.workers {
+            let Some(slot) = board.index(id) else {
+                continue;
+            };
+            for ((task, run), entry) in &worker.runs {
+                let stopping = matches!(entry.phase, RunPhase::Stopping { .. });
+                if stopping || self.priority_of(*task) == Some(URGENT) {
+                    continue;
+                }
+                let Some(spec) = self.spec_of(step_key(*task)) else {
+                    continue;
+                };
+                let part = BorrowerPart { slot, task: *task, run: *run, demand: entry.demand };
+                let loss = stop_loss(&spec, entry);
+                let position = if spec.gang {
+                    *gangs.entry(step_key(*task)).or_insert(units.len())
+                } else {
+                    units.len()
+                };
+                match units.get_mut(position) {
+                    Some(unit) => {
+                        unit.loss += loss;
+                        unit.parts.push(part);
+                    }
+                    None => {
+                        let key = step_key(*task);
+                        units.push(BorrowerUnit {
+                            loss: loss + LEAST_LOSS,
+                            key,
+                            parts: vec![part],
+                        });
+                    }
+                }
+            }
+        }
+        units
+    }
+}
+
+/// Returns the work that a stop loses, in core-seconds.
+fn stop_loss(spec: &StepSpec, entry: &RunEntry) -> f64 {
+    let whole = step_work(spec, 1);
+    if spec.checkpoints {
+        whole * (RESTORE_COST / spec.estimate.as_secs_f64().max(RESTORE_COST))
+    } else {
+        whole * f64::from(entry.percent) / 100.0
+    }
+}
