Refuse at once while the store is out of reach; move stalled runs

Change: every process notes whether its calls to the store only fail, and then refuses with a time to come back; a write without an answer is repeated, which tells whether it took effect. A run without progress is stopped and its worker set aside. Leftover runs are stopped only when they outlive their gang.

--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -73,6 +73,8 @@
     pub gang_failures: u32,
     /// Run of the gang whose failure was counted last.
     pub failed_run: RunNumber,
+    /// When the newest task was done.
+    pub done_since: Option<Duration>,
     /// Estimated work of a task.
     pub pace: StepPace,
     /// Since when the step has waited for workers.
@@ -247,6 +249,7 @@
             done: 0,
             gang_failures: 0,
             failed_run: 0,
+            done_since: None,
             pace: StepPace::default(),
             waiting_since: None,
         }
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -324,6 +324,10 @@
             JobPhase::Active | JobPhase::Cancelled => {}
         }
         self.reservations.retain(|reservation| reservation.key.0 != job);
+        if phase == JobPhase::Completed {
+            // The members of a gang end together; what is still there later is stopped then.
+            return;
+        }
         let runs = self.runs_of(|task| task.job == job);
         for (worker, task, run) in runs {
             self.order_stop(&worker, task, run, now);
--- a/crates/fleet/src/planner/ends.rs
+++ b/crates/fleet/src/planner/ends.rs
@@ -8,7 +8,7 @@
 
 use super::FleetPlanner;
 use crate::event::{EndReason, EndedRun};
-use crate::job::{JobPhase, TaskPhase};
+use crate::job::JobPhase;
 use crate::spec::TaskKey;
 
 impl FleetPlanner {
@@ -60,7 +60,7 @@
             entry.last_run = entry.last_run.max(run);
         }
         if reason == EndReason::Done && !continuous {
-            self.finish_tasks(task, gang);
+            self.finish_tasks(task, gang, now);
             self.settle_job(task, now);
             return;
         }
@@ -70,7 +70,7 @@
         }
     }
 
-    fn finish_tasks(&mut self, task: TaskKey, gang: bool) {
+    fn finish_tasks(&mut self, task: TaskKey, gang: bool, now: Duration) {
         let step =
             self.jobs.get_mut(&task.job).and_then(|job| job.step_mut(task.occurrence, task.step));
         let Some(step) = step else {
@@ -79,6 +79,7 @@
         // The members of a gang are done together, so one such end stands for all.
         let last = if gang { step.tasks.len() as u32 } else { task.index + 1 };
         let first = if gang { 0 } else { task.index };
+        step.done_since = Some(now);
         (first..last).for_each(|index| step.finish(index));
     }
 
@@ -87,18 +88,6 @@
         if done {
             self.end_job(task.job, JobPhase::Completed, now);
         }
-        // Another run of a task that is done, such as one carried out late, is of no use.
-        let leftover = |other: &TaskKey| {
-            other == &task
-                && self
-                    .jobs
-                    .get(&task.job)
-                    .and_then(|job| job.task(task))
-                    .is_some_and(|entry| entry.phase == TaskPhase::Done)
-        };
-        for (worker, task, run) in self.runs_of(leftover) {
-            self.order_stop(&worker, task, run, now);
-        }
     }
 
     fn count_failure(&mut self, task: TaskKey, run: u32, gang: bool, now: Duration) {
--- a/crates/fleet/src/planner/upkeep.rs
+++ b/crates/fleet/src/planner/upkeep.rs
@@ -10,7 +10,7 @@
 use crate::placement::{StepKey, step_key};
 use crate::record::WorkerDigest;
 use crate::spec::TaskKey;
-use crate::worker::{RunPhase, STOP_RETRY, WorkerEntry};
+use crate::worker::{RunEntry, RunPhase, STOP_RETRY, WorkerEntry};
 
 /// Share of the lease after which a renewal is sent although ends wait to be stored.
 const RENEW_SHARE: u32 = 4;
@@ -20,6 +20,10 @@
 const SILENT_RETRY: Duration = Duration::from_millis(300);
 /// Time for which the ends of the other members of a gang are awaited before they are stopped.
 const GANG_END_WAIT: Duration = Duration::from_millis(700);
+/// Time without progress, beside a share of the run time, after which a run has stalled: two reports.
+const STALL_TIME: Duration = Duration::from_millis(2200);
+/// Share of the declared run time that a slow worker far from the data needs for a percent point.
+const STALL_SHARE: f64 = 0.06;
 /// Factor on the lease after which nothing of an earlier scheduler runs any more: the slowest clock
 /// and a renewal that was under way.
 const FORMER_LEASE_FACTOR: f64 = 1.05;
@@ -31,6 +35,8 @@
         self.check_recovery(now);
         if self.recovered {
             self.stop_broken_gangs(now);
+            self.stop_leftovers(now);
+            self.stop_stalled(now);
         }
         self.add_due_occurrences(now);
         self.forget_ended(now);
@@ -127,6 +133,66 @@
         }
     }
 
+    /// Stops runs that make no progress, so that they start again on another worker.
+    fn stop_stalled(&mut self, now: Duration) {
+        let mut stalled = Vec::new();
+        for (id, worker) in &self.workers {
+            for ((task, run), entry) in &worker.runs {
+                if self.is_stalled(*task, entry, now) && worker.report_age(now) < STALL_TIME {
+                    stalled.push((id.clone(), *task, *run));
+                }
+            }
+        }
+        for (worker, task, run) in stalled {
+            if let Some(entry) = self.workers.get_mut(&worker) {
+                let failures = entry.note_failure(now);
+                let worker = worker.clone();
+                self.notes.push(PlannerNote::WorkerSetAside { worker, failures });
+            }
+            self.order_stop(&worker, task, run, now);
+            self.stop_gang_rest(task, now);
+        }
+    }
+
+    /// Returns whether a run should have progressed: its whole percent points take far less time.
+    fn is_stalled(&self, task: TaskKey, run: &RunEntry, now: Duration) -> bool {
+        let spec = self.jobs.get(&task.job).and_then(|job| job.step_spec(task.step));
+        let Some(spec) = spec.filter(|spec| !spec.continuous) else {
+            return false;
+        };
+        let patience = STALL_TIME + spec.estimate.mul_f64(STALL_SHARE);
+        run.phase == RunPhase::Running
+            && run.percent < 100
+            && now.saturating_sub(run.progressed) > patience
+    }
+
+    /// Stops runs of tasks that are done, such as one carried out late.
+    fn stop_leftovers(&mut self, now: Duration) {
+        let done = |task: &TaskKey| {
+            let entry = self.jobs.get(&task.job).and_then(|job| job.task(*task));
+            entry.is_some_and(|entry| entry.phase == TaskPhase::Done)
+        };
+        let mut leftovers = Vec::new();
+        for (id, worker) in &self.workers {
+            let old = worker.runs.iter().filter(|((task, _), run)| {
+                let reported =
+                    run.confirmed.is_some_and(|at| now.saturating_sub(at) >= GANG_END_WAIT);
+                reported && worker.report_age(now) < GANG_END_WAIT && done(task)
+            });
+            leftovers.extend(old.map(|((task, run), _)| (id.clone(), *task, *run)));
+        }
+        let overdue = |task: &TaskKey| {
+            let step = self.jobs.get(&task.job).and_then(|job| job.occurrence(task.occurrence));
+            let step = step.and_then(|entry| entry.steps.get(task.step as usize));
+            step.and_then(|step| step.done_since)
+                .is_none_or(|at| now.saturating_sub(at) >= GANG_END_WAIT)
+        };
+        leftovers.retain(|(_, task, _)| overdue(task));
+        for (worker, task, run) in leftovers {
+            self.order_stop(&worker, task, run, now);
+        }
+    }
+
     fn stop_overdue_members(&mut self, task: TaskKey, now: Duration) {
         let key = step_key(task);
         let since = self.broken_since.entry(key).or_insert(now);
--- /dev/null
+++ b/crates/fleet/tests/decisions/main.rs
@@ -0,0 +1,6 @@
+//! Decisions of the planner, driven event by event.
+
+mod planner;
+mod reclaim;
+mod scene;
+mod speed;
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/decisions/planner.rs
@@ -1,12 +1,9 @@
 //! Decisions of the planner, event by event.
 
-#[path = "support/scene.rs"]
-mod scene;
-
 use std::time::Duration;
 
+use crate::scene::{Scene, listing, step, submission};
 use lacewingrail_fleet::{EndReason, FleetEvent, JobPhase};
-use scene::{Scene, listing, step, submission};
 
 fn two_racks() -> Vec<lacewingrail_fleet::WorkerListing> {
     let worker = |index: usize| {
@@ -204,3 +201,18 @@
     scene.settle();
     assert!(scene.starts.is_empty());
 }
+
+/// A task that stands still on its worker must start again elsewhere (workers that leave tasks
+/// standing while they answer).
+#[test]
+fn stalled_task_moves_to_another_worker() {
+    let mut scene = Scene::new(1, two_racks());
+    scene.accept(submission(1, "normal", vec![step(1, 8)]));
+    let worker = scene.starts[0].target.worker.clone();
+    scene.workers.get_mut(&worker).unwrap().speed = 0.0;
+    scene.pass(Duration::from_millis(2000));
+    assert_eq!(scene.starts.len(), 1);
+    scene.pass(Duration::from_millis(1500));
+    assert_eq!(scene.starts.len(), 2);
+    assert_ne!(scene.starts[1].target.worker, worker);
+}
--- a/crates/fleet/tests/reclaim.rs
+++ b/crates/fleet/tests/decisions/reclaim.rs
@@ -1,12 +1,9 @@
 //! What urgent work may displace, and when.
 
-#[path = "support/scene.rs"]
-mod scene;
-
 use std::time::Duration;
 
+use crate::scene::{Scene, listing, step, submission};
 use lacewingrail_fleet::{EndReason, StepSpec};
-use scene::{Scene, listing, step, submission};
 
 /// Returns a full fleet of one rack whose only borrower is a large gang without checkpoints that is
 /// half done.
--- a/crates/fleet/tests/support/scene.rs
+++ b/crates/fleet/tests/decisions/scene.rs
@@ -180,12 +180,15 @@
     pub fn settle(&mut self) {
         let listings = self.listings.clone();
         self.tell(FleetEvent::WorkersListed(listings));
+        let mut quiet = 0;
         for _ in 0..20 {
             let orders = self.planner.plan(self.now);
-            let quiet = orders.iter().all(|order| matches!(order, FleetOrder::Renew(_)));
+            let acts = orders.iter().any(|order| !matches!(order, FleetOrder::Renew(_)));
             orders.into_iter().for_each(|order| self.execute(order));
             self.now += Duration::from_millis(2);
-            if quiet {
+            // What a renewal reports shows in the next pass only.
+            quiet = if acts { 0 } else { quiet + 1 };
+            if quiet > 1 {
                 break;
             }
         }
--- a/crates/fleet/tests/speed.rs
+++ b/crates/fleet/tests/decisions/speed.rs
@@ -1,13 +1,10 @@
 //! Workers of unequal speed.
 
-#[path = "support/scene.rs"]
-mod scene;
-
 use std::time::Duration;
 
+use crate::scene::{Scene, listing, step, submission};
 use lacewingrail_fleet::speed::{ProgressMark, StepPace, WorkerSpeed, note_progress};
 use lacewingrail_fleet::{EndReason, StepSpec};
-use scene::{Scene, listing, step, submission};
 
 const SLOW: f64 = 0.6;
 const FAST: f64 = 1.6;
--- a/crates/instance/src/front.rs
+++ b/crates/instance/src/front.rs
@@ -28,7 +28,9 @@
 /// Time for an answer of the active scheduler; a fraction of what clients wait.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(900);
 /// Retry time when the key-value service can't be reached: about the time of a change of leadership.
-const OUTAGE_RETRY: Duration = Duration::from_millis(1500);
+const OUTAGE_RETRY: Duration = Duration::from_millis(1000);
+/// Repetitions of a write whose answer was lost.
+const SUBMISSION_RETRIES: u32 = 3;
 /// Retry time of jobs that no worker could run; only a change of the fleet helps.
 const UNFIT_RETRY: Duration = Duration::from_secs(30);
 
@@ -259,26 +261,50 @@
     ) -> Result<StoredSubmission, ClientAnswer> {
         let value = serde_json::to_string(submission)
             .map_err(|error| ClientAnswer::Malformed(error.to_string()))?;
+        if self.context.health.is_out_of_reach() {
+            return Err(ClientAnswer::NotAccepted {
+                reason: "the key-value service is out of reach".to_owned(),
+                retry: OUTAGE_RETRY,
+            });
+        }
         let key = job_key(submission.key);
         let batch = StoreBatch {
             expected: vec![KeyExpectation { key: key.clone(), revision: 0 }],
             writes: vec![KeyWrite { key: key.clone(), value, lease: None }],
             deletes: Vec::new(),
         };
-        match self.context.store.commit(batch).await {
+        match self.context.store.commit(batch.clone()).await {
             Ok(_) => Ok(StoredSubmission::Created),
             Err(StoreError::Conflict { .. }) => Ok(StoredSubmission::Existed),
-            Err(StoreError::Unclear(_)) => match self.context.store.get(&key).await {
-                Ok(Some(_)) => Ok(StoredSubmission::Existed),
-                // The write may still be carried out late, so this is no refusal.
-                Ok(None) | Err(_) => Err(ClientAnswer::Unclear),
-            },
+            Err(StoreError::Unclear(_)) => self.confirm_submission(&key, batch).await,
             Err(error) => {
                 Err(ClientAnswer::NotAccepted { reason: error.to_string(), retry: OUTAGE_RETRY })
             }
         }
     }
 
+    /// Writes a submission again whose first write was not answered; the key tells whether it was
+    /// carried out. Without an answer the outcome stays open, since a write may be carried out late.
+    async fn confirm_submission(
+        &self,
+        key: &str,
+        batch: StoreBatch,
+    ) -> Result<StoredSubmission, ClientAnswer> {
+        for _ in 0..SUBMISSION_RETRIES {
+            if self.context.health.is_out_of_reach() {
+                break;
+            }
+            match self.context.store.commit(batch.clone()).await {
+                // The first write may be the one that took effect, and the job may have progress.
+                Ok(_) | Err(StoreError::Conflict { .. }) => return Ok(StoredSubmission::Existed),
+                Err(error) => {
+                    log::warn!(key = key, error = error.to_string(); "submission not confirmed");
+                }
+            }
+        }
+        Err(ClientAnswer::Unclear)
+    }
+
     async fn cancel(&self, job: JobKey) -> ClientAnswer {
         let own = self.leadership.borrow().own.clone();
         if own.is_none() {
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -20,6 +20,7 @@
 mod leadership;
 mod progress_writer;
 mod schedule_controller;
+mod store_health;
 
 pub use border::{FleetDirectory, OperatorState, RenewError, WorkerService};
 pub use front::{CallHead, ClientAnswer, ClientOperation, JobFront};
--- a/crates/instance/src/process.rs
+++ b/crates/instance/src/process.rs
@@ -16,6 +16,7 @@
 use crate::leadership::{LeadershipController, LeadershipView, WATCH_WAIT};
 use crate::metrics::InstanceMetrics;
 use crate::peer::FrontHandler;
+use crate::store_health::WatchedStore;
 
 /// Pause after a failed reading of the operators' settings.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
@@ -43,6 +44,8 @@
     pub settings: InstanceSettings,
     /// Key-value service.
     pub store: Arc<dyn BatchStore>,
+    /// Whether the key-value service answers.
+    pub health: Arc<WatchedStore>,
     /// Workers.
     pub workers: Arc<dyn WorkerService>,
     /// What operators and workers have written.
@@ -82,9 +85,11 @@
         timer: TimerService,
     ) -> Result<Self, WireError> {
         let (operator_sender, operators) = watch::channel(OperatorState::default());
+        let health = Arc::new(WatchedStore::new(store));
         let context = Arc::new(InstanceContext {
             settings,
-            store,
+            store: health.clone(),
+            health,
             workers,
             directory,
             timer,
