--- a/crates/instance/src/leadership.rs
+++ b/crates/instance/src/leadership.rs
@@ -41,6 +41,10 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Longest random pause before a candidacy, so that candidates do not collide.
 const CANDIDACY_SPREAD_MS: u64 = 40;
+/// Share of a core with which an instance schedules a region of today's size at ease.
+const AMPLE_SHARE: f64 = 0.25;
+/// Time for which an instance without any processor would leave the leadership to others.
+const WEAK_DELAY: Duration = Duration::from_millis(600);
 /// Time for which the end of a job is kept in memory beyond the time clients may ask for it.
 const KEEP_MARGIN: Duration = Duration::from_secs(10);
 
@@ -99,8 +103,7 @@
                 }
             }
             if self.holder.is_none() && !self.context.is_draining() {
-                let spread = rand::random::<u64>() % CANDIDACY_SPREAD_MS;
-                self.context.timer.wait(Duration::from_millis(spread)).await;
+                self.context.timer.wait(self.candidacy_delay()).await;
                 if let Some(held) = self.acquire().await {
                     self.lead(held).await;
                 }
@@ -111,6 +114,13 @@
         }
     }
 
+    /// Returns how long to leave the free leadership to others: longer on a weak instance.
+    fn candidacy_delay(&self) -> Duration {
+        let spread = Duration::from_millis(rand::random::<u64>() % CANDIDACY_SPREAD_MS);
+        let share = self.context.settings.processor_share.min(AMPLE_SHARE) / AMPLE_SHARE;
+        spread + WEAK_DELAY.mul_f64(1.0 - share.max(0.0))
+    }
+
     fn apply(&mut self, event: StoreEvent) {
         match (event.key.as_str(), event.value) {
             (HOLDER_KEY, None) => self.holder = None,
--- a/crates/instance/src/process.rs
+++ b/crates/instance/src/process.rs
@@ -30,6 +30,8 @@
     pub system: String,
     /// Address for peers.
     pub peer_address: SocketAddr,
+    /// Share of a core that the process may use.
+    pub processor_share: f64,
     /// Longest lease that a worker grants.
     pub worker_lease: Duration,
     /// Time for which a worker waits with an answer when it has no end to report.
