Test real instance processes against a stand-in of the users' platform

Cause: the adapter and the instance process were measured on the users' bench only; every test must run without it.

Change: crates/standins has a stand-in of the platform's store and workers; platform/tests starts real processes against it: whole path, killed and stopped schedulers, refusals, cancellations, wrong calls, and a seeded soak (kill, stop, pause, restart, store outages and lost answers, silent and crashing workers) that checks what clients and workers see.

--- a/crates/clients/src/memory_store.rs
+++ b/crates/clients/src/memory_store.rs
@@ -13,7 +13,7 @@
 
 use async_trait::async_trait;
 use lacewingrail_model::store::{
-    KeyValueService, LeaseId, Revision, StoreEntry, StoreError, WatchBatch,
+    BatchStore, KeyValueService, LeaseId, Revision, StoreBatch, StoreEntry, StoreError, WatchBatch,
 };
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -296,6 +296,14 @@
     }
 }
 
+#[async_trait]
+impl BatchStore for MemoryStore {
+    async fn commit(&self, batch: StoreBatch) -> Result<Revision, StoreError> {
+        let bytes = batch.writes.iter().map(|write| write.key.len() + write.value.len()).sum();
+        self.write(CallKind::Put, bytes, |state, _| state.commit(batch)).await
+    }
+}
+
 /// Counts a waiting watch while it exists.
 struct WaitingWatch<'a>(&'a MemoryStore);
 
--- a/crates/clients/src/memory_store/state.rs
+++ b/crates/clients/src/memory_store/state.rs
@@ -5,7 +5,8 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use lacewingrail_model::store::{
-    LeaseId, MAX_VALUE_BYTES, Revision, StoreEntry, StoreError, StoreEvent, WatchBatch,
+    KeyWrite, LeaseId, MAX_VALUE_BYTES, Revision, StoreBatch, StoreEntry, StoreError, StoreEvent,
+    WatchBatch,
 };
 
 /// Changes kept for watches.
@@ -97,6 +98,40 @@
         Ok(self.revision)
     }
 
+    /// Writes a batch under one revision, or nothing.
+    pub fn commit(&mut self, batch: StoreBatch) -> Result<Revision, StoreError> {
+        for row in &batch.expected {
+            self.expect(&row.key, row.revision)?;
+        }
+        for write in &batch.writes {
+            if write.value.len() > MAX_VALUE_BYTES {
+                return Err(StoreError::TooLarge { bytes: write.value.len() });
+            }
+            if write.lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+                return Err(StoreError::LeaseLapsed);
+            }
+        }
+        self.revision += 1;
+        for KeyWrite { key, value, lease } in batch.writes {
+            self.unbind(&key, lease);
+            if let Some(held) = lease.and_then(|id| self.leases.get_mut(&id)) {
+                held.keys.insert(key.clone());
+            }
+            let replaced = self.entries.get(&key).map_or(0, |held| held.value.len());
+            self.value_bytes = self.value_bytes - replaced + value.len();
+            self.record(&key, Some(value.clone()));
+            self.entries.insert(key, HeldValue { value, revision: self.revision, lease });
+        }
+        for key in batch.deletes {
+            self.unbind(&key, None);
+            if let Some(held) = self.entries.remove(&key) {
+                self.value_bytes -= held.value.len();
+                self.record(&key, None);
+            }
+        }
+        Ok(self.revision)
+    }
+
     pub fn delete(&mut self, key: &str, expected: Revision) -> Result<(), StoreError> {
         self.expect(key, expected)?;
         self.unbind(key, None);
--- /dev/null
+++ b/crates/standins/src/platform_server.rs
@@ -0,0 +1,119 @@
+//! Stand-in for the users' platform: its key-value store and its workers.
+//!
+//! It speaks the pages of the platform as far as instances use them, so that the adapter and the
+//! real processes are tested without the users' bench. Faults of the store are those of
+//! [`MemoryStore`]; each worker has switches of its own. Workers run no work: a task ends after the
+//! time that its text names.
+
+pub mod worker;
+
+mod store_routes;
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lacewingrail_clients::MemoryStore;
+use lacewingrail_model::store::{BatchStore, KeyWrite, StoreBatch};
+use serde_json::json;
+use tokio::task::JoinHandle;
+
+use crate::server::ServerHandle;
+use worker::{PlatformWorker, RunTrace};
+
+/// Time between reports of a worker about itself.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+
+/// Runs the stand-in; dropping it ends everything.
+pub struct PlatformServer {
+    store: MemoryStore,
+    server: ServerHandle,
+    workers: BTreeMap<String, Arc<PlatformWorker>>,
+    beats: JoinHandle<()>,
+}
+
+impl PlatformServer {
+    /// Starts a store and workers, spread over failure domains with one rack each.
+    pub async fn spawn(domains: &[&str], workers_each: usize) -> io::Result<Self> {
+        let store = MemoryStore::new();
+        let server = ServerHandle::spawn("127.0.0.1:0", store_routes::router(&store)).await?;
+        let mut workers = BTreeMap::new();
+        for domain in domains {
+            for index in 0..workers_each {
+                let id = format!("i-{domain}-{index}");
+                let worker = PlatformWorker::spawn(&id, domain, &format!("rack-{domain}")).await?;
+                workers.insert(id, worker);
+            }
+        }
+        let beats = tokio::spawn(beat(store.clone(), workers.values().cloned().collect()));
+        Ok(Self { store, server, workers, beats })
+    }
+
+    /// Returns the address of the store.
+    pub fn address(&self) -> String {
+        self.server.address().to_string()
+    }
+
+    /// Returns the store, for faults.
+    pub fn store(&self) -> &MemoryStore {
+        &self.store
+    }
+
+    /// Returns the workers by id.
+    pub fn workers(&self) -> &BTreeMap<String, Arc<PlatformWorker>> {
+        &self.workers
+    }
+
+    /// Returns what has run on all workers.
+    pub fn traces(&self) -> Vec<RunTrace> {
+        self.workers.values().flat_map(|worker| worker.traces()).collect()
+    }
+
+    /// Writes an entry as an operator would.
+    pub async fn write(&self, key: &str, value: serde_json::Value) -> Result<(), String> {
+        let write = KeyWrite { key: key.to_owned(), value: value.to_string(), lease: None };
+        let batch = StoreBatch { writes: vec![write], ..StoreBatch::default() };
+        self.store.commit(batch).await.map(|_| ()).map_err(|error| error.to_string())
+    }
+
+    /// Writes settings with an urgent and a normal queue under `/urgent/` and `/normal/`.
+    pub async fn write_config(&self, version: u64, host: &str, key: &str) -> Result<(), String> {
+        let route = |name: &str, priority: u32| {
+            json!({
+                "name": name, "host": host, "prefix": format!("/{name}/"),
+                "route_kind": "non_idempotent", "timeout_ms": 3000, "slo_ms": 1000,
+                "priority": priority, "service": "desk", "max_attempts": 3, "stretch": 3.0,
+                "public": false
+            })
+        };
+        let config = json!({
+            "version": version,
+            "routes": [route("urgent", 0), route("normal", 1)],
+            "services": [],
+            "limits": {},
+            "tenants": [{ "name": "school-groups", "api_keys": [key],
+                          "guaranteed": { "gpu_count": 8 } }],
+        });
+        self.write("op/config", config).await
+    }
+}
+
+impl Drop for PlatformServer {
+    fn drop(&mut self) {
+        self.beats.abort();
+    }
+}
+
+async fn beat(store: MemoryStore, workers: Vec<Arc<PlatformWorker>>) {
+    loop {
+        for worker in &workers {
+            let key = format!("servers/{}", worker.id());
+            let write = KeyWrite { key, value: worker.listing().to_string(), lease: None };
+            let batch = StoreBatch { writes: vec![write], ..StoreBatch::default() };
+            // A beat that the store refuses is followed by the next one.
+            let _ = store.commit(batch).await;
+        }
+        tokio::time::sleep(HEARTBEAT).await;
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform_server/worker.rs
@@ -0,0 +1,359 @@
+//! One worker of the platform.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::post;
+use axum::{Json, Router};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::sync::Notify;
+
+use crate::server::ServerHandle;
+
+/// Accelerators of a worker.
+const ACCELERATORS: u32 = 8;
+/// Longest lease that a worker grants.
+const LONGEST_LEASE: Duration = Duration::from_millis(3000);
+/// Run time of a task whose text names none.
+const DEFAULT_WORK: Duration = Duration::from_millis(400);
+/// Time between checks for ends.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Records one run.
+#[derive(Clone, Debug)]
+pub struct RunTrace {
+    /// Name of the task.
+    pub task: String,
+    /// Number of the run.
+    pub run: u32,
+    /// Worker.
+    pub worker: String,
+    /// Start.
+    pub started: Instant,
+    /// End, if it has ended.
+    pub ended: Option<Instant>,
+    /// How it ended.
+    pub how: &'static str,
+    /// Whether the end has been acknowledged.
+    pub acknowledged: bool,
+}
+
+/// Runs tasks under a lease.
+pub struct PlatformWorker {
+    id: String,
+    domain: String,
+    rack: String,
+    address: Mutex<String>,
+    state: Mutex<WorkerState>,
+    changed: Notify,
+    silent: AtomicBool,
+    draining: AtomicBool,
+    born: AtomicU64,
+    server: Mutex<Option<ServerHandle>>,
+}
+
+#[derive(Default)]
+struct WorkerState {
+    token: u64,
+    ends: u64,
+    lease_end: Option<Instant>,
+    runs: BTreeMap<(String, u32), RunState>,
+    unseen: Vec<(u64, String, u32, &'static str)>,
+    highest_ended: BTreeMap<String, u32>,
+    traces: Vec<RunTrace>,
+}
+
+struct RunState {
+    ends_at: Instant,
+    begun: Instant,
+    trace: usize,
+}
+
+#[derive(Deserialize)]
+struct StartBody {
+    task: String,
+    attempt: u32,
+    spec: String,
+    expires_ms: u64,
+    fence_token: u64,
+}
+
+#[derive(Deserialize)]
+struct StopBody {
+    task: String,
+    attempt: u32,
+    fence_token: u64,
+}
+
+#[derive(Deserialize)]
+struct HoldBody {
+    fence_token: u64,
+    last_seen: u64,
+    expires_ms: Option<u64>,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+impl PlatformWorker {
+    pub(super) async fn spawn(id: &str, domain: &str, rack: &str) -> io::Result<Arc<Self>> {
+        let worker = Arc::new(Self {
+            id: id.to_owned(),
+            domain: domain.to_owned(),
+            rack: rack.to_owned(),
+            address: Mutex::new(String::new()),
+            state: Mutex::default(),
+            changed: Notify::new(),
+            silent: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+            born: AtomicU64::new(1),
+            server: Mutex::new(None),
+        });
+        let router = Router::new()
+            .route("/-/run-start", post(start))
+            .route("/-/run-stop", post(stop))
+            .route("/-/hold", post(hold))
+            .with_state(worker.clone());
+        let server = ServerHandle::spawn("127.0.0.1:0", router).await?;
+        *lock(&worker.address) = server.address().to_string();
+        *lock(&worker.server) = Some(server);
+        let ticking = Arc::downgrade(&worker);
+        tokio::spawn(async move {
+            while let Some(worker) = ticking.upgrade() {
+                worker.tick();
+                drop(worker);
+                tokio::time::sleep(TICK).await;
+            }
+        });
+        Ok(worker)
+    }
+
+    /// Returns the id.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Lets calls go unanswered, or answers them again; what runs goes on under its lease.
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.store(silent, Ordering::Relaxed);
+    }
+
+    /// Begins a new life under the same id: everything that ran is gone.
+    pub fn crash(&self) {
+        let mut state = lock(&self.state);
+        let now = Instant::now();
+        let lost: Vec<(String, u32)> = state.runs.keys().cloned().collect();
+        for key in lost {
+            state.end(&key, "crashed", now, false);
+        }
+        let traces = std::mem::take(&mut state.traces);
+        *state = WorkerState { traces, ..WorkerState::default() };
+        self.born.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns what has run.
+    pub fn traces(&self) -> Vec<RunTrace> {
+        lock(&self.state).traces.clone()
+    }
+
+    pub(super) fn listing(&self) -> Value {
+        let draining = self.draining.load(Ordering::Relaxed);
+        json!({
+            "service": "desk", "address": *lock(&self.address), "zone": self.domain,
+            "version": "v1", "task_slots": 8, "cold_left_ms": 0, "seq": 1,
+            "state": if draining { "draining" } else { "ready" },
+            "capacity": { "millicores": 64_000, "mem_mb": 131_072, "gpu_count": ACCELERATORS },
+            "labels": ["a", self.rack], "born": self.born.load(Ordering::Relaxed),
+        })
+    }
+
+    fn tick(&self) {
+        let now = Instant::now();
+        let mut state = lock(&self.state);
+        let lapsed = state.lease_end.is_some_and(|end| now > end);
+        let ended: Vec<(String, u32)> = state
+            .runs
+            .iter()
+            .filter(|(_, run)| lapsed || now >= run.ends_at)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in &ended {
+            let how = if lapsed { "lapsed" } else { "done" };
+            state.end(key, how, now, true);
+        }
+        drop(state);
+        if !ended.is_empty() {
+            self.changed.notify_waiters();
+        }
+    }
+
+    fn clock_ms(&self) -> u64 {
+        clock_ms(Instant::now())
+    }
+}
+
+impl WorkerState {
+    fn end(&mut self, key: &(String, u32), how: &'static str, now: Instant, listed: bool) {
+        let Some(run) = self.runs.remove(key) else {
+            return;
+        };
+        self.traces[run.trace].ended = Some(now);
+        self.traces[run.trace].how = how;
+        self.note_highest(&key.0, key.1);
+        if listed {
+            self.ends += 1;
+            self.unseen.push((self.ends, key.0.clone(), key.1, how));
+        }
+    }
+
+    fn note_highest(&mut self, task: &str, run: u32) {
+        let highest = self.highest_ended.entry(task.to_owned()).or_default();
+        *highest = (*highest).max(run);
+    }
+
+    /// Takes a token; returns whether it is stale.
+    fn is_stale(&mut self, token: u64) -> bool {
+        let stale = token < self.token;
+        self.token = self.token.max(token);
+        stale
+    }
+
+    fn extend(&mut self, expires_ms: u64) {
+        let now = Instant::now();
+        let left = Duration::from_millis(expires_ms.saturating_sub(clock_ms(now)));
+        let end = now + left.min(LONGEST_LEASE);
+        self.lease_end = Some(self.lease_end.map_or(end, |former| former.max(end)));
+    }
+}
+
+async fn start(State(worker): State<Arc<PlatformWorker>>, Json(body): Json<StartBody>) -> Response {
+    pass(&worker).await;
+    let clock = worker.clock_ms();
+    let refuse = |reason: &str| {
+        let answer = json!({ "clock_ms": clock, "reason": reason });
+        (StatusCode::CONFLICT, Json(answer)).into_response()
+    };
+    let mut state = lock(&worker.state);
+    if state.is_stale(body.fence_token) {
+        return refuse("fence");
+    }
+    let key = (body.task.clone(), body.attempt);
+    if state.runs.contains_key(&key) {
+        return Json(json!({ "clock_ms": clock })).into_response();
+    }
+    if state.highest_ended.get(&body.task).is_some_and(|ended| *ended >= body.attempt) {
+        return refuse("old");
+    }
+    if body.expires_ms <= clock {
+        return refuse("late");
+    }
+    if state.runs.len() >= ACCELERATORS as usize {
+        return refuse("room");
+    }
+    state.extend(body.expires_ms);
+    let now = Instant::now();
+    let work = body.spec.strip_prefix("work-ms=").and_then(|text| text.parse().ok());
+    let work = work.map_or(DEFAULT_WORK, Duration::from_millis);
+    let trace = state.traces.len();
+    state.traces.push(RunTrace {
+        task: body.task,
+        run: body.attempt,
+        worker: worker.id.clone(),
+        started: now,
+        ended: None,
+        how: "running",
+        acknowledged: false,
+    });
+    state.runs.insert(key, RunState { ends_at: now + work, begun: now, trace });
+    Json(json!({ "clock_ms": clock })).into_response()
+}
+
+async fn stop(State(worker): State<Arc<PlatformWorker>>, Json(body): Json<StopBody>) -> Response {
+    pass(&worker).await;
+    let mut state = lock(&worker.state);
+    if state.is_stale(body.fence_token) {
+        return StatusCode::CONFLICT.into_response();
+    }
+    state.end(&(body.task.clone(), body.attempt), "stopped", Instant::now(), true);
+    state.note_highest(&body.task, body.attempt);
+    Json(json!({ "clock_ms": worker.clock_ms() })).into_response()
+}
+
+async fn hold(State(worker): State<Arc<PlatformWorker>>, Json(body): Json<HoldBody>) -> Response {
+    pass(&worker).await;
+    let waits = {
+        let mut state = lock(&worker.state);
+        if state.is_stale(body.fence_token) {
+            let answer = json!({ "clock_ms": worker.clock_ms(), "reason": "fence" });
+            return (StatusCode::CONFLICT, Json(answer)).into_response();
+        }
+        if let Some(expires_ms) = body.expires_ms {
+            state.extend(expires_ms);
+        }
+        acknowledge(&mut state, body.last_seen);
+        state.unseen.is_empty()
+    };
+    if waits && body.wait_ms > 0 {
+        let wait = Duration::from_millis(body.wait_ms);
+        // The answer is the same whether an end came or the time passed.
+        let _ = tokio::time::timeout(wait, worker.changed.notified()).await;
+    }
+    let state = lock(&worker.state);
+    let running: Vec<Value> = state.runs.iter().map(|(key, run)| row(key, run)).collect();
+    let finished: Vec<Value> = state
+        .unseen
+        .iter()
+        .map(|(number, task, run, how)| json!([number, task, run, how, ""]))
+        .collect();
+    Json(json!({
+        "clock_ms": worker.clock_ms(), "born": worker.born.load(Ordering::Relaxed),
+        "running": running, "finished": finished,
+    }))
+    .into_response()
+}
+
+fn acknowledge(state: &mut WorkerState, last_seen: u64) {
+    let seen: Vec<(String, u32)> = state
+        .unseen
+        .iter()
+        .filter(|(number, ..)| *number <= last_seen)
+        .map(|(_, task, run, _)| (task.clone(), *run))
+        .collect();
+    state.unseen.retain(|(number, ..)| *number > last_seen);
+    for trace in &mut state.traces {
+        if seen.iter().any(|(task, run)| *task == trace.task && *run == trace.run) {
+            trace.acknowledged = true;
+        }
+    }
+}
+
+fn row(key: &(String, u32), run: &RunState) -> Value {
+    let whole = (run.ends_at - run.begun).as_secs_f64().max(0.001);
+    let percent = (run.begun.elapsed().as_secs_f64() / whole * 100.0).min(99.0) as u32;
+    json!([key.0, key.1, "", percent, 1000])
+}
+
+/// Holds a call back while the worker is silent.
+async fn pass(worker: &PlatformWorker) {
+    while worker.silent.load(Ordering::Relaxed) {
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+/// Returns the worker's steady clock: milliseconds since the first reading in this process.
+fn clock_ms(now: Instant) -> u64 {
+    static ORIGIN: std::sync::OnceLock<Instant> = std::sync::OnceLock::new();
+    const START_MS: u128 = 100_000;
+    let origin = *ORIGIN.get_or_init(Instant::now);
+    u64::try_from(now.saturating_duration_since(origin).as_millis() + START_MS).unwrap_or(u64::MAX)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
