Make planning cheap enough for weak instances at 350 workers

Change: whether a gang could fit is counted without a copy; a reclaim sorts the borrowers by worker once, carries plain amounts and gives up on a group that loses more than the best; planning rests four times as long as it took.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -6,7 +6,6 @@
 
 use std::fmt;
 
-use crate::amount::ResourceAmount;
 use crate::spec::{JobSpec, StepSpec};
 use crate::worker::WorkerEntry;
 
@@ -62,12 +61,5 @@
         return 0;
     }
     let limit = step.worker_limit.map_or(i64::MAX, i64::from);
-    fits(&step.demand, &worker.listing.capacity).min(limit).min(i64::from(step.count))
-}
-
-fn fits(demand: &ResourceAmount, capacity: &ResourceAmount) -> i64 {
-    let times = |part: i64, whole: i64| if part <= 0 { i64::MAX } else { whole.max(0) / part };
-    times(demand.cpu_milli, capacity.cpu_milli)
-        .min(times(demand.memory_mb, capacity.memory_mb))
-        .min(times(demand.accelerators, capacity.accelerators))
+    worker.listing.capacity.multiples(&step.demand).min(limit).min(i64::from(step.count))
 }
--- a/crates/fleet/src/amount.rs
+++ b/crates/fleet/src/amount.rs
@@ -25,6 +25,14 @@
             && self.accelerators >= demand.accelerators
     }
 
+    /// Returns how many times a demand fits.
+    pub fn multiples(&self, demand: &Self) -> i64 {
+        let times = |part: i64, whole: i64| if part <= 0 { i64::MAX } else { whole.max(0) / part };
+        times(demand.cpu_milli, self.cpu_milli)
+            .min(times(demand.memory_mb, self.memory_mb))
+            .min(times(demand.accelerators, self.accelerators))
+    }
+
     /// Returns the amount multiplied by a count.
     pub fn times(&self, count: i64) -> Self {
         Self {
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -114,6 +114,11 @@
         *self.slots[slot].steps.entry(key).or_default() += 1;
     }
 
+    /// Returns the number of tasks of a step that a worker holds.
+    pub fn tasks_of(&self, slot: SlotIndex, key: StepKey) -> u32 {
+        self.slots[slot].steps.get(&key).copied().unwrap_or_default()
+    }
+
     /// Gives back what a task held.
     pub fn give_back(&mut self, slot: SlotIndex, key: StepKey, demand: &ResourceAmount) {
         self.slots[slot].free += *demand;
@@ -163,12 +168,13 @@
 
     /// Returns whether a step would fit into one of its groups if nothing ran there.
     pub fn could_fit(&self, request: &PlaceRequest<'_>, reach: PlaceReach) -> bool {
-        let mut empty = self.clone();
-        for slot in &mut empty.slots {
-            slot.free = slot.capacity;
-            slot.steps.clear();
-        }
-        self.groups(request, reach).iter().any(|group| empty.fill(request, group, 0.0).is_some())
+        let limit = request.spec.worker_limit.map_or(i64::MAX, i64::from);
+        let room = |index: &SlotIndex| {
+            self.slots[*index].capacity.multiples(&request.spec.demand).min(limit)
+        };
+        self.groups(request, reach).iter().any(|group| {
+            group.iter().map(room).fold(0i64, i64::saturating_add) >= request.count as i64
+        })
     }
 
     /// Returns the narrowest reach within which a step should be placed.
--- a/crates/fleet/src/planner/dispatch.rs
+++ b/crates/fleet/src/planner/dispatch.rs
@@ -49,34 +49,30 @@
             };
             let slots: Vec<Option<SlotIndex>> =
                 reservation.places.iter().map(|(_, worker)| board.index(worker)).collect();
-            let mut trial = board.clone();
+            let known: Vec<SlotIndex> = slots.iter().flatten().copied().collect();
             let mut ready = self.jobs.get(&reservation.key.0).is_some_and(|job| {
                 reservation.places.iter().all(|(_, worker)| job.may_start_on(worker))
             });
-            for slot in &slots {
-                let Some(slot) = slot else {
-                    ready = false;
-                    continue;
-                };
-                ready &= trial.slots[*slot].open && trial.slots[*slot].free.covers(&spec.demand);
-                trial.take(*slot, reservation.key, &spec.demand);
+            for slot in &known {
+                ready &= board.slots[*slot].open && board.slots[*slot].free.covers(&spec.demand);
+                board.take(*slot, reservation.key, &spec.demand);
             }
             let waiting = reservation
                 .places
                 .iter()
                 .all(|(index, _)| self.task_waits(reservation.key, *index));
-            if !waiting || slots.contains(&None) {
-                continue;
-            }
-            if ready {
+            let overdue = now.saturating_sub(reservation.since) >= RESERVATION_LIMIT;
+            if !waiting || known.len() < slots.len() || (!ready && overdue) {
+                for slot in known {
+                    board.give_back(slot, reservation.key, &spec.demand);
+                }
+            } else if ready {
                 let (job, occurrence, step) = reservation.key;
                 let tasks = reservation.places.iter().map(|(index, worker)| {
                     (TaskKey { job, occurrence, step, index: *index }, worker.clone())
                 });
                 self.start_tasks(tasks.collect(), now);
-                *board = trial;
-            } else if now.saturating_sub(reservation.since) < RESERVATION_LIMIT {
-                *board = trial;
+            } else {
                 self.reservations.push(reservation);
             }
         }
--- a/crates/fleet/src/reclaim.rs
+++ b/crates/fleet/src/reclaim.rs
@@ -52,111 +52,145 @@
     reach: PlaceReach,
     units: &[BorrowerUnit],
 ) -> Option<ReclaimPlan> {
-    let plans = board.groups(request, reach).into_iter();
-    let plans = plans.filter_map(|group| reclaim_group(board, request, &group, units));
-    plans.min_by(|left, right| left.loss.total_cmp(&right.loss))
+    let held = held_by_slot(board, units);
+    let mut best: Option<ReclaimPlan> = None;
+    for group in board.groups(request, reach) {
+        let limit = best.as_ref().map_or(f64::INFINITY, |plan| plan.loss);
+        let trial = ReclaimTrial::new(board, request, units, &held);
+        best = trial.run(&group, limit).or(best);
+    }
+    best
 }
 
-fn reclaim_group(
-    board: &PlaceBoard,
-    request: &PlaceRequest<'_>,
-    group: &[SlotIndex],
-    units: &[BorrowerUnit],
-) -> Option<ReclaimPlan> {
-    let mut trial = board.clone();
-    let mut stopped = vec![false; units.len()];
-    let mut places = Vec::with_capacity(request.count);
-    for _ in 0..request.count {
-        let slot = match free_slot(&trial, request, group) {
-            Some(slot) => slot,
-            None => make_room(&mut trial, request, group, units, &mut stopped)?,
-        };
-        trial.take(slot, request.key, &request.spec.demand);
-        places.push(slot);
+/// Lists for each worker the borrowers on it with what they hold there, least loss first.
+fn held_by_slot(board: &PlaceBoard, units: &[BorrowerUnit]) -> Vec<Vec<(usize, ResourceAmount)>> {
+    let mut held: Vec<Vec<(usize, ResourceAmount)>> = vec![Vec::new(); board.slots.len()];
+    for (index, unit) in units.iter().enumerate() {
+        for part in &unit.parts {
+            match held[part.slot].last_mut() {
+                Some((last, amount)) if *last == index => *amount += part.demand,
+                _ => held[part.slot].push((index, part.demand)),
+            }
+        }
     }
-    let stopped: Vec<usize> = (0..units.len()).filter(|index| stopped[*index]).collect();
-    let loss = stopped.iter().map(|index| units[*index].loss).sum();
-    Some(ReclaimPlan { places, stopped, loss })
+    for rows in &mut held {
+        rows.sort_by(|left, right| units[left.0].loss.total_cmp(&units[right.0].loss));
+    }
+    held
 }
 
-fn free_slot(
-    board: &PlaceBoard,
-    request: &PlaceRequest<'_>,
-    group: &[SlotIndex],
-) -> Option<SlotIndex> {
-    let fitting = group.iter().copied().filter(|slot| board.fits(*slot, request));
-    fitting.min_by_key(|slot| board.slots[*slot].free.accelerators)
+/// Tries to place a request in one group.
+struct ReclaimTrial<'a> {
+    board: &'a PlaceBoard,
+    request: &'a PlaceRequest<'a>,
+    units: &'a [BorrowerUnit],
+    held: &'a [Vec<(usize, ResourceAmount)>],
+    free: Vec<ResourceAmount>,
+    placed: Vec<u32>,
+    stopped: Vec<bool>,
+    loss: f64,
 }
 
-/// Stops borrowers on the worker of a group where that loses the least, and returns the worker.
-fn make_room(
-    board: &mut PlaceBoard,
-    request: &PlaceRequest<'_>,
-    group: &[SlotIndex],
-    units: &[BorrowerUnit],
-    stopped: &mut [bool],
-) -> Option<SlotIndex> {
-    let mut best: Option<(f64, SlotIndex, Vec<usize>)> = None;
-    for slot in group {
-        let Some((loss, chosen)) = cheapest_on(board, request, *slot, units, stopped) else {
-            continue;
-        };
-        if best.as_ref().is_none_or(|(least, _, _)| loss < *least) {
-            best = Some((loss, *slot, chosen));
+impl<'a> ReclaimTrial<'a> {
+    fn new(
+        board: &'a PlaceBoard,
+        request: &'a PlaceRequest<'a>,
+        units: &'a [BorrowerUnit],
+        held: &'a [Vec<(usize, ResourceAmount)>],
+    ) -> Self {
+        Self {
+            board,
+            request,
+            units,
+            held,
+            free: board.slots.iter().map(|slot| slot.free).collect(),
+            placed: vec![0; board.slots.len()],
+            stopped: vec![false; units.len()],
+            loss: 0.0,
         }
     }
-    let (_, slot, chosen) = best?;
-    for index in chosen {
-        stopped[index] = true;
-        for part in &units[index].parts {
-            board.give_back(part.slot, units[index].key, &part.demand);
+
+    /// Returns the plan unless it loses as much as a limit.
+    fn run(mut self, group: &[SlotIndex], limit: f64) -> Option<ReclaimPlan> {
+        let mut places = Vec::with_capacity(self.request.count);
+        for _ in 0..self.request.count {
+            let slot = match self.free_slot(group) {
+                Some(slot) => slot,
+                None => self.make_room(group)?,
+            };
+            if self.loss >= limit {
+                return None;
+            }
+            self.free[slot] -= self.request.spec.demand;
+            self.placed[slot] += 1;
+            places.push(slot);
         }
+        let stopped = (0..self.units.len()).filter(|index| self.stopped[*index]).collect();
+        Some(ReclaimPlan { places, stopped, loss: self.loss })
     }
-    Some(slot)
-}
 
-/// Returns the borrowers whose stop makes room for one task on a worker, cheapest first.
-fn cheapest_on(
-    board: &PlaceBoard,
-    request: &PlaceRequest<'_>,
-    slot: SlotIndex,
-    units: &[BorrowerUnit],
-    stopped: &[bool],
-) -> Option<(f64, Vec<usize>)> {
-    if !board.suits(slot, request) {
-        return None;
+    fn has_place(&self, slot: SlotIndex) -> bool {
+        let taken = self.board.tasks_of(slot, self.request.key) + self.placed[slot];
+        self.request.spec.worker_limit.is_none_or(|limit| taken < limit)
     }
-    let mut candidates: Vec<(usize, ResourceAmount)> = Vec::new();
-    for (index, unit) in units.iter().enumerate() {
-        let mut held = ResourceAmount::default();
-        unit.parts.iter().filter(|part| part.slot == slot).for_each(|part| held += part.demand);
-        if !stopped[index] && held != ResourceAmount::default() {
-            candidates.push((index, held));
-        }
+
+    fn free_slot(&self, group: &[SlotIndex]) -> Option<SlotIndex> {
+        let demand = &self.request.spec.demand;
+        let fitting = group
+            .iter()
+            .copied()
+            .filter(|slot| self.free[*slot].covers(demand) && self.has_place(*slot));
+        fitting.min_by_key(|slot| self.free[*slot].accelerators)
     }
-    candidates.sort_by(|left, right| units[left.0].loss.total_cmp(&units[right.0].loss));
-    let mut free = board.slots[slot].free;
-    let mut chosen = Vec::new();
-    for (index, held) in &candidates {
-        if free.covers(&request.spec.demand) {
-            break;
+
+    /// Stops borrowers on the worker of a group where that loses the least, and returns the worker.
+    fn make_room(&mut self, group: &[SlotIndex]) -> Option<SlotIndex> {
+        let mut best: Option<(f64, SlotIndex, Vec<usize>)> = None;
+        for slot in group.iter().copied().filter(|slot| self.has_place(*slot)) {
+            let Some((loss, chosen)) = self.cheapest_on(slot) else {
+                continue;
+            };
+            if best.as_ref().is_none_or(|(least, _, _)| loss < *least) {
+                best = Some((loss, slot, chosen));
+            }
         }
-        free += *held;
-        chosen.push((*index, *held));
-    }
-    if !free.covers(&request.spec.demand) {
-        return None;
+        let (loss, slot, chosen) = best?;
+        self.loss += loss;
+        for index in chosen {
+            self.stopped[index] = true;
+            for part in &self.units[index].parts {
+                self.free[part.slot] += part.demand;
+            }
+        }
+        Some(slot)
     }
-    // A borrower that was chosen early may turn out not to be needed once larger ones follow.
-    let mut kept = Vec::new();
-    for (index, held) in chosen.into_iter().rev() {
-        let without = free - held;
-        if without.covers(&request.spec.demand) {
-            free = without;
-        } else {
-            kept.push(index);
+
+    /// Returns the borrowers whose stop makes room for one task on a worker.
+    fn cheapest_on(&self, slot: SlotIndex) -> Option<(f64, Vec<usize>)> {
+        let demand = &self.request.spec.demand;
+        let mut free = self.free[slot];
+        let mut chosen: Vec<(usize, ResourceAmount)> = Vec::new();
+        for (index, held) in self.held[slot].iter().filter(|(index, _)| !self.stopped[*index]) {
+            if free.covers(demand) {
+                break;
+            }
+            free += *held;
+            chosen.push((*index, *held));
+        }
+        if !free.covers(demand) {
+            return None;
+        }
+        // A borrower that was chosen early may turn out not to be needed once larger ones follow.
+        let mut kept = Vec::new();
+        for (index, held) in chosen.into_iter().rev() {
+            let without = free - held;
+            if without.covers(demand) {
+                free = without;
+            } else {
+                kept.push(index);
+            }
         }
+        let loss = kept.iter().map(|index| self.units[*index].loss).sum();
+        Some((loss, kept))
     }
-    let loss = kept.iter().map(|index| units[*index].loss).sum();
-    Some((loss, kept))
 }
--- a/crates/instance/src/schedule_controller.rs
+++ b/crates/instance/src/schedule_controller.rs
@@ -23,6 +23,9 @@
 /// Time for which events are collected before a planning pass.
 const COLLECT_TIME: Duration = Duration::from_millis(3);
 
+/// Pause after a planning pass against its duration, so that planning takes a fifth of the processor.
+const PLAN_PAUSE: u32 = 4;
+
 /// Decides over the region while this process leads.
 #[derive(Actor)]
 pub struct ScheduleController {
@@ -30,6 +33,7 @@
     executor: Option<OrderExecutor>,
     metrics: InstanceMetrics,
     plan_due: bool,
+    plan_time: Duration,
     loaded: bool,
 }
 
@@ -91,7 +95,14 @@
 impl ScheduleController {
     /// Creates the controller of a new leadership.
     pub fn new(planner: FleetPlanner, metrics: InstanceMetrics) -> Self {
-        Self { planner, executor: None, metrics, plan_due: false, loaded: false }
+        Self {
+            planner,
+            executor: None,
+            metrics,
+            plan_due: false,
+            plan_time: Duration::ZERO,
+            loaded: false,
+        }
     }
 
     fn schedule_plan(&mut self, controller: ActorRef<Self>) {
@@ -99,8 +110,9 @@
             return;
         }
         self.plan_due = true;
+        let pause = COLLECT_TIME.max(self.plan_time * PLAN_PAUSE);
         tokio::spawn(async move {
-            tokio::time::sleep(COLLECT_TIME).await;
+            tokio::time::sleep(pause).await;
             let _ = controller.tell(PlanNow).await;
         });
     }
@@ -115,7 +127,9 @@
         }
         self.planner.note_overdue(executor.permit.borrow().overdue());
         let recovering = !self.planner.is_recovered();
-        let orders = self.planner.plan(clock::now());
+        let begun = clock::now();
+        let orders = self.planner.plan(begun);
+        self.plan_time = clock::now().saturating_sub(begun);
         if recovering && self.planner.is_recovered() {
             let workers = self.planner.workers().count();
             let runs: usize = self.planner.workers().map(|worker| worker.runs.len()).sum();
