End runs with a worker's life only when a report shows it

Change: a newer life in the list only asks for a report; runs end when a report of that life lacks them, and unanswered starts are stopped again in it.

Tests: unanswered_start_is_stopped_in_the_next_life and run_of_a_life_that_was_not_listed_yet_goes_on (both failed before), run_of_a_former_life_starts_again.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -369,11 +369,8 @@
                     self.workers.insert(worker.listing.id.clone(), worker);
                 }
                 Some(worker) if listing.born > worker.listing.born => {
-                    let id = listing.id.clone();
-                    let lost = worker.begin_life(listing.born);
                     worker.listing = listing;
-                    worker.looked_at = false;
-                    lost.into_iter().for_each(|(task, run)| self.unassign(&id, task, run));
+                    worker.looked_at &= worker.life == worker.listing.born;
                 }
                 // A list may lag behind what the worker said itself.
                 Some(worker) if listing.born == worker.listing.born => worker.listing = listing,
--- a/crates/fleet/src/planner/lease.rs
+++ b/crates/fleet/src/planner/lease.rs
@@ -23,21 +23,19 @@
             return;
         };
         entry.renewing = false;
-        if report.born < entry.listing.born {
+        if report.born < entry.life {
             return;
         }
-        if report.born > entry.listing.born {
-            let lost = entry.begin_life(report.born);
-            for (task, run) in lost {
-                self.unassign(worker, task, run);
-            }
+        if report.born > entry.life {
+            entry.begin_life(report.born);
         }
-        let Some(entry) = self.workers.get_mut(worker) else {
-            return;
-        };
+        let lease = self.settings.lease;
         entry.note_clock(report.clock, now);
+        if !entry.has_lease() && !entry.runs.is_empty() {
+            entry.assume_lease(now, lease);
+        }
         entry.unanswered = 0;
-        entry.looked_at = true;
+        entry.looked_at = report.born >= entry.listing.born;
         self.heard.insert(worker.to_owned());
         let mut mentioned: BTreeSet<(TaskKey, RunNumber)> = BTreeSet::new();
         mentioned.extend(report.running.iter().map(|run| (run.task, run.run)));
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -91,6 +91,8 @@
     pub unanswered: u32,
     /// Estimated speed.
     pub speed: WorkerSpeed,
+    /// Start of the life that the newest report was from; 0 before the first report.
+    pub life: u64,
     clock: Option<(Duration, Duration)>,
     lease_end: Duration,
     paused_until: Duration,
@@ -114,6 +116,7 @@
             looked_at: false,
             unanswered: 0,
             speed: WorkerSpeed::default(),
+            life: 0,
             clock: None,
             lease_end: Duration::ZERO,
             paused_until: Duration::ZERO,
@@ -154,14 +157,27 @@
         Some(entry)
     }
 
-    /// Forgets everything of a former life of the worker and returns the runs that it had.
-    pub fn begin_life(&mut self, born: u64) -> Vec<(TaskKey, RunNumber)> {
-        let runs = self.runs.keys().copied().collect();
-        let mut listing = self.listing.clone();
-        listing.born = born;
-        let (listed, renewing, looked_at) = (self.listed, self.renewing, self.looked_at);
-        *self = Self { listed, renewing, looked_at, ..Self::new(listing) };
-        runs
+    /// Begins the life that a report shows.
+    ///
+    /// Runs stay until a report shows that they are gone: a start may have been answered by the new
+    /// life already. A start that was never answered may still be carried out in the new life, which
+    /// knows nothing of an earlier stop; such a run is stopped again.
+    pub fn begin_life(&mut self, born: u64) {
+        let first = self.life == 0;
+        self.life = born;
+        if first {
+            return;
+        }
+        self.speed = WorkerSpeed::default();
+        self.clock = None;
+        self.lease_end = Duration::ZERO;
+        self.failure_streak = 0;
+        self.pending_ends.clear();
+        (self.applied_end, self.acknowledgeable, self.acknowledged) = (0, 0, 0);
+        let unanswered = self.runs.values_mut().filter(|run| run.confirmed.is_none());
+        for run in unanswered {
+            run.phase = RunPhase::Stopping { ordered: Duration::ZERO, confirmed: None };
+        }
     }
 
     /// Notes the worker's clock as of an answer received `now`.
@@ -185,6 +201,11 @@
         self.lease_end = self.lease_end.max(lease_end);
     }
 
+    /// Returns whether a lease has been given in this life of the worker.
+    pub fn has_lease(&self) -> bool {
+        self.lease_end > Duration::ZERO
+    }
+
     /// Assumes the longest lease that another scheduler may have given.
     pub fn assume_lease(&mut self, now: Duration, lease: Duration) {
         if let Some(clock) = self.clock_at(now) {
--- a/crates/fleet/tests/decisions/planner.rs
+++ b/crates/fleet/tests/decisions/planner.rs
@@ -263,3 +263,51 @@
     scene.pass(Duration::from_millis(300));
     assert_eq!(scene.starts.len(), 7);
 }
+
+/// A start without an answer may be carried out in the worker's next life: the task must start
+/// elsewhere only when that life has confirmed a stop (soak seeds 10, 32 and 48).
+#[test]
+fn unanswered_start_is_stopped_in_the_next_life() {
+    let mut scene = Scene::new(1, two_racks());
+    scene.workers.values_mut().for_each(|worker| worker.silent = true);
+    scene.accept(submission(1, "normal", vec![step(1, 8)]));
+    assert_eq!(scene.starts.len(), 1);
+    let target = scene.starts[0].target.clone();
+    scene.workers.values_mut().for_each(|worker| worker.silent = worker.born == 0);
+    let reborn = scene.workers.get_mut(&target.worker).unwrap();
+    (reborn.born, reborn.silent) = (2, true);
+    let listed = scene.listings.iter_mut().find(|listing| listing.id == target.worker);
+    listed.unwrap().born = 2;
+    scene.pass(Duration::from_secs(3));
+    assert_eq!(scene.starts.len(), 1, "the new life may still carry out the start");
+    scene.stops.clear();
+    scene.workers.get_mut(&target.worker).unwrap().silent = false;
+    scene.pass(Duration::from_secs(2));
+    assert!(scene.stops.iter().any(|stop| stop.worker == target.worker));
+    assert_eq!(scene.starts.len(), 2);
+}
+
+/// A run that the next life of a worker has started must not be taken for lost when the list shows
+/// that life (soak seed 35).
+#[test]
+fn run_of_a_life_that_was_not_listed_yet_goes_on() {
+    let mut scene = Scene::new(1, two_racks());
+    scene.workers.values_mut().for_each(|worker| worker.born = 2);
+    scene.accept(submission(1, "normal", vec![step(1, 8)]));
+    assert_eq!(scene.starts.len(), 1);
+    scene.listings.iter_mut().for_each(|listing| listing.born = 2);
+    scene.pass(Duration::from_secs(1));
+    assert_eq!(scene.starts.len(), 1);
+}
+
+/// What a worker ran in its former life is gone and must start again at once.
+#[test]
+fn run_of_a_former_life_starts_again() {
+    let mut scene = Scene::new(1, two_racks());
+    scene.accept(submission(1, "normal", vec![step(1, 8)]));
+    let worker = scene.workers.get_mut(&scene.starts[0].target.worker.clone()).unwrap();
+    (worker.born, worker.ends) = (2, 0);
+    worker.running.clear();
+    scene.pass(Duration::from_millis(300));
+    assert_eq!(scene.starts.len(), 2);
+}
--- a/crates/instance/src/front.rs
+++ b/crates/instance/src/front.rs
@@ -27,8 +27,9 @@
 
 /// Time for an answer of the active scheduler; a fraction of what clients wait.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(900);
-/// Retry time when the key-value service can't be reached: about the time of a change of leadership.
-const OUTAGE_RETRY: Duration = Duration::from_millis(1000);
+/// Retry time during an outage of the key-value service: the resolution of the header, about half of
+/// a change of leadership.
+const OUTAGE_RETRY: Duration = Duration::from_secs(1);
 /// Repetitions of a write whose answer was lost.
 const SUBMISSION_RETRIES: u32 = 3;
 /// Retry time of jobs that no worker could run; only a change of the fleet helps.
@@ -261,7 +262,7 @@
     ) -> Result<StoredSubmission, ClientAnswer> {
         let value = serde_json::to_string(submission)
             .map_err(|error| ClientAnswer::Malformed(error.to_string()))?;
-        if self.context.health.is_out_of_reach() {
+        if self.context.health.outage().is_some() {
             return Err(ClientAnswer::NotAccepted {
                 reason: "the key-value service is out of reach".to_owned(),
                 retry: OUTAGE_RETRY,
@@ -291,7 +292,7 @@
         batch: StoreBatch,
     ) -> Result<StoredSubmission, ClientAnswer> {
         for _ in 0..SUBMISSION_RETRIES {
-            if self.context.health.is_out_of_reach() {
+            if self.context.health.outage().is_some() {
                 break;
             }
             match self.context.store.commit(batch.clone()).await {
@@ -450,7 +451,7 @@
                 match self.submit_to(&schedule, submission).await {
                     ClientAnswer::Accepted => FleetReply::Accepted,
                     // Whether the store refuses is for the peer's own path to the store to tell.
-                    ClientAnswer::NotAccepted { retry, .. } if retry == OUTAGE_RETRY => {
+                    ClientAnswer::NotAccepted { retry, .. } if retry != UNFIT_RETRY => {
                         FleetReply::NotActive
                     }
                     ClientAnswer::NotAccepted { reason, retry } => {
--- a/crates/instance/src/store_health.rs
+++ b/crates/instance/src/store_health.rs
@@ -33,11 +33,12 @@
         Self { inner, answered_ms: AtomicU64::new(now_ms()), failed_ms: AtomicU64::new(0) }
     }
 
-    /// Returns whether calls have only failed for a while.
-    pub fn is_out_of_reach(&self) -> bool {
+    /// Returns for how long calls have only failed; nothing while the service answers.
+    pub fn outage(&self) -> Option<Duration> {
         let failed = self.failed_ms.load(Ordering::Relaxed);
         let answered = self.answered_ms.load(Ordering::Relaxed);
-        failed > 0 && now_ms().saturating_sub(answered) > OUTAGE_TIME.as_millis() as u64
+        let age = Duration::from_millis(now_ms().saturating_sub(answered));
+        (failed > 0 && age > OUTAGE_TIME).then_some(age)
     }
 
     fn note<T>(&self, result: Result<T, StoreError>) -> Result<T, StoreError> {
--- a/crates/standins/src/platform_server/worker.rs
+++ b/crates/standins/src/platform_server/worker.rs
@@ -41,8 +41,11 @@
     pub ended: Option<Instant>,
     /// How it ended.
     pub how: &'static str,
-    /// Whether the end has been acknowledged.
+    /// Whether the end has been acknowledged before the worker's lease lapsed. After a lapse the task
+    /// may have been started elsewhere in good faith.
     pub acknowledged: bool,
+    /// Whether the worker's lease lapsed before the end was acknowledged.
+    pub lapsed_unseen: bool,
 }
 
 /// Runs tasks under a lease.
@@ -177,6 +180,10 @@
         let now = Instant::now();
         let mut state = lock(&self.state);
         let lapsed = state.lease_end.is_some_and(|end| now > end);
+        if lapsed {
+            let unseen = |trace: &&mut RunTrace| !trace.acknowledged;
+            state.traces.iter_mut().filter(unseen).for_each(|trace| trace.lapsed_unseen = true);
+        }
         let ended: Vec<(String, u32)> = state
             .runs
             .iter()
@@ -269,6 +276,7 @@
         ended: None,
         how: "running",
         acknowledged: false,
+        lapsed_unseen: false,
     });
     state.runs.insert(key, RunState { ends_at: now + work, begun: now, trace });
     Json(json!({ "clock_ms": clock })).into_response()
@@ -328,7 +336,7 @@
     state.unseen.retain(|(number, ..)| *number > last_seen);
     for trace in &mut state.traces {
         if seen.iter().any(|(task, run)| *task == trace.task && *run == trace.run) {
-            trace.acknowledged = true;
+            trace.acknowledged = !trace.lapsed_unseen;
         }
     }
 }
