--- a/crates/entry/tests/at_most_once.rs
+++ b/crates/entry/tests/at_most_once.rs
@@ -1,5 +1,6 @@
 //! Guards against non-repeatable requests that run twice (I6) and against untrue outcomes (I5).
 
+#[path = "support/bed.rs"]
 mod support;
 
 use std::sync::Arc;
--- a/crates/entry/tests/headers.rs
+++ b/crates/entry/tests/headers.rs
@@ -1,5 +1,6 @@
 //! Guards against panics, untrue outcomes and unexplained refusals for arbitrary request headers.
 
+#[path = "support/bed.rs"]
 mod support;
 
 use lacewingrail_model::config::PolicyOverlay;
--- a/crates/entry/tests/overload.rs
+++ b/crates/entry/tests/overload.rs
@@ -1,6 +1,7 @@
 //! Guards against goodput that collapses under load, classes that are served in the wrong order, and
 //! customers that take more than their share.
 
+#[path = "support/bed.rs"]
 mod support;
 
 use std::time::Duration;
--- a/crates/entry/tests/random_faults.rs
+++ b/crates/entry/tests/random_faults.rs
@@ -4,6 +4,7 @@
 //! is `LACEWINGRAIL_STRICT=1 LACEWINGRAIL_ROUNDS=200 cargo test --release -p lacewingrail-entry
 //! --test random_faults`. The verdict rests on the backends' own record of runs.
 
+#[path = "support/bed.rs"]
 mod support;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/entry/tests/routing.rs
+++ b/crates/entry/tests/routing.rs
@@ -1,6 +1,7 @@
 //! Guards against work for backend servers that must not get it (I7), retries that multiply an
 //! outage, and domains that fail with others.
 
+#[path = "support/bed.rs"]
 mod support;
 
 use std::time::Duration;
--- a/crates/entry/tests/shutdown.rs
+++ b/crates/entry/tests/shutdown.rs
@@ -1,5 +1,6 @@
 //! Guards against requests that a shutdown or a replacement interrupts (I8).
 
+#[path = "support/bed.rs"]
 mod support;
 
 use std::time::Duration;
--- a/crates/fleet/src/planner/urgent.rs
+++ b/crates/fleet/src/planner/urgent.rs
@@ -4,7 +4,7 @@
 //! would throw away more work of others than a late start costs its customer, it first waits a moment
 //! beside workers that are kept free for it, and then takes what loses the least.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::dispatch::place_step;
@@ -12,7 +12,7 @@
 use crate::placement::{PlaceBoard, PlaceReach, PlaceRequest, SlotIndex, StepKey, step_key};
 use crate::queue::{URGENT, objective, step_work};
 use crate::reclaim::{BorrowerPart, BorrowerUnit, ReclaimPlan, plan_reclaim};
-use crate::spec::{StepSpec, TaskKey};
+use crate::spec::{JobKey, StepSpec, TaskKey};
 use crate::worker::{RunEntry, RunPhase};
 
 /// Time for which urgent work waits for room in its rack; half of the time within which guaranteed
@@ -117,7 +117,7 @@
             self.notes.push(PlannerNote::Reclaimed {
                 job: request.key.0,
                 waited,
-                borrowers: plan.stopped.iter().map(|index| units[*index].key.0).collect(),
+                borrowers: jobs_of(plan, units),
                 loss: plan.loss,
             });
         }
@@ -193,6 +193,12 @@
     }
 }
 
+/// Returns the jobs whose runs a plan stops, each once.
+fn jobs_of(plan: &ReclaimPlan, units: &[BorrowerUnit]) -> Vec<JobKey> {
+    let jobs: BTreeSet<JobKey> = plan.stopped.iter().map(|index| units[*index].key.0).collect();
+    jobs.into_iter().collect()
+}
+
 /// Returns the work that a stop loses, in core-seconds.
 fn stop_loss(spec: &StepSpec, entry: &RunEntry) -> f64 {
     let whole = step_work(spec, 1);
--- a/crates/membership/tests/outages.rs
+++ b/crates/membership/tests/outages.rs
@@ -1,5 +1,6 @@
 //! Telling an outage of the key-value service from a cut of the own failure domain.
 
+#[path = "common/bed.rs"]
 mod common;
 
 use std::time::Duration;
--- a/crates/membership/tests/spreading.rs
+++ b/crates/membership/tests/spreading.rs
@@ -1,5 +1,6 @@
 //! Spreading of the settings tree between processes over real connections.
 
+#[path = "common/bed.rs"]
 mod common;
 
 use std::time::{Duration, Instant};
--- a/crates/scheduler/tests/main.rs
+++ b/crates/scheduler/tests/main.rs
@@ -9,4 +9,5 @@
 mod process;
 mod rebuild;
 mod soak;
+#[path = "support/bed.rs"]
 mod support;
