--- a/crates/fleet/src/planner/ends.rs
+++ b/crates/fleet/src/planner/ends.rs
@@ -16,10 +16,13 @@
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
-        if !entry.take_end(end.number) {
+        let fresh = entry.take_end(end.number);
+        let held = entry.remove_run(end.task, end.run).is_some();
+        // The end of a run that still counts as held is news whatever its number.
+        if !fresh && !held {
             return;
         }
-        if entry.remove_run(end.task, end.run).is_some() {
+        if held {
             self.judge_worker(worker, end.reason, now);
         }
         self.apply_checkpoint(end.task, end.checkpoint);
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -278,7 +278,7 @@
         while let Some(end) = self.pending_ends.front()
             && stored(end.job) >= end.sequence
         {
-            self.acknowledgeable = end.number;
+            self.acknowledgeable = self.acknowledgeable.max(end.number);
             self.pending_ends.pop_front();
         }
     }
