Start separate tasks when their own worker is ready

Change: of a reservation, a gang starts when all its places are ready, other tasks each when its own is.

Tests: separate_tasks_start_although_one_reserved_worker_closes (failed before); worker_without_expected_room_is_looked_at (guards what already held).

--- a/crates/fleet/src/planner/dispatch.rs
+++ b/crates/fleet/src/planner/dispatch.rs
@@ -40,42 +40,59 @@
         }
     }
 
-    /// Starts urgent work whose borrowers have left and keeps the rest of its room.
+    /// Starts work whose workers are announced and free, and keeps the rest of its room.
     fn use_reservations(&mut self, board: &mut PlaceBoard, now: Duration) {
         let reservations = std::mem::take(&mut self.reservations);
         for reservation in reservations {
-            let Some(spec) = self.spec_of(reservation.key) else {
+            if let Some(spec) = self.spec_of(reservation.key) {
+                self.use_reservation(board, reservation, &spec, now);
+            }
+        }
+    }
+
+    /// A gang starts when all its places are ready, other tasks each when its own is.
+    fn use_reservation(
+        &mut self,
+        board: &mut PlaceBoard,
+        reservation: Reservation,
+        spec: &StepSpec,
+        now: Duration,
+    ) {
+        let Reservation { key, places, since } = reservation;
+        let overdue = now.saturating_sub(since) >= RESERVATION_LIMIT;
+        let (mut ready, mut held) = (Vec::new(), Vec::new());
+        let count = places.len();
+        for (index, worker) in places {
+            let Some(slot) = board.index(&worker).filter(|_| self.task_waits(key, index)) else {
                 continue;
             };
-            let slots: Vec<Option<SlotIndex>> =
-                reservation.places.iter().map(|(_, worker)| board.index(worker)).collect();
-            let known: Vec<SlotIndex> = slots.iter().flatten().copied().collect();
-            let mut ready = self.jobs.get(&reservation.key.0).is_some_and(|job| {
-                reservation.places.iter().all(|(_, worker)| job.may_start_on(worker))
-            });
-            for slot in &known {
-                ready &= board.slots[*slot].open && board.slots[*slot].free.covers(&spec.demand);
-                board.take(*slot, reservation.key, &spec.demand);
+            let announced = self.jobs.get(&key.0).is_some_and(|job| job.may_start_on(&worker));
+            let free = board.slots[slot].open && board.slots[slot].free.covers(&spec.demand);
+            board.take(slot, key, &spec.demand);
+            if announced && free { &mut ready } else { &mut held }.push((index, worker, slot));
+        }
+        let whole = ready.len() + held.len() == count;
+        if spec.gang && !held.is_empty() {
+            held.append(&mut ready);
+        }
+        if overdue || (spec.gang && !whole) {
+            for (_, _, slot) in held.drain(..) {
+                board.give_back(slot, key, &spec.demand);
             }
-            let waiting = reservation
-                .places
-                .iter()
-                .all(|(index, _)| self.task_waits(reservation.key, *index));
-            let overdue = now.saturating_sub(reservation.since) >= RESERVATION_LIMIT;
-            if !waiting || known.len() < slots.len() || (!ready && overdue) {
-                for slot in known {
-                    board.give_back(slot, reservation.key, &spec.demand);
-                }
-            } else if ready {
-                let (job, occurrence, step) = reservation.key;
-                let tasks = reservation.places.iter().map(|(index, worker)| {
-                    (TaskKey { job, occurrence, step, index: *index }, worker.clone())
-                });
-                self.start_tasks(tasks.collect(), now);
-            } else {
-                self.reservations.push(reservation);
+        }
+        if spec.gang && !whole {
+            for (_, _, slot) in ready.drain(..) {
+                board.give_back(slot, key, &spec.demand);
             }
         }
+        let (job, occurrence, step) = key;
+        let task = |index: u32| TaskKey { job, occurrence, step, index };
+        let tasks = ready.into_iter().map(|(index, worker, _)| (task(index), worker));
+        self.start_tasks(tasks.collect(), now);
+        if !held.is_empty() {
+            let places = held.into_iter().map(|(index, worker, _)| (index, worker)).collect();
+            self.reservations.push(Reservation { key, places, since });
+        }
     }
 
     fn place_item(&mut self, board: &mut PlaceBoard, item: &WorkItem, now: Duration) {
--- a/crates/fleet/tests/decisions/planner.rs
+++ b/crates/fleet/tests/decisions/planner.rs
@@ -311,3 +311,34 @@
     scene.pass(Duration::from_millis(300));
     assert_eq!(scene.starts.len(), 2);
 }
+
+/// A worker that refuses a start for want of capacity must be looked at: it may run something that
+/// this scheduler does not know of, and would refuse for ever.
+#[test]
+fn worker_without_expected_room_is_looked_at() {
+    let mut scene = Scene::new(1, vec![listing("w0", "north", "r1")]);
+    let unknown = lacewingrail_fleet::TaskKey { job: 99, occurrence: 0, step: 0, index: 0 };
+    let now = scene.now;
+    let worker = scene.workers.get_mut("w0").unwrap();
+    worker.running.insert((unknown, 7), now);
+    worker.full = true;
+    scene.accept(submission(1, "normal", vec![step(1, 8)]));
+    scene.pass(Duration::from_millis(200));
+    assert!(scene.stops.iter().any(|stop| stop.task == unknown && stop.run == 7));
+    scene.workers.get_mut("w0").unwrap().full = false;
+    scene.pass(Duration::from_millis(800));
+    assert!(scene.workers["w0"].running.keys().any(|(task, _)| task.job == 1));
+}
+
+/// Tasks that need not run together must not wait for one reserved worker that has closed.
+#[test]
+fn separate_tasks_start_although_one_reserved_worker_closes() {
+    let mut scene = Scene::new(1, two_racks());
+    scene.store_down = true;
+    scene.accept(submission(1, "normal", vec![step(6, 8)]));
+    assert!(scene.starts.is_empty(), "the workers are not announced yet");
+    scene.listings[0].draining = true;
+    scene.store_down = false;
+    scene.pass(Duration::from_millis(200));
+    assert_eq!(scene.starts.len(), 5);
+}
--- a/crates/fleet/tests/decisions/scene.rs
+++ b/crates/fleet/tests/decisions/scene.rs
@@ -9,7 +9,7 @@
 use lacewingrail_fleet::{
     EndReason, EndedRun, FleetConfig, FleetEvent, FleetOrder, FleetPlanner, JobKey, JobProgress,
     JobSpec, JobSubmission, LeaseReport, PlannerSettings, QueuePolicy, ResourceAmount, RunNumber,
-    RunningRun, StartOrder, StartOutcome, StepSpec, TaskKey, TaskRun, WorkerListing,
+    RunningRun, StartOrder, StartOutcome, StartRefusal, StepSpec, TaskKey, TaskRun, WorkerListing,
 };
 
 /// Capacity of every worker.
@@ -29,6 +29,8 @@
     pub ended: Vec<EndedRun>,
     pub ends: u64,
     pub silent: bool,
+    /// Whether starts are refused for want of capacity.
+    pub full: bool,
     pub born: u64,
 }
 
@@ -40,6 +42,7 @@
             ended: Vec::new(),
             ends: 0,
             silent: false,
+            full: false,
             born: 1,
         }
     }
@@ -247,6 +250,8 @@
                 let worker = self.workers.get_mut(&target.worker).expect("a listed worker");
                 let outcome = if worker.silent {
                     StartOutcome::Unclear
+                } else if worker.full {
+                    StartOutcome::Refused(StartRefusal::NoCapacity)
                 } else {
                     worker.running.insert((target.task, target.run), self.now);
                     StartOutcome::Started
