Delete what the store holds of jobs that nobody may ask for any more

Cause: submissions, cancellations and progress stayed in the store for ever, so it and the time to take over grew without bound.

Change: a job that ended longer ago than its state must be shown, and whose end is stored, is forgotten; the writer deletes ten such jobs at a time when nothing else waits. Whether all workers were heard no longer flips back with a new one.

Test: ended_job_is_forgotten (failed before).

--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -82,6 +82,8 @@
     },
     /// Write the list of workers that may hold runs to the store.
     StoreRoster(WorkerRoster),
+    /// Delete everything that the store holds of a job that ended long ago.
+    Forget(JobKey),
     /// Another scheduler holds the leadership.
     StepDown,
 }
--- a/crates/fleet/src/planner/upkeep.rs
+++ b/crates/fleet/src/planner/upkeep.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{FleetPlanner, PlannerNote};
-use crate::job::TaskPhase;
+use crate::job::{JobEntry, TaskPhase};
 use crate::order::{FleetOrder, RenewOrder, TaskRun};
 use crate::placement::{StepKey, step_key};
 use crate::record::WorkerDigest;
@@ -102,7 +102,8 @@
         }
         let former = self.settings.grace + self.settings.lease.mul_f64(FORMER_LEASE_FACTOR);
         self.former_over = now.saturating_sub(self.started) > former;
-        self.recovered = self.former_over || self.workers.values().all(|worker| worker.looked_at);
+        let heard = self.workers.values().all(|worker| worker.looked_at);
+        self.recovered |= self.former_over || (heard && !self.workers.is_empty());
     }
 
     /// Stops gangs of which some members run and others do not.
@@ -216,8 +217,12 @@
 
     fn forget_ended(&mut self, now: Duration) {
         let keep = self.settings.keep_ended;
-        self.jobs
-            .retain(|_, entry| entry.ended.is_none_or(|ended| now.saturating_sub(ended) < keep));
+        let over = |entry: &JobEntry| {
+            entry.ended.is_some_and(|ended| now.saturating_sub(ended) >= keep)
+                && entry.stored == entry.sequence
+        };
+        let forgotten = self.jobs.extract_if(.., |_, entry| over(entry));
+        self.orders.extend(forgotten.map(|(job, _)| FleetOrder::Forget(job)));
     }
 
     /// Asks workers for reports and extends their leases.
--- a/crates/fleet/tests/decisions/planner.rs
+++ b/crates/fleet/tests/decisions/planner.rs
@@ -342,3 +342,21 @@
     scene.pass(Duration::from_millis(200));
     assert_eq!(scene.starts.len(), 5);
 }
+
+/// What the store holds of a job must go once nobody may ask for it any more, or the store and the
+/// time to take over grow without bound.
+#[test]
+fn ended_job_is_forgotten() {
+    let mut scene = Scene::new(1, two_racks());
+    scene.accept(submission(1, "normal", vec![step(1, 8)]));
+    let order = scene.starts[0].clone();
+    scene.end(&order, EndReason::Done);
+    scene.pass(Duration::from_millis(300));
+    assert!(scene.stored.contains_key(&1));
+    scene.now += Duration::from_secs(119);
+    scene.settle();
+    assert!(scene.stored.contains_key(&1) && scene.planner.job(1).is_some());
+    scene.now += Duration::from_secs(1);
+    scene.settle();
+    assert!(!scene.stored.contains_key(&1) && scene.planner.job(1).is_none());
+}
--- a/crates/fleet/tests/decisions/scene.rs
+++ b/crates/fleet/tests/decisions/scene.rs
@@ -281,6 +281,7 @@
                 self.tell(FleetEvent::ProgressStored { job, sequence });
             }
             FleetOrder::StoreRoster(roster) => self.roster = roster,
+            FleetOrder::Forget(job) => drop(self.stored.remove(&job)),
             FleetOrder::StepDown => self.stepped_down = true,
         }
     }
--- a/crates/instance/src/executor.rs
+++ b/crates/instance/src/executor.rs
@@ -67,6 +67,9 @@
             FleetOrder::StoreRoster(workers) => {
                 let _ = self.progress.send(ProgressWrite::Roster(workers));
             }
+            FleetOrder::Forget(job) => {
+                let _ = self.progress.send(ProgressWrite::Forget(job));
+            }
             FleetOrder::StepDown => {}
         }
     }
--- a/crates/instance/src/progress_writer.rs
+++ b/crates/instance/src/progress_writer.rs
@@ -4,7 +4,7 @@
 //! of jobs. Every batch requires that this process still holds the leadership, so that a write that
 //! is carried out late can't undo what a later scheduler wrote.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,12 +16,14 @@
 use serde::Serialize;
 use tokio::sync::mpsc;
 
-use crate::records::{HOLDER_KEY, ROSTER_KEY, progress_key};
+use crate::records::{HOLDER_KEY, ROSTER_KEY, cancel_key, job_key, progress_key};
 use crate::schedule_controller::ScheduleSender;
 
 /// Most jobs in a batch: the service takes 32 entries, of which two are for the leadership and the
 /// list of workers.
 const BATCH_WRITES: usize = 30;
+/// Most jobs that are deleted together, each with three keys.
+const BATCH_DELETES: usize = 10;
 /// Pause after a failed write.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -32,6 +34,8 @@
     Job(JobKey, JobProgress),
     /// Workers that may hold runs.
     Roster(WorkerRoster),
+    /// A job that ended long ago and is to be deleted.
+    Forget(JobKey),
 }
 
 /// Takes what is to be written.
@@ -63,9 +67,11 @@
             }
             let batch = backlog.first_batch();
             let roster = backlog.roster.clone();
-            match self.write(&batch, roster.as_ref()).await {
+            let forgotten = backlog.first_forgotten(&batch);
+            match self.write(&batch, roster.as_ref(), &forgotten).await {
                 Ok(_) => {
                     backlog.remove(&batch, roster.as_ref());
+                    backlog.forgotten.retain(|job| !forgotten.contains(job));
                     for (job, progress) in batch {
                         let sequence = progress.sequence;
                         self.schedule.tell(FleetEvent::ProgressStored { job, sequence }).await;
@@ -83,6 +89,7 @@
         &self,
         batch: &[(JobKey, JobProgress)],
         roster: Option<&WorkerRoster>,
+        forgotten: &[JobKey],
     ) -> Result<Revision, StoreError> {
         let mut writes = Vec::with_capacity(batch.len() + 1);
         for (job, progress) in batch {
@@ -98,7 +105,9 @@
         }
         let revision = *self.holder.borrow();
         let expected = vec![KeyExpectation { key: HOLDER_KEY.to_owned(), revision }];
-        self.store.commit(StoreBatch { expected, writes, deletes: Vec::new() }).await
+        let keys = |job: &JobKey| [job_key(*job), cancel_key(*job), progress_key(*job)];
+        let deletes = forgotten.iter().flat_map(keys).collect();
+        self.store.commit(StoreBatch { expected, writes, deletes }).await
     }
 }
 
@@ -107,11 +116,18 @@
 struct ProgressBacklog {
     jobs: BTreeMap<JobKey, JobProgress>,
     roster: Option<WorkerRoster>,
+    forgotten: BTreeSet<JobKey>,
 }
 
 impl ProgressBacklog {
     fn is_empty(&self) -> bool {
-        self.jobs.is_empty() && self.roster.is_none()
+        self.jobs.is_empty() && self.roster.is_none() && self.forgotten.is_empty()
+    }
+
+    /// Returns the jobs to delete beside a batch, which leaves room for them only when it is empty.
+    fn first_forgotten(&self, batch: &[(JobKey, JobProgress)]) -> Vec<JobKey> {
+        let count = if batch.is_empty() { BATCH_DELETES } else { 0 };
+        self.forgotten.iter().take(count).copied().collect()
     }
 
     fn add(&mut self, write: ProgressWrite) {
@@ -120,6 +136,9 @@
                 self.jobs.insert(job, progress);
             }
             ProgressWrite::Roster(roster) => self.roster = Some(roster),
+            ProgressWrite::Forget(job) => {
+                self.forgotten.insert(job);
+            }
         }
     }
 
