Count a failed run once over a change of scheduler

Change: failures are counted with the newest run that was counted, and both are stored; run numbers rise, so an end counts once. Long log calls are wrapped.

Test: failed_run_counts_once_over_a_takeover (failed before).

--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -7,7 +7,7 @@
 use lacewingrail_model::WorkerId;
 use serde::{Deserialize, Serialize};
 
-use crate::record::{JobProgress, StepProgress};
+use crate::record::{FailureCount, JobProgress, StepProgress};
 use crate::spec::{CheckpointName, JobSubmission, RunNumber, StepSpec, TaskKey};
 use crate::speed::StepPace;
 
@@ -57,7 +57,7 @@
     /// Highest run ordered or seen.
     pub last_run: RunNumber,
     /// Failed runs.
-    pub failures: u32,
+    pub failures: FailureCount,
     /// Newest checkpoint.
     pub checkpoint: Option<CheckpointName>,
 }
@@ -70,9 +70,7 @@
     /// Number of tasks that are done.
     pub done: u32,
     /// Failed runs of a gang, each counted once.
-    pub gang_failures: u32,
-    /// Run of the gang whose failure was counted last.
-    pub failed_run: RunNumber,
+    pub gang_failures: FailureCount,
     /// When the newest task was done.
     pub done_since: Option<Duration>,
     /// Estimated work of a task.
@@ -269,8 +267,7 @@
         Self {
             tasks: vec![TaskEntry::default(); spec.count as usize],
             done: 0,
-            gang_failures: 0,
-            failed_run: 0,
+            gang_failures: FailureCount::default(),
             done_since: None,
             pace: StepPace::default(),
             waiting_since: None,
@@ -312,7 +309,7 @@
                 progress.done.push(index);
                 continue;
             }
-            if !gang && task.failures > 0 {
+            if !gang && task.failures.count > 0 {
                 progress.failures.insert(index, task.failures);
             }
             if let Some(checkpoint) = &task.checkpoint
@@ -321,7 +318,7 @@
                 checkpoints.insert(index, checkpoint.clone());
             }
         }
-        if gang && self.gang_failures > 0 {
+        if gang && self.gang_failures.count > 0 {
             progress.failures.insert(0, self.gang_failures);
         }
         progress.checkpoints = checkpoints;
--- a/crates/fleet/src/planner/ends.rs
+++ b/crates/fleet/src/planner/ends.rs
@@ -102,17 +102,12 @@
             let Some(step) = job.step_mut(task.occurrence, task.step) else {
                 return;
             };
-            if run > step.failed_run {
-                step.failed_run = run;
-                step.gang_failures += 1;
-            }
-            step.gang_failures
+            step.gang_failures.note(run)
         } else {
             let Some(entry) = job.task_mut(task) else {
                 return;
             };
-            entry.failures += 1;
-            entry.failures
+            entry.failures.note(run)
         };
         if failures >= limit {
             self.end_job(task.job, JobPhase::Failed, now);
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -6,9 +6,29 @@
 use serde::{Deserialize, Serialize};
 
 use crate::job::JobPhase;
-use crate::spec::CheckpointName;
+use crate::spec::{CheckpointName, RunNumber};
 use crate::speed::WorkerSpeed;
 
+/// Counts failed runs, each once although its end may be reported to several schedulers.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct FailureCount {
+    /// Number of failed runs.
+    pub count: u32,
+    /// Newest run that was counted; run numbers rise.
+    pub run: RunNumber,
+}
+
+impl FailureCount {
+    /// Counts a failed run unless it was counted before, and returns the number of failed runs.
+    pub fn note(&mut self, run: RunNumber) -> u32 {
+        if run > self.run {
+            self.run = run;
+            self.count += 1;
+        }
+        self.count
+    }
+}
+
 /// Holds the progress of one step of one occurrence.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct StepProgress {
@@ -22,7 +42,7 @@
     pub done: Vec<u32>,
     /// Failed runs by task; of a gang, under task 0.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    pub failures: BTreeMap<u32, u32>,
+    pub failures: BTreeMap<u32, FailureCount>,
     /// Newest checkpoint by task; of a gang, under task 0.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub checkpoints: BTreeMap<u32, CheckpointName>,
--- a/crates/fleet/tests/decisions/planner.rs
+++ b/crates/fleet/tests/decisions/planner.rs
@@ -360,3 +360,29 @@
     scene.settle();
     assert!(!scene.stored.contains_key(&1) && scene.planner.job(1).is_none());
 }
+
+/// A failed run that an earlier scheduler counted, but did not acknowledge any more, must not count
+/// again (grown almahra trouble-1 and trouble-3: jobs were given up with attempts left).
+#[test]
+fn failed_run_counts_once_over_a_takeover() {
+    let gang = lacewingrail_fleet::StepSpec { gang: true, ..step(1, 8) };
+    for spec in [step(1, 8), gang] {
+        let job = submission(1, "normal", vec![spec]);
+        let mut scene = Scene::new(1, two_racks());
+        scene.accept(job.clone());
+        for epoch in 2..4 {
+            let order = scene.starts.last().cloned().expect("the task was started");
+            scene.end(&order, EndReason::Failed);
+            let unacknowledged = scene.workers[&order.target.worker].ended.clone();
+            scene.settle();
+            let (target, worker) = (order.target.clone(), order.target.worker.clone());
+            scene.workers.get_mut(&worker).unwrap().ended = unacknowledged;
+            scene.workers.values_mut().for_each(|worker| worker.running.clear());
+            scene = scene.take_over(epoch, std::slice::from_ref(&job));
+            scene.pass(Duration::from_secs(3));
+            assert!(scene.starts.iter().all(|start| start.target.run > target.run));
+        }
+        assert_eq!(scene.planner.job(1).map(|entry| entry.phase), Some(JobPhase::Active));
+        assert_eq!(scene.starts.len(), 1, "two of three attempts have failed");
+    }
+}
--- a/crates/instance/src/executor.rs
+++ b/crates/instance/src/executor.rs
@@ -114,7 +114,10 @@
             Ok(report) => FleetEvent::LeaseAnswered { worker, sent, report },
             Err(error) => {
                 let stale_token = error == RenewError::StaleToken;
-                log::warn!(worker = worker, epoch = epoch, error = format!("{error:?}"); "renewal failed");
+                log::warn!(
+                    worker = worker, epoch = epoch, error = format!("{error:?}");
+                    "renewal failed"
+                );
                 FleetEvent::LeaseUnanswered { worker, stale_token }
             }
         };
--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -119,7 +119,10 @@
             Err(error) => log::error!(error = error.to_string(); "list of workers malformed"),
         }
     }
-    log::info!(inputs = batch.events.len(), progress = progress.len(), revision = batch.revision; "accepted jobs loaded");
+    log::info!(
+        inputs = batch.events.len(), progress = progress.len(), revision = batch.revision;
+        "accepted jobs loaded"
+    );
     for event in batch.events {
         feed_input(schedule, event, &progress).await;
     }
@@ -144,7 +147,10 @@
                 schedule.tell(accepted(submission, progress)).await;
             }
             Err(error) => {
-                log::error!(job = format!("{job:016x}"), revision = event.revision, error = error.to_string(); "submission malformed");
+                log::error!(
+                    job = format!("{job:016x}"), revision = event.revision, error = error.to_string();
+                    "submission malformed"
+                );
             }
         },
     }
--- a/crates/instance/src/front.rs
+++ b/crates/instance/src/front.rs
@@ -431,7 +431,10 @@
             Ok(PeerResponse::Fleet(reply)) => Some(reply),
             Ok(_) | Err(WireError::Connect(_)) => Some(FleetReply::NotActive),
             Err(error) => {
-                log::warn!(leader = leader.instance, epoch = leader.epoch, error = error.to_string(); "active scheduler did not answer");
+                log::warn!(
+                    leader = leader.instance, epoch = leader.epoch, error = error.to_string();
+                    "active scheduler did not answer"
+                );
                 None
             }
         }
--- a/crates/instance/src/leadership.rs
+++ b/crates/instance/src/leadership.rs
@@ -144,7 +144,10 @@
         let changed = self.view.borrow().leader != leader;
         if changed {
             if let Some(record) = &leader {
-                log::info!(leader = record.instance, epoch = record.epoch, revision = self.revision; "leader seen");
+                log::info!(
+                    leader = record.instance, epoch = record.epoch, revision = self.revision;
+                    "leader seen"
+                );
             }
             self.view.send_modify(|view| view.leader = leader);
         }
@@ -268,7 +271,10 @@
             Err(StoreError::LeaseLapsed) => self.regain(held).await,
             Err(error) => {
                 let overdue = clock::now().saturating_sub(held.valid_until);
-                log::warn!(epoch = held.epoch, overdue_ms = overdue.as_millis() as u64, error = error.to_string(); "leadership not renewed");
+                log::warn!(
+                    epoch = held.epoch, overdue_ms = overdue.as_millis() as u64, error = error.to_string();
+                    "leadership not renewed"
+                );
                 true
             }
         }
--- a/crates/instance/src/process.rs
+++ b/crates/instance/src/process.rs
@@ -153,7 +153,10 @@
         let newest = context.directory.operators(&known, WATCH_WAIT).await;
         if reached != newest.is_ok() {
             reached = newest.is_ok();
-            log::info!(reached = reached, revision = known.revision; "operators' settings lost or regained");
+            log::info!(
+                reached = reached, revision = known.revision;
+                "operators' settings lost or regained"
+            );
         }
         match newest {
             Ok(state) => adopt(&context, &sender, &known, state),
@@ -173,7 +176,10 @@
 ) {
     let version = |state: &OperatorState| state.tree.as_ref().map_or(0, |tree| tree.version);
     if version(&state) < version(known) {
-        log::error!(known = version(known), read = version(&state); "an older settings version is ignored");
+        log::error!(
+            known = version(known), read = version(&state);
+            "an older settings version is ignored"
+        );
         state.tree.clone_from(&known.tree);
     }
     if version(&state) != version(known) || state.domains_out != known.domains_out {
--- a/crates/instance/src/progress_writer.rs
+++ b/crates/instance/src/progress_writer.rs
@@ -78,7 +78,10 @@
                     }
                 }
                 Err(error) => {
-                    log::warn!(jobs = batch.len(), error = error.to_string(); "progress not stored, it is written again");
+                    log::warn!(
+                        jobs = batch.len(), error = error.to_string();
+                        "progress not stored, it is written again"
+                    );
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
             }
--- a/crates/instance/src/schedule_controller.rs
+++ b/crates/instance/src/schedule_controller.rs
@@ -133,7 +133,10 @@
         if recovering && self.planner.is_recovered() {
             let workers = self.planner.workers().count();
             let runs: usize = self.planner.workers().map(|worker| worker.runs.len()).sum();
-            log::info!(epoch = executor.permit.borrow().epoch, workers = workers, runs = runs; "workers heard");
+            log::info!(
+                epoch = executor.permit.borrow().epoch, workers = workers, runs = runs;
+                "workers heard"
+            );
         }
         let epoch = executor.permit.borrow().epoch;
         self.planner.take_notes().into_iter().for_each(|note| log_note(epoch, note));
@@ -147,7 +150,10 @@
         self.metrics.failed_starts.set(counts.failed_starts as i64);
         self.metrics.preemptions.set(counts.preemptions as i64);
         if step_down {
-            log::warn!(epoch = executor.permit.borrow().epoch; "a worker follows a later leadership; this one ends");
+            log::warn!(
+                epoch = executor.permit.borrow().epoch;
+                "a worker follows a later leadership; this one ends"
+            );
             controller.kill();
         }
     }
--- a/crates/instance/src/store_health.rs
+++ b/crates/instance/src/store_health.rs
@@ -58,7 +58,10 @@
                 self.answered_ms.store(now_ms(), Ordering::Relaxed);
                 self.failed_ms.store(0, Ordering::Relaxed);
                 if before > 0 {
-                    log::info!(failed_ms_ago = now_ms().saturating_sub(before); "key-value service regained");
+                    log::info!(
+                        failed_ms_ago = now_ms().saturating_sub(before);
+                        "key-value service regained"
+                    );
                 }
             }
         }
