Remove two leftovers of the planner

Cause: reading the whole change: a multiplication of amounts that nothing calls, and the clearing of a list that is not used any more.

Behaviour is the same.

--- a/crates/fleet/src/amount.rs
+++ b/crates/fleet/src/amount.rs
@@ -33,15 +33,6 @@
             .min(times(demand.accelerators, self.accelerators))
     }
 
-    /// Returns the amount multiplied by a count.
-    pub fn times(&self, count: i64) -> Self {
-        Self {
-            cpu_milli: self.cpu_milli * count,
-            memory_mb: self.memory_mb * count,
-            accelerators: self.accelerators * count,
-        }
-    }
-
     /// Returns the largest share that this amount takes of any resource of a capacity.
     pub fn dominant_share(&self, capacity: &Self) -> f64 {
         let share = |part: i64, whole: i64| part as f64 / whole.max(1) as f64;
--- a/crates/fleet/src/planner/dispatch.rs
+++ b/crates/fleet/src/planner/dispatch.rs
@@ -133,7 +133,6 @@
         let tasks: Vec<(TaskKey, WorkerId)> = tasks.collect();
         let rest = waiting[placed.len()..].to_vec();
         self.start_or_announce(key, tasks, now);
-        placed.clear();
         if urgent && !rest.is_empty() {
             let request = PlaceRequest { count: rest.len(), ..request };
             self.make_room(board, request, reach, &rest, now);
