--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -129,6 +129,8 @@
     DomainsOut(BTreeSet<DomainName>),
     /// The whole list of workers.
     WorkersListed(Vec<WorkerListing>),
+    /// The workers that an earlier scheduler used, as it stored them.
+    RosterLoaded(BTreeSet<WorkerId>),
     /// A job was accepted and stored; `progress` is what an earlier scheduler stored, if any.
     JobAccepted {
         /// Submission as stored.
@@ -137,8 +139,6 @@
         progress: Option<JobProgress>,
         /// Time since the acceptance.
         age: Duration,
-        /// Whether an earlier scheduler may have started tasks of the job.
-        restored: bool,
     },
     /// A job's cancellation was stored.
     JobCancelled(JobKey),
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -72,8 +72,8 @@
     pub gang_failures: u32,
     /// Run of the gang whose failure was counted last.
     pub failed_run: RunNumber,
-    /// Time at which all earlier steps were done.
-    pub ready_since: Option<Duration>,
+    /// Since when the step has waited for workers.
+    pub waiting_since: Option<Duration>,
 }
 
 /// Holds one occurrence of a job.
@@ -98,6 +98,8 @@
     pub ended: Option<Duration>,
     /// Occurrences that are due.
     pub occurrences: Vec<OccurrenceEntry>,
+    /// Sequence number of the progress that announces the first start, if there is one.
+    pub announced: Option<u64>,
     /// Whether a task has ever been started.
     pub begun: bool,
     /// Rises with every change.
@@ -123,6 +125,7 @@
             accepted,
             ended: None,
             occurrences: Vec::new(),
+            announced: None,
             begun: false,
             sequence: 0,
             offered: 0,
@@ -182,6 +185,19 @@
             && self.occurrences.iter().all(complete)
     }
 
+    /// Returns whether the store knows that tasks may have been started.
+    pub fn may_start(&self) -> bool {
+        self.announced.is_some_and(|sequence| self.stored >= sequence)
+    }
+
+    /// Asks for the first start to be announced in the store.
+    pub fn announce(&mut self) {
+        if self.announced.is_none() {
+            self.touch();
+            self.announced = Some(self.sequence);
+        }
+    }
+
     /// Notes a change that has to be stored.
     pub fn touch(&mut self) {
         self.sequence += 1;
@@ -197,13 +213,20 @@
                 steps.extend(progress);
             }
         }
-        JobProgress { sequence: self.sequence, phase: self.phase, begun: self.begun, steps }
+        JobProgress {
+            sequence: self.sequence,
+            phase: self.phase,
+            announced: self.announced.is_some(),
+            begun: self.begun,
+            steps,
+        }
     }
 
     fn restore(&mut self, progress: &JobProgress) {
         self.phase = progress.phase;
         self.stored_phase = progress.phase;
         self.begun = progress.begun;
+        self.announced = progress.announced.then_some(0);
         for stored in &progress.steps {
             self.add_occurrence(stored.occurrence);
             let gang = self.step_spec(stored.step).is_some_and(|spec| spec.gang);
@@ -221,7 +244,7 @@
             done: 0,
             gang_failures: 0,
             failed_run: 0,
-            ready_since: None,
+            waiting_since: None,
         }
     }
 
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -1,5 +1,6 @@
 //! What the planner asks for.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -65,6 +66,8 @@
         /// Content.
         progress: JobProgress,
     },
+    /// Write the list of workers that may hold runs to the store.
+    StoreRoster(BTreeSet<WorkerId>),
     /// Another scheduler holds the leadership.
     StepDown,
 }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -52,7 +52,7 @@
 }
 
 /// Limits where the tasks of a step may be placed in relation to each other.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum PlaceReach {
     /// Within the rack that the step prefers, or any one rack.
     Rack,
@@ -183,6 +183,13 @@
         reaches.iter().find(whole).copied().unwrap_or(PlaceReach::Region)
     }
 
+    /// Returns the share of all accelerators that nothing takes.
+    pub fn idle_share(&self) -> f64 {
+        let free: i64 = self.slots.iter().map(|slot| slot.free.accelerators.max(0)).sum();
+        let all: i64 = self.slots.iter().map(|slot| slot.capacity.accelerators).sum();
+        free as f64 / all.max(1) as f64
+    }
+
     /// Places all tasks of a request, or none.
     pub fn place_all(
         &self,
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -3,10 +3,10 @@
 //! [`FleetPlanner::handle`] applies an event. [`FleetPlanner::plan`] then decides and returns orders;
 //! a caller may apply several events before it asks for orders.
 //!
-//! A new scheduler knows which jobs exist from the store and what runs from the workers. Until every
-//! listed worker has reported, or the leases that an earlier scheduler may have extended are
-//! certainly over, it does not start tasks of jobs that it found in the store: such a task may run
-//! on a worker that has not been heard yet.
+//! A new scheduler knows which jobs exist from the store and what runs from the workers. The first
+//! start of a job is announced in the store before it is ordered. Until every worker that an earlier
+//! scheduler used has reported, or the leases that it may have extended are certainly over, tasks of
+//! announced jobs do not start: such a task may run on a worker that has not been heard yet.
 
 mod dispatch;
 mod ends;
@@ -40,6 +40,8 @@
     pub epoch: Epoch,
     /// Longest lease that a worker grants.
     pub lease: Duration,
+    /// Time for which a scheduler that can't renew its leadership goes on renewing leases of workers.
+    pub grace: Duration,
     /// Time for which a worker waits with an answer when it has no end to report.
     pub report_wait: Duration,
     /// Time after its end for which the state of a job is kept.
@@ -79,11 +81,15 @@
     config: Arc<FleetConfig>,
     domains_out: BTreeSet<DomainName>,
     jobs: BTreeMap<JobKey, JobEntry>,
+    /// Jobs whose cancellation was read before their submission.
+    early_cancels: BTreeSet<JobKey>,
     workers: BTreeMap<WorkerId, WorkerEntry>,
     listed_once: bool,
     recovered: bool,
     starts_allowed: bool,
-    restored: BTreeSet<JobKey>,
+    former_workers: BTreeSet<WorkerId>,
+    roster: BTreeSet<WorkerId>,
+    renewals_allowed: bool,
     reservations: Vec<Reservation>,
     broken_since: BTreeMap<StepKey, Duration>,
     means: WorkMeans,
@@ -100,11 +106,14 @@
             config: Arc::default(),
             domains_out: BTreeSet::new(),
             jobs: BTreeMap::new(),
+            early_cancels: BTreeSet::new(),
             workers: BTreeMap::new(),
             listed_once: false,
             recovered: false,
             starts_allowed: true,
-            restored: BTreeSet::new(),
+            former_workers: BTreeSet::new(),
+            roster: BTreeSet::new(),
+            renewals_allowed: true,
             reservations: Vec::new(),
             broken_since: BTreeMap::new(),
             means: WorkMeans::default(),
@@ -113,9 +122,11 @@
         }
     }
 
-    /// Allows or forbids new starts; renewals and stops go on.
-    pub fn allow_starts(&mut self, allowed: bool) {
-        self.starts_allowed = allowed;
+    /// Tells for how long the leadership has not been certain: at once nothing starts any more, and
+    /// after the grace time no lease is renewed, so that a later scheduler knows when all runs ended.
+    pub fn note_overdue(&mut self, overdue: Option<Duration>) {
+        self.starts_allowed = overdue.is_none();
+        self.renewals_allowed = overdue.is_none_or(|overdue| overdue < self.settings.grace);
     }
 
     /// Continues under a later leadership that no other scheduler has come between.
@@ -169,10 +180,8 @@
             FleetEvent::ConfigChanged(config) => self.config = config,
             FleetEvent::DomainsOut(domains) => self.domains_out = domains,
             FleetEvent::WorkersListed(listings) => self.take_list(listings),
-            FleetEvent::JobAccepted { submission, progress, age, restored } => {
-                if restored && !self.recovered {
-                    self.restored.insert(submission.key);
-                }
+            FleetEvent::RosterLoaded(workers) => self.former_workers = workers,
+            FleetEvent::JobAccepted { submission, progress, age } => {
                 self.accept(submission, progress.as_ref(), now.saturating_sub(age), now);
             }
             FleetEvent::JobCancelled(job) => self.cancel(job, now),
@@ -225,9 +234,15 @@
             entry.ended = Some(now);
         }
         self.jobs.insert(key, entry);
+        if self.early_cancels.remove(&key) {
+            self.cancel(key, now);
+        }
     }
 
     fn cancel(&mut self, job: JobKey, now: Duration) {
+        if !self.jobs.contains_key(&job) {
+            self.early_cancels.insert(job);
+        }
         self.end_job(job, JobPhase::Cancelled, now);
     }
 
--- a/crates/fleet/src/planner/dispatch.rs
+++ b/crates/fleet/src/planner/dispatch.rs
@@ -16,6 +16,12 @@
 /// Time after which workers reserved for urgent work are chosen anew: borrowers that were stopped
 /// are gone long before.
 const RESERVATION_LIMIT: Duration = Duration::from_millis(1200);
+/// Time after which a gang that needs no common rack spreads over failure domains.
+const SPREAD_WAIT: Duration = Duration::from_millis(500);
+/// Time after which work runs away from its rack while the fleet is idle.
+const SPILL_WAIT: Duration = Duration::from_millis(1000);
+/// Idle share of the fleet's accelerators above which work runs away from its rack.
+const SPILL_IDLE_SHARE: f64 = 0.5;
 /// Work that a stop costs a run that checkpoints, in seconds.
 const RESTORE_COST: f64 = 0.8;
 /// Smallest loss of a stop in core-seconds, so that fewer stops are preferred.
@@ -32,7 +38,7 @@
         let capacity = capacity.unwrap_or_default();
         let items = rank_work(&self.jobs, &self.config, &self.means, &capacity, now);
         for item in items {
-            if !self.recovered && self.restored.contains(&item.job) {
+            if !self.recovered && self.is_announced(item.job) {
                 continue;
             }
             self.place_item(&mut board, &item, now);
@@ -49,7 +55,7 @@
             let slots: Vec<Option<SlotIndex>> =
                 reservation.places.iter().map(|(_, worker)| board.index(worker)).collect();
             let mut trial = board.clone();
-            let mut ready = true;
+            let mut ready = self.jobs.get(&reservation.key.0).is_some_and(|job| job.may_start());
             for slot in &slots {
                 let Some(slot) = slot else {
                     ready = false;
@@ -101,14 +107,12 @@
             count: waiting.len(),
             prefer_fast: item.priority == URGENT,
         };
+        let waited = self.note_waiting(key, now);
         let reach = board.preferred_reach(&request);
-        let mut placed = if spec.gang {
-            board.place_all(&request, reach).unwrap_or_default()
-        } else {
-            place_each(board, &request, reach)
-        };
-        if spec.gang {
-            placed.iter().for_each(|slot| board.take(*slot, key, &spec.demand));
+        let mut placed = place_step(board, &request, reach);
+        let wider = wider_reach(board, &request, reach, waited);
+        if placed.is_empty() && wider > reach {
+            placed = place_step(board, &request, wider);
         }
         let tasks = waiting.iter().zip(&placed).map(|(index, slot)| {
             let (job, occurrence, step) = key;
@@ -117,7 +121,7 @@
         });
         let tasks: Vec<(TaskKey, WorkerId)> = tasks.collect();
         let rest = waiting[placed.len()..].to_vec();
-        self.start_tasks(tasks, now);
+        self.start_or_announce(key, tasks, now);
         placed.clear();
         if item.priority == URGENT && !rest.is_empty() {
             let request = PlaceRequest { count: rest.len(), ..request };
@@ -125,6 +129,35 @@
         }
     }
 
+    /// Starts tasks, or reserves their workers while the job's first start is announced.
+    fn start_or_announce(&mut self, key: StepKey, tasks: Vec<(TaskKey, WorkerId)>, now: Duration) {
+        if tasks.is_empty() {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&key.0) else {
+            return;
+        };
+        if job.may_start() {
+            self.start_tasks(tasks, now);
+            return;
+        }
+        job.announce();
+        let places = tasks.into_iter().map(|(task, worker)| (task.index, worker)).collect();
+        self.reservations.push(Reservation { key, places, since: now });
+    }
+
+    /// Notes that a step waits for workers and returns for how long it has.
+    fn note_waiting(&mut self, key: StepKey, now: Duration) -> Duration {
+        let step = self.jobs.get_mut(&key.0).and_then(|job| job.step_mut(key.1, key.2));
+        step.map_or(Duration::ZERO, |step| {
+            now.saturating_sub(*step.waiting_since.get_or_insert(now))
+        })
+    }
+
+    fn is_announced(&self, job: u64) -> bool {
+        self.jobs.get(&job).is_some_and(|job| job.announced.is_some())
+    }
+
     /// Stops borrowers and reserves their room for urgent tasks.
     fn reclaim(
         &mut self,
@@ -140,6 +173,9 @@
         let Some(plan) = plan else {
             return;
         };
+        if let Some(job) = self.jobs.get_mut(&request.key.0) {
+            job.announce();
+        }
         for index in &plan.stopped {
             let unit = &units[*index];
             self.counts.preemptions += 1;
@@ -230,6 +266,9 @@
             return;
         };
         job.begun = true;
+        if let Some(step) = job.step_mut(task.occurrence, task.step) {
+            step.waiting_since = None;
+        }
         let submission = job.submission.clone();
         let gang_checkpoint = if spec.gang { first_checkpoint(job, task) } else { None };
         let Some(entry) = job.task_mut(task) else {
@@ -297,6 +336,35 @@
     step.tasks.iter().find_map(|entry| entry.checkpoint.clone())
 }
 
+/// Places what fits of a step, of a gang all or nothing, and takes the room.
+fn place_step(
+    board: &mut PlaceBoard,
+    request: &PlaceRequest<'_>,
+    reach: PlaceReach,
+) -> Vec<SlotIndex> {
+    if !request.spec.gang {
+        return place_each(board, request, reach);
+    }
+    let placed = board.place_all(request, reach).unwrap_or_default();
+    placed.iter().for_each(|slot| board.take(*slot, request.key, &request.spec.demand));
+    placed
+}
+
+/// Returns how far from each other the tasks may be placed after a wait.
+///
+/// A gang that needs no common rack spreads over failure domains after a moment. Work that is much
+/// slower away from its rack goes there only while most of the fleet is idle.
+fn wider_reach(
+    board: &PlaceBoard,
+    request: &PlaceRequest<'_>,
+    reach: PlaceReach,
+    waited: Duration,
+) -> PlaceReach {
+    let idle = waited >= SPILL_WAIT && board.idle_share() > SPILL_IDLE_SHARE;
+    let spreads = reach == PlaceReach::Domain && waited >= SPREAD_WAIT && request.spec.gang;
+    if idle || spreads { PlaceReach::Region } else { reach }
+}
+
 fn place_each(
     board: &mut PlaceBoard,
     request: &PlaceRequest<'_>,
--- a/crates/fleet/src/planner/lease.rs
+++ b/crates/fleet/src/planner/lease.rs
@@ -106,8 +106,10 @@
             percent: running.percent,
             progressed: now,
         };
+        let lease = self.settings.lease;
         if let Some(entry) = self.workers.get_mut(worker) {
             entry.add_run(task, running.run, run);
+            entry.assume_lease(now, lease);
         }
         if !adopted {
             self.order_stop(worker, task, running.run, now);
--- a/crates/fleet/src/planner/upkeep.rs
+++ b/crates/fleet/src/planner/upkeep.rs
@@ -1,7 +1,10 @@
 //! What is due with time: lapsed leases, repeated stops, broken gangs, renewals and storing.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use lacewingrail_model::WorkerId;
+
 use super::FleetPlanner;
 use crate::job::TaskPhase;
 use crate::order::{FleetOrder, RenewOrder, TaskRun};
@@ -42,8 +45,16 @@
         for (worker, task, run) in lapsed {
             self.release(&worker, task, run);
         }
-        let leases = &mut self.workers;
-        leases.retain(|_, worker| worker.listed || worker.renewing || !worker.is_lease_over(now));
+        let recovered = self.recovered;
+        self.workers.retain(|_, worker| {
+            let heard = worker.looked_at || recovered;
+            worker.listed || worker.renewing || !heard || !worker.is_lease_over(now)
+        });
+        let roster: BTreeSet<WorkerId> = self.workers.keys().cloned().collect();
+        if roster != self.roster && recovered {
+            self.roster.clone_from(&roster);
+            self.orders.push(FleetOrder::StoreRoster(roster));
+        }
     }
 
     fn repeat_stops(&mut self, now: Duration) {
@@ -70,12 +81,11 @@
         if self.recovered || !self.listed_once {
             return;
         }
-        let former = self.settings.lease.mul_f64(FORMER_LEASE_FACTOR);
-        let all_seen = self.workers.values().all(|worker| worker.looked_at || !worker.listed);
-        if all_seen || now.saturating_sub(self.started) > former {
-            self.recovered = true;
-            self.restored.clear();
-        }
+        let former = self.settings.grace + self.settings.lease.mul_f64(FORMER_LEASE_FACTOR);
+        let seen = |id: &WorkerId| self.workers.get(id).is_some_and(|worker| worker.looked_at);
+        let all_seen = self.workers.values().all(|worker| worker.looked_at)
+            && self.former_workers.iter().all(seen);
+        self.recovered = all_seen || now.saturating_sub(self.started) > former;
     }
 
     /// Stops gangs of which some members run and others do not.
@@ -132,19 +142,15 @@
 
     /// Asks workers for reports and extends their leases.
     pub(super) fn renew(&mut self, now: Duration) {
+        if !self.renewals_allowed {
+            return;
+        }
         let (lease, wait) = (self.settings.lease, self.settings.report_wait);
         for (id, worker) in &mut self.workers {
             if worker.renewing || !needs_renewal(worker, lease, now) {
                 continue;
             }
-            let lease_end = if worker.runs.is_empty() {
-                None
-            } else {
-                worker.clock_at(now).map(|clock| clock + lease)
-            };
-            if let Some(lease_end) = lease_end {
-                worker.extend_lease(lease_end);
-            }
+            let lease_end = worker.next_lease_end(now, lease);
             let waits = worker.looked_at && !worker.awaits_storage() && worker.unanswered == 0;
             worker.renewing = true;
             worker.renewed = Some(now);
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -34,6 +34,9 @@
     pub sequence: u64,
     /// Phase.
     pub phase: JobPhase,
+    /// Whether a task may have been started; stored before the first start.
+    #[serde(default)]
+    pub announced: bool,
     /// Whether a task has ever been started.
     #[serde(default)]
     pub begun: bool,
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -179,6 +179,27 @@
         self.lease_end = self.lease_end.max(lease_end);
     }
 
+    /// Assumes the longest lease that another scheduler may have given.
+    pub fn assume_lease(&mut self, now: Duration, lease: Duration) {
+        if let Some(clock) = self.clock_at(now) {
+            self.extend_lease(clock + lease);
+        }
+    }
+
+    /// Returns the lease end of the next renewal; nothing if there is nothing to keep running.
+    ///
+    /// A renewal without an answer may be carried out late, so the lease of a worker that does not
+    /// answer is not extended any further.
+    pub fn next_lease_end(&mut self, now: Duration, lease: Duration) -> Option<Duration> {
+        if self.runs.is_empty() {
+            return None;
+        }
+        if self.unanswered == 0 {
+            self.assume_lease(now, lease);
+        }
+        Some(self.lease_end)
+    }
+
     /// Returns whether the lease of everything on the worker is certainly over.
     ///
     /// The worker's clock showed `clock` before its answer was received and may be slow.
--- /dev/null
+++ b/crates/fleet/tests/planner.rs
@@ -0,0 +1,206 @@
+//! Decisions of the planner, event by event.
+
+#[path = "support/scene.rs"]
+mod scene;
+
+use std::time::Duration;
+
+use lacewingrail_fleet::{EndReason, FleetEvent, JobPhase};
+use scene::{Scene, listing, step, submission};
+
+fn two_racks() -> Vec<lacewingrail_fleet::WorkerListing> {
+    let worker = |index: usize| {
+        let rack = if index < 3 { "r1" } else { "r2" };
+        listing(&format!("w{index}"), "north", rack)
+    };
+    (0..6).map(worker).collect()
+}
+
+/// A job whose last task is done must be shown as completed only once that is stored.
+#[test]
+fn job_completes_when_its_end_is_stored() {
+    let mut scene = Scene::new(1, two_racks());
+    scene.accept(submission(1, "normal", vec![step(2, 4)]));
+    assert_eq!(scene.starts.len(), 2);
+    scene.store_down = true;
+    for order in scene.starts.clone() {
+        scene.end(&order, EndReason::Done);
+    }
+    scene.pass(Duration::from_millis(300));
+    let entry = scene.planner.job(1).expect("an accepted job");
+    assert_eq!(entry.phase, JobPhase::Completed);
+    assert_eq!(entry.stored_phase, JobPhase::Active);
+    assert!(scene.workers.values().any(|worker| !worker.ended.is_empty()));
+    scene.store_down = false;
+    scene.pass(Duration::from_millis(300));
+    assert_eq!(scene.planner.job(1).map(|entry| entry.stored_phase), Some(JobPhase::Completed));
+    assert!(scene.workers.values().all(|worker| worker.ended.is_empty()));
+}
+
+/// A step must not start before the steps it waits for are done.
+#[test]
+fn step_waits_for_its_predecessors() {
+    let mut scene = Scene::new(1, two_racks());
+    let second = lacewingrail_fleet::StepSpec { after: vec![0], ..step(1, 1) };
+    scene.accept(submission(1, "normal", vec![step(2, 1), second]));
+    assert_eq!(scene.starts.len(), 2);
+    let first = scene.starts.clone();
+    scene.end(&first[0], EndReason::Done);
+    scene.pass(Duration::from_millis(200));
+    assert_eq!(scene.starts.len(), 2, "one of two tasks is done");
+    scene.end(&first[1], EndReason::Done);
+    scene.pass(Duration::from_millis(200));
+    assert_eq!(scene.starts.len(), 3);
+}
+
+/// A gang must not start in part, even when half of it fits.
+#[test]
+fn gang_starts_whole_or_not_at_all() {
+    let mut scene = Scene::new(1, two_racks());
+    scene.accept(submission(1, "normal", vec![step(4, 8)]));
+    assert_eq!(scene.starts.len(), 4);
+    let gang = lacewingrail_fleet::StepSpec { gang: true, ..step(3, 8) };
+    scene.accept(submission(2, "normal", vec![gang]));
+    assert!(scene.started(2).is_empty());
+    let first = scene.starts[0].clone();
+    scene.end(&first, EndReason::Done);
+    scene.pass(Duration::from_millis(200));
+    assert_eq!(scene.started(2).len(), 3);
+}
+
+/// Urgent work must get its accelerators from borrowers within the time of a stop.
+#[test]
+fn urgent_work_reclaims_from_borrowers() {
+    let mut scene = Scene::new(1, two_racks());
+    let borrower = lacewingrail_fleet::StepSpec { checkpoints: true, ..step(6, 8) };
+    scene.accept(submission(1, "slow", vec![borrower]));
+    assert_eq!(scene.starts.len(), 6);
+    let gang = lacewingrail_fleet::StepSpec { gang: true, one_rack: true, ..step(2, 8) };
+    scene.accept(submission(2, "urgent", vec![gang]));
+    scene.pass(Duration::from_millis(300));
+    assert_eq!(scene.stops.len(), 2);
+    assert_eq!(scene.started(2).len(), 2);
+    let racks: Vec<_> = scene
+        .started(2)
+        .iter()
+        .map(|worker| scene.listings.iter().find(|entry| entry.id == *worker).unwrap().rack.clone())
+        .collect();
+    assert_eq!(racks[0], racks[1]);
+}
+
+/// A task must not start elsewhere while a worker that can't be reached may still run it.
+#[test]
+fn unreachable_worker_keeps_its_task_until_the_lease_is_over() {
+    let mut scene = Scene::new(1, two_racks());
+    scene.accept(submission(1, "normal", vec![step(1, 8)]));
+    let worker = scene.starts[0].target.worker.clone();
+    scene.workers.get_mut(&worker).unwrap().silent = true;
+    scene.pass(Duration::from_millis(5900));
+    assert_eq!(scene.starts.len(), 1);
+    scene.pass(Duration::from_millis(1500));
+    assert_eq!(scene.starts.len(), 2);
+    assert_ne!(scene.starts[1].target.worker, worker);
+    assert!(scene.starts[1].target.run > scene.starts[0].target.run);
+}
+
+/// A new scheduler must not start a begun job's task elsewhere because the worker that runs it has
+/// left the list while it can't be reached (fleetbench almahra trouble-1, rule on double runs).
+#[test]
+fn unlisted_worker_of_an_earlier_scheduler_is_waited_for() {
+    let mut scene = Scene::new(1, two_racks());
+    let job = submission(1, "normal", vec![step(1, 8)]);
+    scene.accept(job.clone());
+    let worker = scene.starts[0].target.worker.clone();
+    scene.workers.get_mut(&worker).unwrap().silent = true;
+    let mut scene = scene.take_over(2, &[job]);
+    scene.pass(Duration::from_millis(1000));
+    scene.listings.retain(|listing| listing.id != worker);
+    scene.pass(Duration::from_millis(4000));
+    assert!(scene.starts.is_empty(), "the lease of the unlisted worker may not be over");
+    scene.pass(Duration::from_millis(10_000));
+    assert_eq!(scene.starts.len(), 1);
+}
+
+/// Work that has certainly not begun need not wait for workers that can't be reached.
+#[test]
+fn job_without_announced_start_begins_during_recovery() {
+    let mut scene = Scene::new(1, two_racks());
+    scene.workers.get_mut("w0").unwrap().silent = true;
+    let mut scene = scene.take_over(2, &[submission(1, "normal", vec![step(1, 8)])]);
+    scene.pass(Duration::from_millis(500));
+    assert_eq!(scene.starts.len(), 1);
+}
+
+/// A cancellation must hold although a new scheduler reads it before the job it belongs to
+/// (fleetbench tanahku trouble-3, rule on work that nobody asked for).
+#[test]
+fn cancellation_read_before_its_job_holds() {
+    let mut scene = Scene::new(2, two_racks());
+    scene.tell(FleetEvent::JobCancelled(1));
+    scene.accept(submission(1, "normal", vec![step(1, 8)]));
+    scene.pass(Duration::from_millis(300));
+    assert!(scene.starts.is_empty());
+    assert_eq!(scene.planner.job(1).map(|entry| entry.phase), Some(JobPhase::Cancelled));
+}
+
+/// A cancelled job must stop and stay stopped.
+#[test]
+fn cancelled_job_stops() {
+    let mut scene = Scene::new(1, two_racks());
+    scene.accept(submission(1, "normal", vec![step(2, 8)]));
+    scene.tell(FleetEvent::JobCancelled(1));
+    scene.pass(Duration::from_millis(500));
+    assert_eq!(scene.stops.len(), 2);
+    assert_eq!(scene.starts.len(), 2);
+    assert!(scene.workers.values().all(|worker| worker.running.is_empty()));
+}
+
+/// A task must not be started more often than its queue allows failed runs.
+#[test]
+fn failures_end_a_job() {
+    let mut scene = Scene::new(1, two_racks());
+    scene.accept(submission(1, "normal", vec![step(1, 8)]));
+    for _ in 0..5 {
+        if let Some(order) = scene.starts.last().cloned() {
+            scene.end(&order, EndReason::Failed);
+        }
+        scene.pass(Duration::from_secs(1));
+    }
+    assert_eq!(scene.starts.len(), 3);
+    assert_eq!(scene.planner.job(1).map(|entry| entry.phase), Some(JobPhase::Failed));
+}
+
+/// A gang without a rack of its own must not wait for one failure domain while the region has room
+/// (fleetbench tanahku scale-1, rule on lost jobs).
+#[test]
+fn large_gang_spreads_over_domains_when_no_domain_has_room() {
+    let domain = |index: usize| if index < 3 { "north" } else { "south" };
+    let worker = |index: usize| listing(&format!("w{index}"), domain(index), domain(index));
+    let mut scene = Scene::new(1, (0..6).map(worker).collect());
+    let on = |label: &str, count: u32| lacewingrail_fleet::StepSpec {
+        label: Some(label.to_owned()),
+        ..step(count, 8)
+    };
+    scene.accept(submission(1, "normal", vec![on("north", 2), on("south", 1)]));
+    let gang = lacewingrail_fleet::StepSpec { gang: true, ..step(3, 8) };
+    scene.accept(submission(2, "normal", vec![gang]));
+    scene.pass(Duration::from_secs(2));
+    assert_eq!(scene.started(2).len(), 3, "three workers in two domains are free");
+}
+
+/// Runs found on a worker must not be taken for lapsed because this scheduler, being slow, has not
+/// extended their lease yet (fleetbench tanahku trouble-2 with a slow store, rule on double runs).
+#[test]
+fn found_runs_live_until_the_lease_of_the_earlier_scheduler_is_over() {
+    let mut scene = Scene::new(1, two_racks());
+    let job = submission(1, "normal", vec![step(1, 8)]);
+    scene.accept(job.clone());
+    let mut scene = scene.take_over(2, &[job]);
+    let listings = scene.listings.clone();
+    scene.tell(FleetEvent::WorkersListed(listings));
+    let orders = scene.planner.plan(scene.now);
+    orders.into_iter().for_each(|order| scene.execute(order));
+    scene.now += Duration::from_millis(300);
+    scene.settle();
+    assert!(scene.starts.is_empty());
+}
--- /dev/null
+++ b/crates/fleet/tests/support/scene.rs
@@ -0,0 +1,280 @@
+//! A planner with a few workers that answer at once.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lacewingrail_fleet::order::RenewOrder;
+use lacewingrail_fleet::{
+    EndReason, EndedRun, FleetConfig, FleetEvent, FleetOrder, FleetPlanner, JobKey, JobProgress,
+    JobSpec, JobSubmission, LeaseReport, PlannerSettings, QueuePolicy, ResourceAmount, RunNumber,
+    RunningRun, StartOrder, StartOutcome, StepSpec, TaskKey, TaskRun, WorkerListing,
+};
+
+/// Capacity of every worker.
+pub const CAPACITY: ResourceAmount =
+    ResourceAmount { cpu_milli: 64_000, memory_mb: 131_072, accelerators: 8 };
+
+/// What a worker runs and has to report.
+#[derive(Clone, Debug, Default)]
+pub struct SceneWorker {
+    pub running: BTreeMap<(TaskKey, RunNumber), ()>,
+    pub ended: Vec<EndedRun>,
+    pub ends: u64,
+    pub silent: bool,
+}
+
+/// Drives a planner and keeps what it orders.
+pub struct Scene {
+    pub planner: FleetPlanner,
+    pub now: Duration,
+    pub workers: BTreeMap<String, SceneWorker>,
+    pub starts: Vec<StartOrder>,
+    pub stops: Vec<TaskRun>,
+    pub stored: BTreeMap<JobKey, JobProgress>,
+    pub listings: Vec<WorkerListing>,
+    pub stepped_down: bool,
+    pub store_down: bool,
+}
+
+/// Returns the settings of a planner under a leadership.
+pub fn settings(epoch: u64) -> PlannerSettings {
+    PlannerSettings {
+        epoch,
+        lease: Duration::from_secs(6),
+        grace: Duration::from_secs(6),
+        report_wait: Duration::from_secs(1),
+        keep_ended: Duration::from_secs(120),
+        unix_origin_ms: 1_700_000_000_000,
+    }
+}
+
+/// Returns a worker of a rack in a failure domain.
+pub fn listing(id: &str, domain: &str, rack: &str) -> WorkerListing {
+    WorkerListing {
+        id: id.into(),
+        address: format!("{id}:80"),
+        service: "desk".into(),
+        domain: domain.into(),
+        rack: Some(rack.into()),
+        labels: vec!["a".into(), rack.into()],
+        capacity: CAPACITY,
+        draining: false,
+        remaining: None,
+        born: 1,
+    }
+}
+
+/// Returns a step of tasks with accelerators.
+pub fn step(count: u32, accelerators: i64) -> StepSpec {
+    StepSpec {
+        count,
+        demand: ResourceAmount { cpu_milli: 1000 * accelerators, memory_mb: 1000, accelerators },
+        estimate: Duration::from_secs(4),
+        ..StepSpec::default()
+    }
+}
+
+/// Returns a submission to a queue: `urgent`, `normal` or `slow`.
+pub fn submission(key: JobKey, queue: &str, steps: Vec<StepSpec>) -> JobSubmission {
+    JobSubmission {
+        key,
+        queue: queue.into(),
+        customer: "school-groups".into(),
+        spec: JobSpec { payload: "work".into(), steps, schedule: None },
+        accepted_unix_ms: 1_700_000_000_000,
+    }
+}
+
+/// Returns the configuration of the scene.
+pub fn config() -> FleetConfig {
+    let policy = |priority: u32, stretch: f64, slack_ms: u64| QueuePolicy {
+        service: "desk".into(),
+        priority,
+        max_failures: 3,
+        stretch,
+        slack: Duration::from_millis(slack_ms),
+    };
+    let queues = [
+        ("urgent".to_owned(), policy(0, 1.5, 250)),
+        ("normal".to_owned(), policy(1, 3.0, 1000)),
+        ("slow".to_owned(), policy(2, 3.0, 3000)),
+    ];
+    FleetConfig { version: 1, queues: queues.into(), customers: BTreeMap::new() }
+}
+
+impl Scene {
+    /// Creates a scene with workers, all of which the planner has heard.
+    pub fn new(epoch: u64, listings: Vec<WorkerListing>) -> Self {
+        let mut scene = Self::unheard(epoch, listings);
+        scene.settle();
+        scene
+    }
+
+    /// Creates a scene whose planner has not looked at its workers yet.
+    pub fn unheard(epoch: u64, listings: Vec<WorkerListing>) -> Self {
+        let workers = listings.iter().map(|listing| (listing.id.clone(), SceneWorker::default()));
+        let mut scene = Self {
+            planner: FleetPlanner::new(settings(epoch), Duration::from_secs(100)),
+            now: Duration::from_secs(100),
+            workers: workers.collect(),
+            starts: Vec::new(),
+            stops: Vec::new(),
+            stored: BTreeMap::new(),
+            listings,
+            stepped_down: false,
+            store_down: false,
+        };
+        scene.tell(FleetEvent::ConfigChanged(Arc::new(config())));
+        scene
+    }
+
+    /// Starts a new planner over the same workers and the stored progress.
+    pub fn take_over(mut self, epoch: u64, submissions: &[JobSubmission]) -> Self {
+        self.planner = FleetPlanner::new(settings(epoch), self.now);
+        self.starts.clear();
+        self.stops.clear();
+        self.tell(FleetEvent::ConfigChanged(Arc::new(config())));
+        let roster = self.listings.iter().map(|listing| listing.id.clone()).collect();
+        self.tell(FleetEvent::RosterLoaded(roster));
+        for submission in submissions {
+            let progress = self.stored.get(&submission.key).cloned();
+            self.tell(FleetEvent::JobAccepted {
+                submission: Arc::new(submission.clone()),
+                progress,
+                age: Duration::ZERO,
+            });
+        }
+        self
+    }
+
+    pub fn tell(&mut self, event: FleetEvent) {
+        self.planner.handle(self.now, event);
+    }
+
+    pub fn accept(&mut self, submission: JobSubmission) {
+        self.tell(FleetEvent::JobAccepted {
+            submission: Arc::new(submission),
+            progress: None,
+            age: Duration::ZERO,
+        });
+        self.settle();
+    }
+
+    /// Lists the workers and plans until nothing more is ordered at this time.
+    pub fn settle(&mut self) {
+        let listings = self.listings.clone();
+        self.tell(FleetEvent::WorkersListed(listings));
+        for _ in 0..20 {
+            let orders = self.planner.plan(self.now);
+            let quiet = orders.iter().all(|order| matches!(order, FleetOrder::Renew(_)));
+            orders.into_iter().for_each(|order| self.execute(order));
+            self.now += Duration::from_millis(2);
+            if quiet {
+                break;
+            }
+        }
+    }
+
+    /// Lets time pass in steps of 100 ms, planning after each.
+    pub fn pass(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.now < end {
+            self.now += Duration::from_millis(100);
+            self.settle();
+        }
+    }
+
+    /// Ends a run on its worker; the planner learns of it with the next report.
+    pub fn end(&mut self, order: &StartOrder, reason: EndReason) {
+        let target = &order.target;
+        self.end_run(&target.worker, target.task, target.run, reason, None);
+    }
+
+    pub fn end_run(
+        &mut self,
+        worker: &str,
+        task: TaskKey,
+        run: RunNumber,
+        reason: EndReason,
+        checkpoint: Option<String>,
+    ) {
+        let entry = self.workers.get_mut(worker).expect("a worker of the scene");
+        if entry.running.remove(&(task, run)).is_some() {
+            entry.ends += 1;
+            let number = entry.ends;
+            entry.ended.push(EndedRun { number, task, run, reason, checkpoint });
+        }
+    }
+
+    /// Returns the workers of the started tasks of a job.
+    pub fn started(&self, key: JobKey) -> Vec<String> {
+        let own = self.starts.iter().filter(|order| order.target.task.job == key);
+        own.map(|order| order.target.worker.clone()).collect()
+    }
+
+    pub fn execute(&mut self, order: FleetOrder) {
+        match order {
+            FleetOrder::Start(order) => {
+                let target = order.target.clone();
+                self.starts.push(order);
+                let worker = self.workers.get_mut(&target.worker).expect("a listed worker");
+                let outcome = if worker.silent {
+                    StartOutcome::Unclear
+                } else {
+                    worker.running.insert((target.task, target.run), ());
+                    StartOutcome::Started
+                };
+                let TaskRun { worker, task, run, .. } = target;
+                self.tell(FleetEvent::StartAnswered { worker, task, run, outcome });
+            }
+            FleetOrder::Stop(target) => {
+                self.stops.push(target.clone());
+                let silent = self.workers[&target.worker].silent;
+                if !silent {
+                    let checkpoint = Some("saved".to_owned());
+                    let (task, run) = (target.task, target.run);
+                    self.end_run(&target.worker, task, run, EndReason::Stopped, checkpoint);
+                }
+                let TaskRun { worker, task, run, .. } = target;
+                self.tell(FleetEvent::StopAnswered { worker, task, run, confirmed: !silent });
+            }
+            FleetOrder::Renew(order) => self.renew(&order),
+            FleetOrder::Store { job, progress } => {
+                if self.store_down {
+                    self.tell(FleetEvent::ProgressUnstored { job });
+                    return;
+                }
+                let sequence = progress.sequence;
+                self.stored.insert(job, progress);
+                self.tell(FleetEvent::ProgressStored { job, sequence });
+            }
+            FleetOrder::StoreRoster(_) => {}
+            FleetOrder::StepDown => self.stepped_down = true,
+        }
+    }
+
+    fn renew(&mut self, order: &RenewOrder) {
+        let worker = self.workers.get_mut(&order.worker).expect("a listed worker");
+        if worker.silent {
+            let worker = order.worker.clone();
+            self.tell(FleetEvent::LeaseUnanswered { worker, stale_token: false });
+            return;
+        }
+        worker.ended.retain(|end| end.number > order.acknowledge);
+        let row = |(task, run): &(TaskKey, RunNumber)| RunningRun {
+            task: *task,
+            run: *run,
+            checkpoint: None,
+            percent: 10,
+        };
+        let report = LeaseReport {
+            born: 1,
+            clock: self.now,
+            running: worker.running.keys().map(row).collect(),
+            ended: worker.ended.clone(),
+        };
+        let (worker, sent) = (order.worker.clone(), self.now);
+        self.tell(FleetEvent::LeaseAnswered { worker, sent, report });
+    }
+}
--- a/crates/instance/src/executor.rs
+++ b/crates/instance/src/executor.rs
@@ -10,7 +10,7 @@
 
 use crate::border::{RenewError, WorkerService};
 use crate::clock;
-use crate::progress_writer::ProgressSender;
+use crate::progress_writer::{ProgressSender, ProgressWrite};
 use crate::schedule_controller::ScheduleSender;
 
 /// States under which leadership orders are sent and until when starts may be.
@@ -25,7 +25,12 @@
 impl LeadershipPermit {
     /// Returns whether starts are allowed now.
     pub fn is_valid(&self) -> bool {
-        clock::now() < self.valid_until
+        self.overdue().is_none()
+    }
+
+    /// Returns for how long the leadership has not been certain; nothing while it is.
+    pub fn overdue(&self) -> Option<Duration> {
+        clock::now().checked_sub(self.valid_until)
     }
 }
 
@@ -57,7 +62,10 @@
             }
             FleetOrder::Store { job, progress } => {
                 // The writer ends only together with the leadership, so nothing is lost.
-                let _ = self.progress.send((job, progress));
+                let _ = self.progress.send(ProgressWrite::Job(job, progress));
+            }
+            FleetOrder::StoreRoster(workers) => {
+                let _ = self.progress.send(ProgressWrite::Roster(workers));
             }
             FleetOrder::StepDown => {}
         }
--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -11,7 +11,9 @@
 
 use crate::leadership::WATCH_WAIT;
 use crate::process::InstanceContext;
-use crate::records::{INPUT_PREFIX, InputKey, PROGRESS_PREFIX, parse_input, parse_progress};
+use crate::records::{
+    INPUT_PREFIX, InputKey, PROGRESS_PREFIX, ROSTER_KEY, parse_input, parse_progress,
+};
 use crate::schedule_controller::{Loaded, PlanNow, ScheduleSender};
 
 /// Time between readings of the list of workers; two fit into the shortest time within which a
@@ -88,7 +90,7 @@
             Ok(batch) => {
                 revision = batch.revision;
                 for event in batch.events {
-                    feed_input(&schedule, event, &BTreeMap::new(), false).await;
+                    feed_input(&schedule, event, &BTreeMap::new()).await;
                 }
             }
             Err(error) => {
@@ -111,9 +113,15 @@
             _ => log::error!(key = entry.key, revision = entry.revision; "progress malformed"),
         }
     }
+    if let Some(entry) = context.store.get(ROSTER_KEY).await? {
+        match serde_json::from_str(&entry.value) {
+            Ok(workers) => schedule.tell(FleetEvent::RosterLoaded(workers)).await,
+            Err(error) => log::error!(error = error.to_string(); "list of workers malformed"),
+        }
+    }
     log::info!(inputs = batch.events.len(), progress = progress.len(), revision = batch.revision; "accepted jobs loaded");
     for event in batch.events {
-        feed_input(schedule, event, &progress, true).await;
+        feed_input(schedule, event, &progress).await;
     }
     // The scheduler ends with its leadership; then nobody waits for this.
     let _ = schedule.0.tell(Loaded).await;
@@ -124,7 +132,6 @@
     schedule: &ScheduleSender,
     event: StoreEvent,
     progress: &BTreeMap<JobKey, JobProgress>,
-    restored: bool,
 ) {
     let (Some(key), Some(value)) = (parse_input(&event.key), event.value) else {
         return;
@@ -134,7 +141,7 @@
         InputKey::Job(job) => match serde_json::from_str::<JobSubmission>(&value) {
             Ok(submission) => {
                 let progress = progress.get(&job).cloned();
-                schedule.tell(accepted(submission, progress, restored)).await;
+                schedule.tell(accepted(submission, progress)).await;
             }
             Err(error) => {
                 log::error!(job = format!("{job:016x}"), revision = event.revision, error = error.to_string(); "submission malformed");
@@ -144,12 +151,8 @@
 }
 
 /// Returns the event of an accepted job.
-pub fn accepted(
-    submission: JobSubmission,
-    progress: Option<JobProgress>,
-    restored: bool,
-) -> FleetEvent {
+pub fn accepted(submission: JobSubmission, progress: Option<JobProgress>) -> FleetEvent {
     let age_ms = unix_millis().saturating_sub(submission.accepted_unix_ms);
     let age = Duration::from_millis(age_ms).min(LARGEST_AGE);
-    FleetEvent::JobAccepted { submission: Arc::new(submission), progress, age, restored }
+    FleetEvent::JobAccepted { submission: Arc::new(submission), progress, age }
 }
--- a/crates/instance/src/front.rs
+++ b/crates/instance/src/front.rs
@@ -12,7 +12,7 @@
 use lacewingrail_model::clock::unix_millis;
 use lacewingrail_model::message::{FleetCall, FleetReply, JobStanding, PeerRequest, PeerResponse};
 use lacewingrail_model::store::{KeyExpectation, KeyWrite, StoreBatch, StoreError};
-use lacewingrail_wire::PeerClient;
+use lacewingrail_wire::{PeerClient, WireError};
 use tokio::sync::watch;
 
 use crate::clock;
@@ -113,6 +113,15 @@
     }
 }
 
+/// States what a write of a submission found.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum StoredSubmission {
+    /// The job is new.
+    Created,
+    /// The job was stored before.
+    Existed,
+}
+
 /// Serves the calls of clients and those handed on by peers.
 #[derive(Clone)]
 pub struct JobFront {
@@ -204,7 +213,16 @@
             Some(FleetReply::NotAccepted { reason, retry_ms }) => {
                 ClientAnswer::NotAccepted { reason, retry: Duration::from_millis(retry_ms) }
             }
-            _ => self.store_submission(&submission).await,
+            Some(FleetReply::NotActive) => match self.store_submission(&submission).await {
+                Ok(_) => ClientAnswer::Accepted,
+                Err(answer) => answer,
+            },
+            // The scheduler may have stored the job, so a refusal by the store proves nothing.
+            _ => match self.store_submission(&submission).await {
+                Ok(_) => ClientAnswer::Accepted,
+                Err(ClientAnswer::NotAccepted { .. }) => ClientAnswer::Unclear,
+                Err(answer) => answer,
+            },
         }
     }
 
@@ -223,18 +241,24 @@
             // A scheduler that has just ended has no opinion; the store decides.
             Ok(SubmissionVerdict::Acceptable) | Err(_) => {}
         }
-        let answer = self.store_submission(&submission).await;
-        if answer == ClientAnswer::Accepted {
-            schedule.tell(feeds::accepted(submission, None, false)).await;
+        match self.store_submission(&submission).await {
+            Ok(StoredSubmission::Created) => {
+                schedule.tell(feeds::accepted(submission, None)).await;
+                ClientAnswer::Accepted
+            }
+            // The scheduler reads an older submission together with its progress.
+            Ok(StoredSubmission::Existed) => ClientAnswer::Accepted,
+            Err(answer) => answer,
         }
-        answer
     }
 
     /// Stores a submission unless the job is stored already.
-    async fn store_submission(&self, submission: &JobSubmission) -> ClientAnswer {
-        let Ok(value) = serde_json::to_string(submission) else {
-            return ClientAnswer::Malformed("the job can't be stored".to_owned());
-        };
+    async fn store_submission(
+        &self,
+        submission: &JobSubmission,
+    ) -> Result<StoredSubmission, ClientAnswer> {
+        let value = serde_json::to_string(submission)
+            .map_err(|error| ClientAnswer::Malformed(error.to_string()))?;
         let key = job_key(submission.key);
         let batch = StoreBatch {
             expected: vec![KeyExpectation { key: key.clone(), revision: 0 }],
@@ -242,15 +266,17 @@
             deletes: Vec::new(),
         };
         match self.context.store.commit(batch).await {
-            Ok(_) | Err(StoreError::Conflict { .. }) => ClientAnswer::Accepted,
+            Ok(_) => Ok(StoredSubmission::Created),
+            Err(StoreError::Conflict { .. }) => Ok(StoredSubmission::Existed),
             Err(StoreError::Unclear(_)) => match self.context.store.get(&key).await {
-                Ok(Some(_)) => ClientAnswer::Accepted,
+                Ok(Some(_)) => Ok(StoredSubmission::Existed),
                 // The write may still be carried out late, so this is no refusal.
-                Ok(None) | Err(_) => ClientAnswer::Unclear,
+                Ok(None) | Err(_) => Err(ClientAnswer::Unclear),
             },
-            Err(error) => {
-                ClientAnswer::NotAccepted { reason: error.to_string(), retry: OUTAGE_RETRY }
-            }
+            Err(error) => Err(ClientAnswer::NotAccepted {
+                reason: error.to_string(),
+                retry: OUTAGE_RETRY,
+            }),
         }
     }
 
@@ -366,18 +392,18 @@
         }
     }
 
-    /// Hands a call to the active scheduler; nothing if there is none or it does not answer.
+    /// Hands a call to the active scheduler; nothing if it may have acted and its answer is lost.
     async fn ask_leader(&self, call: FleetCall) -> Option<FleetReply> {
-        let leader = self.leadership.borrow().leader.clone()?;
-        if leader.address == self.context.settings.peer_address.to_string() {
-            return None;
-        }
+        let leader = self.leadership.borrow().leader.clone();
+        let own_address = self.context.settings.peer_address.to_string();
+        let Some(leader) = leader.filter(|leader| leader.address != own_address) else {
+            return Some(FleetReply::NotActive);
+        };
         let request = PeerRequest::Fleet(call);
         let answer = self.peers.call(&leader.address, String::new(), request, LEADER_TIMEOUT).await;
         match answer {
-            Ok(PeerResponse::Fleet(FleetReply::NotActive)) => None,
             Ok(PeerResponse::Fleet(reply)) => Some(reply),
-            Ok(_) => None,
+            Ok(_) | Err(WireError::Connect(_)) => Some(FleetReply::NotActive),
             Err(error) => {
                 log::warn!(leader = leader.instance, epoch = leader.epoch, error = error.to_string(); "active scheduler did not answer");
                 None
--- a/crates/instance/src/leadership.rs
+++ b/crates/instance/src/leadership.rs
@@ -32,6 +32,9 @@
 const RENEW_PERIOD: Duration = Duration::from_millis(400);
 /// Time by which the holder stops starting before the lease can end.
 const VALIDITY_MARGIN: Duration = Duration::from_millis(100);
+/// Time for which workers' leases are renewed without a certain leadership: the store's longer
+/// outages, so that running work survives them.
+const OUTAGE_GRACE: Duration = Duration::from_secs(6);
 /// Longest wait of a watch; bounds the time until a silent connection is noticed.
 pub const WATCH_WAIT: Duration = Duration::from_millis(1500);
 /// Pause after a failed call.
@@ -284,6 +287,7 @@
     PlannerSettings {
         epoch,
         lease: context.settings.worker_lease,
+        grace: OUTAGE_GRACE,
         report_wait: context.settings.report_wait,
         keep_ended: context.settings.keep_ended + KEEP_MARGIN,
         unix_origin_ms: origin,
--- a/crates/instance/src/progress_writer.rs
+++ b/crates/instance/src/progress_writer.rs
@@ -4,26 +4,38 @@
 //! of jobs. Every batch requires that this process still holds the leadership, so that a write that
 //! is carried out late can't undo what a later scheduler wrote.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use lacewingrail_fleet::{FleetEvent, JobKey, JobProgress};
+use lacewingrail_model::WorkerId;
 use lacewingrail_model::store::{
     BatchStore, KeyExpectation, KeyWrite, Revision, StoreBatch, StoreError,
 };
+use serde::Serialize;
 use tokio::sync::mpsc;
 
-use crate::records::{HOLDER_KEY, progress_key};
+use crate::records::{HOLDER_KEY, ROSTER_KEY, progress_key};
 use crate::schedule_controller::ScheduleSender;
 
-/// Most writes in a batch: the service takes 32 entries, one of which is the leadership.
+/// Most jobs in a batch: the service takes 32 entries, of which two are for the leadership and the
+/// list of workers.
 const BATCH_WRITES: usize = 30;
 /// Pause after a failed write.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Takes progress to write.
-pub type ProgressSender = mpsc::UnboundedSender<(JobKey, JobProgress)>;
+/// Names what is to be written.
+#[derive(Clone, Debug)]
+pub enum ProgressWrite {
+    /// Progress of a job.
+    Job(JobKey, JobProgress),
+    /// Workers that may hold runs.
+    Roster(BTreeSet<WorkerId>),
+}
+
+/// Takes what is to be written.
+pub type ProgressSender = mpsc::UnboundedSender<ProgressWrite>;
 
 /// Writes progress under one leadership.
 pub struct ProgressWriter {
@@ -37,30 +49,25 @@
 
 impl ProgressWriter {
     /// Runs until the sender is gone.
-    pub async fn run(self, mut receiver: mpsc::UnboundedReceiver<(JobKey, JobProgress)>) {
-        let mut waiting: BTreeMap<JobKey, JobProgress> = BTreeMap::new();
+    pub async fn run(self, mut receiver: mpsc::UnboundedReceiver<ProgressWrite>) {
+        let mut backlog = ProgressBacklog::default();
         loop {
-            if waiting.is_empty() {
-                let Some((job, progress)) = receiver.recv().await else {
+            if backlog.is_empty() {
+                let Some(write) = receiver.recv().await else {
                     return;
                 };
-                waiting.insert(job, progress);
+                backlog.add(write);
             }
-            while let Ok((job, progress)) = receiver.try_recv() {
-                waiting.insert(job, progress);
+            while let Ok(write) = receiver.try_recv() {
+                backlog.add(write);
             }
-            let batch: Vec<(JobKey, JobProgress)> = waiting
-                .iter()
-                .take(BATCH_WRITES)
-                .map(|(job, progress)| (*job, progress.clone()))
-                .collect();
-            match self.write(&batch).await {
+            let batch = backlog.first_batch();
+            let roster = backlog.roster.clone();
+            match self.write(&batch, roster.as_ref()).await {
                 Ok(_) => {
+                    backlog.remove(&batch, roster.as_ref());
                     for (job, progress) in batch {
                         let sequence = progress.sequence;
-                        if waiting.get(&job).is_some_and(|newest| newest.sequence == sequence) {
-                            waiting.remove(&job);
-                        }
                         self.schedule.tell(FleetEvent::ProgressStored { job, sequence }).await;
                     }
                 }
@@ -72,15 +79,71 @@
         }
     }
 
-    async fn write(&self, batch: &[(JobKey, JobProgress)]) -> Result<Revision, StoreError> {
-        let mut writes = Vec::with_capacity(batch.len());
+    async fn write(
+        &self,
+        batch: &[(JobKey, JobProgress)],
+        roster: Option<&BTreeSet<WorkerId>>,
+    ) -> Result<Revision, StoreError> {
+        let mut writes = Vec::with_capacity(batch.len() + 1);
         for (job, progress) in batch {
-            let value = serde_json::to_string(progress)
-                .map_err(|error| StoreError::Malformed(error.to_string()))?;
-            writes.push(KeyWrite { key: progress_key(*job), value, lease: None });
+            writes.push(KeyWrite {
+                key: progress_key(*job),
+                value: encode(progress)?,
+                lease: None,
+            });
+        }
+        if let Some(roster) = roster {
+            let value = encode(roster)?;
+            writes.push(KeyWrite { key: ROSTER_KEY.to_owned(), value, lease: None });
         }
         let revision = *self.holder.borrow();
         let expected = vec![KeyExpectation { key: HOLDER_KEY.to_owned(), revision }];
         self.store.commit(StoreBatch { expected, writes, deletes: Vec::new() }).await
     }
 }
+
+/// Holds the newest of what waits to be written.
+#[derive(Default)]
+struct ProgressBacklog {
+    jobs: BTreeMap<JobKey, JobProgress>,
+    roster: Option<BTreeSet<WorkerId>>,
+}
+
+impl ProgressBacklog {
+    fn is_empty(&self) -> bool {
+        self.jobs.is_empty() && self.roster.is_none()
+    }
+
+    fn add(&mut self, write: ProgressWrite) {
+        match write {
+            ProgressWrite::Job(job, progress) => {
+                self.jobs.insert(job, progress);
+            }
+            ProgressWrite::Roster(roster) => self.roster = Some(roster),
+        }
+    }
+
+    fn first_batch(&self) -> Vec<(JobKey, JobProgress)> {
+        let first = self.jobs.iter().take(BATCH_WRITES);
+        first.map(|(job, progress)| (*job, progress.clone())).collect()
+    }
+
+    /// Removes what was written unless something newer came meanwhile.
+    fn remove(&mut self, batch: &[(JobKey, JobProgress)], roster: Option<&BTreeSet<WorkerId>>) {
+        for (job, written) in batch {
+            if self.jobs.get(job).is_some_and(|newest| newest.sequence == written.sequence) {
+                self.jobs.remove(job);
+            }
+        }
+        if self.roster.as_ref() == roster {
+            self.roster = None;
+        }
+    }
+}
+
+fn encode<T>(value: &T) -> Result<String, StoreError>
+where
+    T: Serialize,
+{
+    serde_json::to_string(value).map_err(|error| StoreError::Malformed(error.to_string()))
+}
--- a/crates/instance/src/schedule_controller.rs
+++ b/crates/instance/src/schedule_controller.rs
@@ -111,8 +111,14 @@
         if !self.loaded {
             return;
         }
-        self.planner.allow_starts(executor.permit.borrow().is_valid());
+        self.planner.note_overdue(executor.permit.borrow().overdue());
+        let recovering = !self.planner.is_recovered();
         let orders = self.planner.plan(clock::now());
+        if recovering && self.planner.is_recovered() {
+            let workers = self.planner.workers().count();
+            let runs: usize = self.planner.workers().map(|worker| worker.runs.len()).sum();
+            log::info!(epoch = executor.permit.borrow().epoch, workers = workers, runs = runs; "workers heard");
+        }
         let mut step_down = false;
         for order in orders {
             step_down |= matches!(order, FleetOrder::StepDown);
