--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -1,6 +1,6 @@
 //! The state of one accepted job.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -103,8 +103,10 @@
     pub ended: Option<Duration>,
     /// Occurrences that are due.
     pub occurrences: Vec<OccurrenceEntry>,
-    /// Sequence number of the progress that announces the first start, if there is one.
-    pub announced: Option<u64>,
+    /// Workers on which tasks may start, with the sequence number of the progress that says so.
+    pub announced: BTreeMap<WorkerId, u64>,
+    /// Workers on which an earlier scheduler may have started tasks.
+    pub former: BTreeSet<WorkerId>,
     /// Whether a task has ever been started.
     pub begun: bool,
     /// Rises with every change.
@@ -130,7 +132,8 @@
             accepted,
             ended: None,
             occurrences: Vec::new(),
-            announced: None,
+            announced: BTreeMap::new(),
+            former: BTreeSet::new(),
             begun: false,
             sequence: 0,
             offered: 0,
@@ -190,19 +193,37 @@
             && self.occurrences.iter().all(complete)
     }
 
-    /// Returns whether the store knows that tasks may have been started.
-    pub fn may_start(&self) -> bool {
-        self.announced.is_some_and(|sequence| self.stored >= sequence)
+    /// Returns whether the store knows that tasks may be started on a worker.
+    pub fn may_start_on(&self, worker: &str) -> bool {
+        self.announced.get(worker).is_some_and(|sequence| self.stored >= *sequence)
     }
 
-    /// Asks for the first start to be announced in the store.
-    pub fn announce(&mut self) {
-        if self.announced.is_none() {
-            self.touch();
-            self.announced = Some(self.sequence);
+    /// Asks for starts on workers to be announced in the store.
+    pub fn announce<'a, W>(&mut self, workers: W)
+    where
+        W: Iterator<Item = &'a WorkerId>,
+    {
+        let wanted: BTreeSet<WorkerId> = workers.cloned().collect();
+        if wanted.iter().all(|worker| self.announced.contains_key(worker)) {
+            return;
+        }
+        let assigned = self.assigned_workers();
+        self.announced.retain(|worker, _| assigned.contains(worker) || wanted.contains(worker));
+        self.touch();
+        for worker in wanted {
+            self.announced.entry(worker).or_insert(self.sequence);
         }
     }
 
+    fn assigned_workers(&self) -> BTreeSet<WorkerId> {
+        let steps = self.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
+        let assigned = steps.flat_map(|step| &step.tasks).filter_map(|task| match &task.phase {
+            TaskPhase::Assigned { worker, .. } => Some(worker.clone()),
+            TaskPhase::Waiting | TaskPhase::Done => None,
+        });
+        assigned.collect()
+    }
+
     /// Notes a change that has to be stored.
     pub fn touch(&mut self) {
         self.sequence += 1;
@@ -221,7 +242,7 @@
         JobProgress {
             sequence: self.sequence,
             phase: self.phase,
-            announced: self.announced.is_some(),
+            workers: self.announced.keys().chain(&self.former).cloned().collect(),
             begun: self.begun,
             steps,
         }
@@ -231,7 +252,8 @@
         self.phase = progress.phase;
         self.stored_phase = progress.phase;
         self.begun = progress.begun;
-        self.announced = progress.announced.then_some(0);
+        self.announced = progress.workers.iter().map(|worker| (worker.clone(), 0)).collect();
+        self.former.clone_from(&progress.workers);
         for stored in &progress.steps {
             self.add_occurrence(stored.occurrence);
             let gang = self.step_spec(stored.step).is_some_and(|spec| spec.gang);
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -3,10 +3,10 @@
 //! [`FleetPlanner::handle`] applies an event. [`FleetPlanner::plan`] then decides and returns orders;
 //! a caller may apply several events before it asks for orders.
 //!
-//! A new scheduler knows which jobs exist from the store and what runs from the workers. The first
-//! start of a job is announced in the store before it is ordered. Until every worker that an earlier
-//! scheduler used has reported, or the leases that it may have extended are certainly over, tasks of
-//! announced jobs do not start: such a task may run on a worker that has not been heard yet.
+//! A new scheduler knows which jobs exist from the store and what runs from the workers. The workers
+//! of a job are announced in the store before a start is ordered there. A task that no worker lists
+//! starts only when all announced workers of its job have reported, or the leases that the earlier
+//! scheduler may have extended are certainly over: it may run on a worker that was not heard yet.
 
 mod dispatch;
 mod ends;
@@ -130,8 +130,10 @@
     workers: BTreeMap<WorkerId, WorkerEntry>,
     listed_once: bool,
     recovered: bool,
+    former_over: bool,
     starts_allowed: bool,
-    former_workers: WorkerRoster,
+    digests: WorkerRoster,
+    heard: BTreeSet<WorkerId>,
     roster_members: BTreeSet<WorkerId>,
     roster_stored: Duration,
     renewals_allowed: bool,
@@ -156,8 +158,10 @@
             workers: BTreeMap::new(),
             listed_once: false,
             recovered: false,
+            former_over: false,
             starts_allowed: true,
-            former_workers: WorkerRoster::new(),
+            digests: WorkerRoster::new(),
+            heard: BTreeSet::new(),
             roster_members: BTreeSet::new(),
             roster_stored: now,
             renewals_allowed: true,
@@ -202,7 +206,7 @@
         self.workers.values()
     }
 
-    /// Returns whether every listed worker has reported or its former lease is over.
+    /// Returns whether every listed worker has reported or all former leases are over.
     pub fn is_recovered(&self) -> bool {
         self.recovered
     }
@@ -233,7 +237,7 @@
             FleetEvent::ConfigChanged(config) => self.config = config,
             FleetEvent::DomainsOut(domains) => self.domains_out = domains,
             FleetEvent::WorkersListed(listings) => self.take_list(listings),
-            FleetEvent::RosterLoaded(workers) => self.former_workers = workers,
+            FleetEvent::RosterLoaded(workers) => self.digests = workers,
             FleetEvent::JobAccepted { submission, progress, age } => {
                 self.accept(submission, progress.as_ref(), now.saturating_sub(age), now);
             }
@@ -357,7 +361,7 @@
             match self.workers.get_mut(&listing.id) {
                 None => {
                     let mut worker = WorkerEntry::new(listing);
-                    let digest = self.former_workers.get(&worker.listing.id);
+                    let digest = self.digests.get(&worker.listing.id);
                     if let Some(digest) = digest.filter(|digest| digest.born == worker.listing.born)
                     {
                         worker.speed = digest.speed;
@@ -492,6 +496,11 @@
         self.workers.values_mut().for_each(|worker| worker.advance_ends(stored));
     }
 
+    /// Returns whether tasks of a job may run on a worker that has not been heard.
+    fn awaits_workers(&self, job: &JobEntry) -> bool {
+        !self.former_over && job.former.iter().any(|worker| !self.heard.contains(worker))
+    }
+
     /// Returns the lowest run number of this leadership.
     fn first_run(&self) -> RunNumber {
         let earlier = RunNumber::try_from(self.settings.epoch.saturating_sub(1)).unwrap_or(0);
--- a/crates/fleet/src/planner/dispatch.rs
+++ b/crates/fleet/src/planner/dispatch.rs
@@ -33,7 +33,7 @@
         let capacity = capacity.unwrap_or_default();
         let items = rank_work(&self.jobs, &self.config, &self.means, &capacity, now);
         for item in items {
-            if !self.recovered && self.is_announced(item.job) {
+            if self.jobs.get(&item.job).is_none_or(|job| self.awaits_workers(job)) {
                 continue;
             }
             self.place_item(&mut board, &item, now);
@@ -50,7 +50,9 @@
             let slots: Vec<Option<SlotIndex>> =
                 reservation.places.iter().map(|(_, worker)| board.index(worker)).collect();
             let mut trial = board.clone();
-            let mut ready = self.jobs.get(&reservation.key.0).is_some_and(|job| job.may_start());
+            let mut ready = self.jobs.get(&reservation.key.0).is_some_and(|job| {
+                reservation.places.iter().all(|(_, worker)| job.may_start_on(worker))
+            });
             for slot in &slots {
                 let Some(slot) = slot else {
                     ready = false;
@@ -125,7 +127,7 @@
         }
     }
 
-    /// Starts tasks, or reserves their workers while the job's first start is announced.
+    /// Starts tasks, or reserves their workers while these are announced in the store.
     pub(super) fn start_or_announce(
         &mut self,
         key: StepKey,
@@ -138,11 +140,11 @@
         let Some(job) = self.jobs.get_mut(&key.0) else {
             return;
         };
-        if job.may_start() {
+        if tasks.iter().all(|(_, worker)| job.may_start_on(worker)) {
             self.start_tasks(tasks, now);
             return;
         }
-        job.announce();
+        job.announce(tasks.iter().map(|(_, worker)| worker));
         let places = tasks.into_iter().map(|(task, worker)| (task.index, worker)).collect();
         self.reservations.push(Reservation { key, places, since: now });
     }
@@ -155,10 +157,6 @@
         })
     }
 
-    fn is_announced(&self, job: u64) -> bool {
-        self.jobs.get(&job).is_some_and(|job| job.announced.is_some())
-    }
-
     fn start_tasks(&mut self, tasks: Vec<(TaskKey, WorkerId)>, now: Duration) {
         let Some((first, _)) = tasks.first() else {
             return;
--- a/crates/fleet/src/planner/lease.rs
+++ b/crates/fleet/src/planner/lease.rs
@@ -38,6 +38,7 @@
         entry.note_clock(report.clock, now);
         entry.unanswered = 0;
         entry.looked_at = true;
+        self.heard.insert(worker.to_owned());
         let mut mentioned: BTreeSet<(TaskKey, RunNumber)> = BTreeSet::new();
         mentioned.extend(report.running.iter().map(|run| (run.task, run.run)));
         mentioned.extend(report.ended.iter().map(|end| (end.task, end.run)));
@@ -86,17 +87,17 @@
         let job = self.jobs.get_mut(&task.job);
         let wanted = job.as_ref().is_some_and(|job| !job.phase.is_final());
         let demand = job.as_ref().and_then(|job| job.step_spec(task.step)).map(|spec| spec.demand);
-        let recovering = !self.recovered;
         let mut adopted = false;
         if let Some(job) = job {
             job.begun = true;
             if let Some(entry) = job.task_mut(task) {
-                entry.last_run = entry.last_run.max(running.run);
                 if entry.phase == TaskPhase::Waiting {
                     entry.phase =
                         TaskPhase::Assigned { worker: worker.to_owned(), run: running.run };
-                    adopted = wanted && recovering;
+                    // This scheduler has given up on runs of its own that show late.
+                    adopted = wanted && running.run > entry.last_run;
                 }
+                entry.last_run = entry.last_run.max(running.run);
             }
         }
         let run = RunEntry {
--- a/crates/fleet/src/planner/upkeep.rs
+++ b/crates/fleet/src/planner/upkeep.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use lacewingrail_model::WorkerId;
-
 use super::{FleetPlanner, PlannerNote};
 use crate::job::TaskPhase;
 use crate::order::{FleetOrder, RenewOrder, TaskRun};
@@ -33,11 +31,9 @@
         self.drop_lapsed(now);
         self.repeat_stops(now);
         self.check_recovery(now);
-        if self.recovered {
-            self.stop_broken_gangs(now);
-            self.stop_leftovers(now);
-            self.stop_stalled(now);
-        }
+        self.stop_broken_gangs(now);
+        self.stop_leftovers(now);
+        self.stop_stalled(now);
         self.add_due_occurrences(now);
         self.forget_ended(now);
     }
@@ -57,8 +53,8 @@
         }
         let recovered = self.recovered;
         self.workers.retain(|_, worker| {
-            let heard = worker.looked_at || recovered;
-            worker.listed || worker.renewing || !heard || !worker.is_lease_over(now)
+            let unheard = !worker.looked_at && !recovered;
+            worker.listed || worker.renewing || unheard || !worker.runs.is_empty()
         });
         if recovered {
             self.offer_roster(now);
@@ -101,20 +97,21 @@
     }
 
     fn check_recovery(&mut self, now: Duration) {
-        if self.recovered || !self.listed_once {
+        if self.former_over || !self.listed_once {
             return;
         }
         let former = self.settings.grace + self.settings.lease.mul_f64(FORMER_LEASE_FACTOR);
-        let seen = |id: &WorkerId| self.workers.get(id).is_some_and(|worker| worker.looked_at);
-        let all_seen = self.workers.values().all(|worker| worker.looked_at)
-            && self.former_workers.keys().all(seen);
-        self.recovered = all_seen || now.saturating_sub(self.started) > former;
+        self.former_over = now.saturating_sub(self.started) > former;
+        self.recovered = self.former_over || self.workers.values().all(|worker| worker.looked_at);
     }
 
     /// Stops gangs of which some members run and others do not.
     fn stop_broken_gangs(&mut self, now: Duration) {
         let mut broken: Vec<TaskKey> = Vec::new();
         for (job, entry) in &self.jobs {
+            if entry.phase.is_final() || self.awaits_workers(entry) {
+                continue;
+            }
             for occurrence in &entry.occurrences {
                 for (index, step) in occurrence.steps.iter().enumerate() {
                     let gang = entry.submission.spec.steps[index].gang;
--- a/crates/fleet/src/planner/urgent.rs
+++ b/crates/fleet/src/planner/urgent.rs
@@ -111,7 +111,7 @@
     ) {
         let waited = self.note_waiting(request.key, now);
         if let Some(job) = self.jobs.get_mut(&request.key.0) {
-            job.announce();
+            job.announce(plan.places.iter().map(|slot| &board.slots[*slot].id));
         }
         if !plan.stopped.is_empty() {
             self.notes.push(PlannerNote::Reclaimed {
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -1,6 +1,6 @@
 //! Progress of a job as kept in the store.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use lacewingrail_model::WorkerId;
 use serde::{Deserialize, Serialize};
@@ -36,9 +36,9 @@
     pub sequence: u64,
     /// Phase.
     pub phase: JobPhase,
-    /// Whether a task may have been started; stored before the first start.
-    #[serde(default)]
-    pub announced: bool,
+    /// Workers on which tasks may have been started; stored before a start is ordered.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub workers: BTreeSet<WorkerId>,
     /// Whether a task has ever been started.
     #[serde(default)]
     pub begun: bool,
@@ -57,7 +57,7 @@
     pub speed: WorkerSpeed,
 }
 
-/// Workers that may hold runs, as kept in the store.
+/// What is known of the workers, as kept in the store.
 pub type WorkerRoster = BTreeMap<WorkerId, WorkerDigest>;
 
 fn is_zero(value: &u32) -> bool {
--- a/crates/fleet/tests/decisions/planner.rs
+++ b/crates/fleet/tests/decisions/planner.rs
@@ -216,3 +216,50 @@
     assert_eq!(scene.starts.len(), 2);
     assert_ne!(scene.starts[1].target.worker, worker);
 }
+
+/// A worker that is gone for good must not hold up jobs that never used it (fleetbench grown tanahku
+/// trouble-1: after a power loss nothing that had begun ran for 16 s).
+#[test]
+fn job_waits_only_for_its_own_workers() {
+    let mut scene = Scene::new(1, two_racks());
+    let jobs =
+        [submission(1, "normal", vec![step(1, 8)]), submission(2, "normal", vec![step(1, 8)])];
+    jobs.iter().for_each(|job| scene.accept(job.clone()));
+    let (first, second) = (scene.starts[0].clone(), scene.starts[1].clone());
+    scene.workers.get_mut(&first.target.worker).unwrap().silent = true;
+    // The second job's run ends unseen while no scheduler is active.
+    let target = second.target.clone();
+    scene.end_run(&target.worker, target.task, target.run, EndReason::Lapsed, None);
+    let mut scene = scene.take_over(2, &jobs);
+    scene.pass(Duration::from_millis(500));
+    assert!(scene.started(1).is_empty());
+    assert_eq!(scene.started(2).len(), 1);
+}
+
+/// A run that is found late, after a cut has healed, must go on rather than start anew.
+#[test]
+fn run_found_late_goes_on() {
+    let mut scene = Scene::new(1, two_racks());
+    let job = submission(1, "normal", vec![step(1, 8)]);
+    scene.accept(job.clone());
+    let worker = scene.starts[0].target.worker.clone();
+    scene.workers.get_mut(&worker).unwrap().silent = true;
+    let mut scene = scene.take_over(2, &[job]);
+    scene.pass(Duration::from_secs(3));
+    scene.workers.get_mut(&worker).unwrap().silent = false;
+    scene.pass(Duration::from_secs(1));
+    assert!(scene.starts.is_empty() && scene.stops.is_empty());
+}
+
+/// A second step must start on workers of which some served the first step and some did not
+/// (a job stood still when a new worker was announced beside a known one).
+#[test]
+fn second_step_starts_on_known_and_new_workers() {
+    let mut scene = Scene::new(1, two_racks());
+    let second = lacewingrail_fleet::StepSpec { after: vec![0], ..step(6, 8) };
+    scene.accept(submission(1, "normal", vec![step(1, 8), second]));
+    let first = scene.starts[0].clone();
+    scene.end(&first, EndReason::Done);
+    scene.pass(Duration::from_millis(300));
+    assert_eq!(scene.starts.len(), 7);
+}
