Order batches of progress, so that a late one can't undo a newer one

Cause: a write of progress without an answer may be carried out seconds later. Its only condition was the leadership, which still held, so it replaced newer progress of the same scheduler; after the next change of scheduler the tasks that were done in between started again.

Change: every batch requires the revision of a mark and replaces it. A late batch meets a newer mark and does nothing. After a batch without an answer the mark is read again. The in-memory store can carry out writes late; the new test fails without the change.

Conclusion: the condition on the leadership alone protects only against other schedulers.

--- a/crates/clients/src/memory_store.rs
+++ b/crates/clients/src/memory_store.rs
@@ -169,7 +169,7 @@
 
     async fn write<T, F>(&self, kind: CallKind, bytes: usize, operate: F) -> Result<T, StoreError>
     where
-        F: FnOnce(&mut StoreState, i64) -> Result<T, StoreError> + Send,
+        F: FnOnce(&mut StoreState, i64) -> Result<T, StoreError> + Send + 'static,
         T: Send,
     {
         let half = self.admit(kind, bytes).await?;
@@ -182,6 +182,11 @@
             if fate == WriteFate::RequestLost {
                 return Err(StoreError::Unclear("the request was lost".into()));
             }
+            if let WriteFate::Late(after) = fate {
+                drop(inner);
+                self.write_later(after, operate);
+                return Err(StoreError::Unclear("the write is late".into()));
+            }
             let outcome = operate(&mut inner.state, now_ms);
             if fate == WriteFate::AnswerLost {
                 Err(StoreError::Unclear("the answer was lost".into()))
@@ -194,6 +199,21 @@
         outcome
     }
 
+    /// Carries out a write after a time; nobody learns how it ended.
+    fn write_later<T, F>(&self, after: Duration, operate: F)
+    where
+        F: FnOnce(&mut StoreState, i64) -> Result<T, StoreError> + Send + 'static,
+    {
+        let store = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(after).await;
+            let (mut inner, now_ms) = store.lock_current();
+            let _ = operate(&mut inner.state, now_ms);
+            drop(inner);
+            store.shared.changed.notify_waiters();
+        });
+    }
+
     /// Returns the changes after a revision and the time until the next lease lapses.
     fn poll_changes(
         &self,
@@ -247,14 +267,16 @@
         expected: Revision,
         lease: Option<LeaseId>,
     ) -> Result<Revision, StoreError> {
-        self.write(CallKind::Put, key.len() + value.len(), |state, _| {
-            state.put(key, value, expected, lease)
+        let key = key.to_owned();
+        self.write(CallKind::Put, key.len() + value.len(), move |state, _| {
+            state.put(&key, value, expected, lease)
         })
         .await
     }
 
     async fn delete(&self, key: &str, expected: Revision) -> Result<(), StoreError> {
-        self.write(CallKind::Delete, key.len(), |state, _| state.delete(key, expected)).await
+        let key = key.to_owned();
+        self.write(CallKind::Delete, key.len(), move |state, _| state.delete(&key, expected)).await
     }
 
     async fn watch(
@@ -284,15 +306,15 @@
 
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
         let ttl_ms = i64::try_from(ttl.as_millis()).unwrap_or(i64::MAX).clamp(1, LONGEST_TTL_MS);
-        self.write(CallKind::GrantLease, 0, |state, now_ms| state.grant(ttl_ms, now_ms)).await
+        self.write(CallKind::GrantLease, 0, move |state, now_ms| state.grant(ttl_ms, now_ms)).await
     }
 
     async fn renew_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
-        self.write(CallKind::RenewLease, 0, |state, now_ms| state.renew(lease, now_ms)).await
+        self.write(CallKind::RenewLease, 0, move |state, now_ms| state.renew(lease, now_ms)).await
     }
 
     async fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
-        self.write(CallKind::RevokeLease, 0, |state, _| state.revoke(lease)).await
+        self.write(CallKind::RevokeLease, 0, move |state, _| state.revoke(lease)).await
     }
 }
 
@@ -300,7 +322,7 @@
 impl BatchStore for MemoryStore {
     async fn commit(&self, batch: StoreBatch) -> Result<Revision, StoreError> {
         let bytes = batch.writes.iter().map(|write| write.key.len() + write.value.len()).sum();
-        self.write(CallKind::Put, bytes, |state, _| state.commit(batch)).await
+        self.write(CallKind::Put, bytes, move |state, _| state.commit(batch)).await
     }
 }
 
--- a/crates/clients/src/memory_store/faults.rs
+++ b/crates/clients/src/memory_store/faults.rs
@@ -20,6 +20,12 @@
     pub lost_answer_share: f64,
     /// Number of next writes that are lost before they take effect, with an unclear outcome.
     pub lost_requests: u32,
+    /// Number of next writes whose answers are lost and that take effect late.
+    pub late_writes: u32,
+    /// Share of writes from 0 to 1 whose answers are lost and that take effect late.
+    pub late_write_share: f64,
+    /// Time after which a late write takes effect, in milliseconds.
+    pub late_ms: u64,
     /// Writes that are accepted each second; 0 for no limit. Further ones are refused.
     pub writes_per_second: u64,
     /// Reads and waiting watches that are accepted each second; 0 for no limit.
@@ -42,6 +48,12 @@
     pub fn losing_answers(writes: u32) -> Self {
         Self { lost_answers: writes, ..Self::default() }
     }
+
+    /// Returns faults that lose the answers of the next writes, which take effect after a time.
+    pub fn late(writes: u32, after: Duration) -> Self {
+        let late_ms = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
+        Self { late_writes: writes, late_ms, ..Self::default() }
+    }
 }
 
 /// States what becomes of a write.
@@ -50,6 +62,7 @@
     Answered,
     AnswerLost,
     RequestLost,
+    Late(Duration),
 }
 
 /// Decides the fate of each write from the faults and a seed.
@@ -73,6 +86,15 @@
             self.faults.lost_answers -= 1;
             return WriteFate::AnswerLost;
         }
+        let late = Duration::from_millis(self.faults.late_ms);
+        if self.faults.late_writes > 0 {
+            self.faults.late_writes -= 1;
+            return WriteFate::Late(late);
+        }
+        let share = self.faults.late_write_share;
+        if share > 0.0 && self.random.random::<f64>() < share {
+            return WriteFate::Late(late);
+        }
         let share = self.faults.lost_answer_share;
         if share > 0.0 && self.random.random::<f64>() < share {
             return WriteFate::AnswerLost;
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -12,14 +12,14 @@
 pub mod metrics;
 pub mod peer;
 pub mod process;
+pub mod progress_writer;
 pub mod records;
 pub mod routes;
+pub mod schedule_controller;
 
 mod executor;
 mod feeds;
 mod leadership;
-mod progress_writer;
-mod schedule_controller;
 mod store_health;
 
 pub use border::{FleetDirectory, OperatorState, RenewError, WorkerService};
--- a/crates/instance/src/progress_writer.rs
+++ b/crates/instance/src/progress_writer.rs
@@ -2,7 +2,8 @@
 //!
 //! Only the newest progress of each job waits, so a backlog after an outage is bounded by the number
 //! of jobs. Every batch requires that this process still holds the leadership, so that a write that
-//! is carried out late can't undo what a later scheduler wrote.
+//! is carried out late can't undo what a later scheduler wrote. It also replaces a mark whose revision
+//! it requires, so that of the batches of one leadership a late one can't undo a newer one.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -16,14 +17,14 @@
 use serde::Serialize;
 use tokio::sync::mpsc;
 
-use crate::records::{HOLDER_KEY, ROSTER_KEY, cancel_key, job_key, progress_key};
+use crate::records::{HOLDER_KEY, MARK_KEY, ROSTER_KEY, cancel_key, job_key, progress_key};
 use crate::schedule_controller::ScheduleSender;
 
-/// Most jobs in a batch: the service takes 32 entries, of which two are for the leadership and the
-/// list of workers.
-const BATCH_WRITES: usize = 30;
+/// Most jobs in a batch: the service takes 32 entries, of which two are for the mark and one each for
+/// the leadership and the list of workers.
+const BATCH_WRITES: usize = 28;
 /// Most jobs that are deleted together, each with three keys.
-const BATCH_DELETES: usize = 10;
+const BATCH_DELETES: usize = 9;
 /// Pause after a failed write.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -55,6 +56,7 @@
     /// Runs until the sender is gone.
     pub async fn run(self, mut receiver: mpsc::UnboundedReceiver<ProgressWrite>) {
         let mut backlog = ProgressBacklog::default();
+        let mut mark = None;
         loop {
             if backlog.is_empty() {
                 let Some(write) = receiver.recv().await else {
@@ -68,7 +70,9 @@
             let batch = backlog.first_batch();
             let roster = backlog.roster.clone();
             let forgotten = backlog.first_forgotten(&batch);
-            match self.write(&batch, roster.as_ref(), &forgotten).await {
+            let written = self.write(&batch, roster.as_ref(), &forgotten, mark).await;
+            mark = written.as_ref().ok().copied();
+            match written {
                 Ok(_) => {
                     backlog.remove(&batch, roster.as_ref());
                     backlog.forgotten.retain(|job| !forgotten.contains(job));
@@ -88,13 +92,20 @@
         }
     }
 
+    /// Writes a batch over the mark of the former one; without a known mark it is read first.
     async fn write(
         &self,
         batch: &[(JobKey, JobProgress)],
         roster: Option<&WorkerRoster>,
         forgotten: &[JobKey],
+        mark: Option<Revision>,
     ) -> Result<Revision, StoreError> {
-        let mut writes = Vec::with_capacity(batch.len() + 1);
+        let mark = match mark {
+            Some(mark) => mark,
+            None => self.store.get(MARK_KEY).await?.map_or(0, |entry| entry.revision),
+        };
+        let mut writes = Vec::with_capacity(batch.len() + 2);
+        writes.push(KeyWrite { key: MARK_KEY.to_owned(), value: mark.to_string(), lease: None });
         for (job, progress) in batch {
             writes.push(KeyWrite {
                 key: progress_key(*job),
@@ -107,7 +118,10 @@
             writes.push(KeyWrite { key: ROSTER_KEY.to_owned(), value, lease: None });
         }
         let revision = *self.holder.borrow();
-        let expected = vec![KeyExpectation { key: HOLDER_KEY.to_owned(), revision }];
+        let expected = vec![
+            KeyExpectation { key: HOLDER_KEY.to_owned(), revision },
+            KeyExpectation { key: MARK_KEY.to_owned(), revision: mark },
+        ];
         let keys = |job: &JobKey| [job_key(*job), cancel_key(*job), progress_key(*job)];
         let deletes = forgotten.iter().flat_map(keys).collect();
         self.store.commit(StoreBatch { expected, writes, deletes }).await
--- a/crates/instance/src/records.rs
+++ b/crates/instance/src/records.rs
@@ -7,6 +7,7 @@
 //! | `fleet/in/job/ID` | submission | the instance that accepts a job, once |
 //! | `fleet/in/cancel/ID` | empty | the instance that accepts a cancellation |
 //! | `fleet/progress/ID` | progress | the scheduler |
+//! | `fleet/mark` | revision of the former batch of progress | the scheduler, with every batch |
 //! | `fleet/roster` | ids of the workers that may hold runs | the scheduler |
 
 use lacewingrail_fleet::JobKey;
@@ -23,6 +24,8 @@
 pub const INPUT_PREFIX: &str = "fleet/in/";
 /// Prefix of progress.
 pub const PROGRESS_PREFIX: &str = "fleet/progress/";
+/// Key that every batch of progress replaces.
+pub const MARK_KEY: &str = "fleet/mark";
 /// Key of the list of workers that may hold runs.
 pub const ROSTER_KEY: &str = "fleet/roster";
 const JOB_PREFIX: &str = "fleet/in/job/";
--- /dev/null
+++ b/crates/instance/tests/progress_writer.rs
@@ -0,0 +1,93 @@
+//! Writing of progress while the key-value service misbehaves.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::actor::Spawn;
+use lacewingrail_clients::{MemoryStore, StoreFaults};
+use lacewingrail_fleet::{FleetPlanner, JobPhase, JobProgress, PlannerSettings};
+use lacewingrail_instance::metrics::InstanceMetrics;
+use lacewingrail_instance::progress_writer::{ProgressSender, ProgressWrite, ProgressWriter};
+use lacewingrail_instance::records::{HOLDER_KEY, progress_key};
+use lacewingrail_instance::schedule_controller::{ScheduleController, ScheduleSender};
+use lacewingrail_model::store::KeyValueService;
+use tokio::sync::{mpsc, watch};
+
+const JOB: u64 = 7;
+/// Time after which the late write takes effect; the writer repeats a write within 100 ms.
+const LATE: Duration = Duration::from_millis(600);
+
+fn planner() -> FleetPlanner {
+    let settings = PlannerSettings {
+        epoch: 1,
+        lease: Duration::from_secs(6),
+        grace: Duration::from_secs(6),
+        report_wait: Duration::from_secs(1),
+        keep_ended: Duration::from_secs(60),
+        unix_origin_ms: 0,
+    };
+    FleetPlanner::new(settings, Duration::ZERO)
+}
+
+/// Starts a writer that holds the leadership.
+async fn start(store: &MemoryStore) -> ProgressSender {
+    let revision = store.put(HOLDER_KEY, "leader".into(), 0, None).await.expect("the key is new");
+    let controller =
+        ScheduleController::spawn(ScheduleController::new(planner(), InstanceMetrics::new()));
+    let (_, holder) = watch::channel(revision);
+    let writer = ProgressWriter {
+        store: Arc::new(store.clone()),
+        holder,
+        schedule: ScheduleSender(controller),
+    };
+    let (sender, receiver) = mpsc::unbounded_channel();
+    tokio::spawn(writer.run(receiver));
+    sender
+}
+
+fn progress(sequence: u64) -> ProgressWrite {
+    let progress = JobProgress {
+        sequence,
+        phase: JobPhase::Active,
+        workers: BTreeSet::new(),
+        begun: true,
+        steps: Vec::new(),
+    };
+    ProgressWrite::Job(JOB, progress)
+}
+
+async fn stored_sequence(store: &MemoryStore) -> Option<u64> {
+    let entry = store.get(&progress_key(JOB)).await.expect("the store answers")?;
+    let progress: JobProgress = serde_json::from_str(&entry.value).expect("a record");
+    Some(progress.sequence)
+}
+
+/// Guards against a second run of finished tasks: a write without an answer that takes effect late
+/// must not replace newer progress of the same leadership.
+#[tokio::test]
+async fn late_write_leaves_newer_progress() {
+    let store = MemoryStore::new();
+    let sender = start(&store).await;
+    store.set_faults(StoreFaults::late(1, LATE));
+    sender.send(progress(1)).expect("the writer runs");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    sender.send(progress(2)).expect("the writer runs");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(stored_sequence(&store).await, Some(2));
+    tokio::time::sleep(LATE).await;
+    assert_eq!(stored_sequence(&store).await, Some(2));
+}
+
+/// Guards against a writer that stops for good once a write without an answer has taken effect.
+#[tokio::test]
+async fn lost_answer_does_not_stop_the_writer() {
+    let store = MemoryStore::new();
+    let sender = start(&store).await;
+    store.set_faults(StoreFaults::losing_answers(1));
+    sender.send(progress(1)).expect("the writer runs");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    sender.send(progress(2)).expect("the writer runs");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(stored_sequence(&store).await, Some(2));
+}
