Give the parties of the overload test threads of their own

Cause: goodput_holds_at_twice_the_capacity ran client, three backend servers and the entry on one thread. Beside busy loops that thread's share of a core is what binds, not the entry's limiter. All bounds and checks stay.

--- a/crates/entry/tests/overload.rs
+++ b/crates/entry/tests/overload.rs
@@ -32,7 +32,7 @@
 
 /// Guards against congestion collapse at twice the capacity, against urgent requests that wait behind
 /// others, and against refusals that do not say "not run".
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn goodput_holds_at_twice_the_capacity() {
     let system = TestSystem::new(PolicyOverlay::default()).await;
     let mut backends = Vec::new();
