Notice a silent scheduler and a returning store sooner

In a silent store outage instances learnt of it after 0.9 s to 2.4 s, and of its end by whichever call hung last, so clients were refused although the store was back. In a cut failure domain the instance stayed ready and its clients stayed with it.

An instance that reaches neither store nor scheduler is not ready.

--- a/crates/instance/src/front.rs
+++ b/crates/instance/src/front.rs
@@ -10,13 +10,13 @@
 
 use lacewingrail_fleet::{JobKey, JobPhase, JobProgress, JobSpec, JobSubmission};
 use lacewingrail_model::clock::unix_millis;
-use lacewingrail_model::message::{FleetCall, FleetReply, JobStanding, PeerRequest, PeerResponse};
+use lacewingrail_model::message::{FleetCall, FleetReply, JobStanding};
 use lacewingrail_model::store::{KeyExpectation, KeyWrite, StoreBatch, StoreError};
-use lacewingrail_wire::{PeerClient, WireError};
 use tokio::sync::watch;
 
 use crate::clock;
 use crate::feeds;
+use crate::leader_link::{LeaderAnswer, LeaderLink};
 use crate::leadership::LeadershipView;
 use crate::metrics::CallLabels;
 use crate::process::InstanceContext;
@@ -25,8 +25,6 @@
     AskPending, AskStanding, CheckSubmission, ScheduleSender, StandingReply, SubmissionVerdict,
 };
 
-/// Time for an answer of the active scheduler; a fraction of what clients wait.
-const LEADER_TIMEOUT: Duration = Duration::from_millis(900);
 /// Retry time during an outage of the key-value service: the resolution of the header, about half of
 /// a change of leadership.
 const OUTAGE_RETRY: Duration = Duration::from_secs(1);
@@ -130,7 +128,7 @@
 pub struct JobFront {
     context: Arc<InstanceContext>,
     leadership: watch::Receiver<LeadershipView>,
-    peers: PeerClient,
+    leader: LeaderLink,
 }
 
 impl JobFront {
@@ -138,9 +136,9 @@
     pub fn new(
         context: Arc<InstanceContext>,
         leadership: watch::Receiver<LeadershipView>,
-        peers: PeerClient,
+        leader: LeaderLink,
     ) -> Self {
-        Self { context, leadership, peers }
+        Self { context, leadership, leader }
     }
 
     /// Answers a call of a client.
@@ -211,21 +209,24 @@
             return ClientAnswer::Malformed("the job can't be stored".to_owned());
         };
         let call = FleetCall::Submit { job: submission.key, record };
-        match self.ask_leader(call).await {
-            Some(FleetReply::Accepted) => ClientAnswer::Accepted,
-            Some(FleetReply::NotAccepted { reason, retry_ms }) => {
-                ClientAnswer::NotAccepted { reason, retry: Duration::from_millis(retry_ms) }
+        let answer = self.leader.call(call).await;
+        match answer {
+            LeaderAnswer::Answered(FleetReply::Accepted) => return ClientAnswer::Accepted,
+            LeaderAnswer::Answered(FleetReply::NotAccepted { reason, retry_ms }) => {
+                let retry = Duration::from_millis(retry_ms);
+                return ClientAnswer::NotAccepted { reason, retry };
             }
-            Some(FleetReply::NotActive) => match self.store_submission(&submission).await {
-                Ok(_) => ClientAnswer::Accepted,
-                Err(answer) => answer,
-            },
+            _ => {}
+        }
+        let untouched = matches!(
+            answer,
+            LeaderAnswer::NotReached | LeaderAnswer::Answered(FleetReply::NotActive)
+        );
+        match self.store_submission(&submission).await {
+            Ok(_) => ClientAnswer::Accepted,
             // The scheduler may have stored the job, so a refusal by the store proves nothing.
-            _ => match self.store_submission(&submission).await {
-                Ok(_) => ClientAnswer::Accepted,
-                Err(ClientAnswer::NotAccepted { .. }) => ClientAnswer::Unclear,
-                Err(answer) => answer,
-            },
+            Err(ClientAnswer::NotAccepted { .. }) if !untouched => ClientAnswer::Unclear,
+            Err(answer) => answer,
         }
     }
 
@@ -309,9 +310,9 @@
     async fn cancel(&self, job: JobKey) -> ClientAnswer {
         let own = self.leadership.borrow().own.clone();
         if own.is_none() {
-            match self.ask_leader(FleetCall::Cancel { job }).await {
-                Some(FleetReply::Cancelled) => return ClientAnswer::Cancelled,
-                Some(FleetReply::Unknown) => return ClientAnswer::UnknownJob,
+            match self.leader.call(FleetCall::Cancel { job }).await {
+                LeaderAnswer::Answered(FleetReply::Cancelled) => return ClientAnswer::Cancelled,
+                LeaderAnswer::Answered(FleetReply::Unknown) => return ClientAnswer::UnknownJob,
                 _ => {}
             }
         }
@@ -357,9 +358,11 @@
                     return ClientAnswer::Standing(standing);
                 }
             }
-            None => match self.ask_leader(FleetCall::State { job }).await {
-                Some(FleetReply::State(standing)) => return ClientAnswer::Standing(standing),
-                Some(FleetReply::Unknown) => return ClientAnswer::UnknownJob,
+            None => match self.leader.call(FleetCall::State { job }).await {
+                LeaderAnswer::Answered(FleetReply::State(standing)) => {
+                    return ClientAnswer::Standing(standing);
+                }
+                LeaderAnswer::Answered(FleetReply::Unknown) => return ClientAnswer::UnknownJob,
                 _ => {}
             },
         }
@@ -404,8 +407,8 @@
                 Ok(count) => count.map(|count| count as u64),
                 Err(_) => None,
             },
-            None => match self.ask_leader(FleetCall::Pending { queue: queue.to_owned() }).await {
-                Some(FleetReply::Pending(count)) => Some(count),
+            None => match self.leader.call(FleetCall::Pending { queue: queue.to_owned() }).await {
+                LeaderAnswer::Answered(FleetReply::Pending(count)) => Some(count),
                 _ => None,
             },
         };
@@ -418,28 +421,6 @@
         }
     }
 
-    /// Hands a call to the active scheduler; nothing if it may have acted and its answer is lost.
-    async fn ask_leader(&self, call: FleetCall) -> Option<FleetReply> {
-        let leader = self.leadership.borrow().leader.clone();
-        let own_address = self.context.settings.peer_address.to_string();
-        let Some(leader) = leader.filter(|leader| leader.address != own_address) else {
-            return Some(FleetReply::NotActive);
-        };
-        let request = PeerRequest::Fleet(call);
-        let answer = self.peers.call(&leader.address, String::new(), request, LEADER_TIMEOUT).await;
-        match answer {
-            Ok(PeerResponse::Fleet(reply)) => Some(reply),
-            Ok(_) | Err(WireError::Connect(_)) => Some(FleetReply::NotActive),
-            Err(error) => {
-                log::warn!(
-                    leader = leader.instance, epoch = leader.epoch, error = error.to_string();
-                    "active scheduler did not answer"
-                );
-                None
-            }
-        }
-    }
-
     /// Answers a call that a peer has handed on.
     pub async fn answer_peer(&self, call: FleetCall) -> FleetReply {
         let Some(schedule) = self.leadership.borrow().own.clone() else {
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -16,11 +16,12 @@
 pub mod records;
 pub mod routes;
 pub mod schedule_controller;
+pub mod store_health;
 
 mod executor;
 mod feeds;
+mod leader_link;
 mod leadership;
-mod store_health;
 
 pub use border::{FleetDirectory, OperatorState, RenewError, WorkerService};
 pub use front::{CallHead, ClientAnswer, ClientOperation, JobFront};
--- a/crates/instance/src/process.rs
+++ b/crates/instance/src/process.rs
@@ -13,6 +13,7 @@
 
 use crate::border::{FleetDirectory, OperatorState, WorkerService};
 use crate::front::JobFront;
+use crate::leader_link::LeaderLink;
 use crate::leadership::{LeadershipController, LeadershipView, WATCH_WAIT};
 use crate::metrics::InstanceMetrics;
 use crate::peer::FrontHandler;
@@ -72,6 +73,7 @@
 pub struct InstanceProcess {
     context: Arc<InstanceContext>,
     front: JobFront,
+    leader: LeaderLink,
     leadership: watch::Receiver<LeadershipView>,
     _peers: PeerServer,
     tasks: Vec<JoinHandle<()>>,
@@ -102,14 +104,17 @@
         let (view, leadership) = watch::channel(LeadershipView::default());
         let system = context.settings.system.clone();
         let peers = PeerClient::new().with_system(&system);
-        let front = JobFront::new(context.clone(), leadership.clone(), peers);
+        let own_address = context.settings.peer_address.to_string();
+        let leader = LeaderLink::new(leadership.clone(), own_address, peers);
+        let front = JobFront::new(context.clone(), leadership.clone(), leader.clone());
         let handler = Arc::new(FrontHandler::new(front.clone(), &system));
         let server = PeerServer::bind(context.settings.peer_address, handler).await?;
         let tasks = vec![
             tokio::spawn(follow_operators(context.clone(), operator_sender)),
             tokio::spawn(LeadershipController::new(context.clone(), view).run()),
+            tokio::spawn(context.health.clone().probe(context.timer.clone())),
         ];
-        Ok(Self { context, front, leadership, _peers: server, tasks })
+        Ok(Self { context, front, leader, leadership, _peers: server, tasks })
     }
 
     /// Returns the part that answers clients.
@@ -123,9 +128,17 @@
     }
 
     /// Returns a check whether the process can answer clients.
+    ///
+    /// An instance that reaches neither the key-value service nor the active scheduler can't, and
+    /// instances elsewhere may.
     pub fn readiness(&self) -> impl Fn() -> bool + Clone + Send + Sync + 'static + use<> {
-        let context = self.context.clone();
-        move || !context.is_draining() && context.operators.borrow().tree.is_some()
+        let (context, leader) = (self.context.clone(), self.leader.clone());
+        let leadership = self.leadership.clone();
+        move || {
+            let leads = leadership.borrow().own.is_some();
+            let serves = context.health.outage().is_none() || (!leads && leader.is_usable());
+            serves && !context.is_draining() && context.operators.borrow().tree.is_some()
+        }
     }
 
     /// Returns whether this process schedules.
