Replace a dead scheduler in 1.2 s instead of 2 s

Cause: work waits for the whole time to live of the leadership when its holder dies, 2 s of the 4 s that an urgent job of 2.5 s has. The time was that long because renewals were sent one after the other: one without an answer held up the next for 0.9 s.

Change: renewals are sent every 0.2 s whether or not earlier ones were answered, at most five at once, and the newest answer counts. With that 1.2 s survives four lost renewals in a row, and a service a hundred times slower than usual.

--- a/crates/instance/src/leadership.rs
+++ b/crates/instance/src/leadership.rs
@@ -13,7 +13,7 @@
 use lacewingrail_model::Epoch;
 use lacewingrail_model::clock::unix_millis;
 use lacewingrail_model::store::{
-    KeyExpectation, KeyWrite, LeaseId, Revision, StoreBatch, StoreError, StoreEvent,
+    BatchStore, KeyExpectation, KeyWrite, LeaseId, Revision, StoreBatch, StoreError, StoreEvent,
 };
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
@@ -26,10 +26,13 @@
 use crate::records::{EPOCH_KEY, HOLDER_KEY, LEAD_PREFIX, LeaderRecord};
 use crate::schedule_controller::{Connect, ScheduleController, ScheduleSender, SetEpoch};
 
-/// Time to live of the leadership: the shortest that survives two lost renewals.
-const LEADERSHIP_TTL: Duration = Duration::from_millis(2000);
+/// Time to live of the leadership, which a takeover waits for: renewals to a service that answers a
+/// hundred times slower than usual still come in time, and four lost ones in a row do no harm.
+const LEADERSHIP_TTL: Duration = Duration::from_millis(1200);
 /// Time between renewals.
-const RENEW_PERIOD: Duration = Duration::from_millis(400);
+const RENEW_PERIOD: Duration = Duration::from_millis(200);
+/// Renewals in flight at once: those that a call's timeout spans.
+const MOST_RENEWALS: usize = 5;
 /// Time by which the holder stops starting before the lease can end.
 const VALIDITY_MARGIN: Duration = Duration::from_millis(100);
 /// Time for which workers' leases are renewed without a certain leadership: the store's longer
@@ -73,6 +76,15 @@
     holder: Revision,
     epoch: Epoch,
     valid_until: Duration,
+    /// Whether the newest renewal failed.
+    failing: bool,
+}
+
+/// Holds the answer to a renewal.
+struct RenewalAnswer {
+    lease: LeaseId,
+    sent: Duration,
+    result: Result<(), StoreError>,
 }
 
 impl LeadershipController {
@@ -199,7 +211,7 @@
         let valid_until = sent + LEADERSHIP_TTL - VALIDITY_MARGIN;
         self.holder = Some((record, holder));
         self.publish();
-        Some(HeldLeadership { lease, holder, epoch, valid_until })
+        Some(HeldLeadership { lease, holder, epoch, valid_until, failing: false })
     }
 
     /// Reads whether a write of the leadership without an answer took effect.
@@ -237,10 +249,19 @@
         self.view.send_modify(|view| view.own = Some(schedule));
 
         let mut ticks = context.timer.subscribe(RENEW_PERIOD);
+        let mut renewals = JoinSet::new();
         while controller.is_alive() && !context.is_draining() {
-            ticks.tick().await;
-            if !self.keep(&mut held).await {
-                break;
+            tokio::select! {
+                _ = ticks.tick() => {
+                    if renewals.len() < MOST_RENEWALS {
+                        renewals.spawn(send_renewal(context.store.clone(), held.lease));
+                    }
+                }
+                Some(Ok(answer)) = renewals.join_next(), if !renewals.is_empty() => {
+                    if !self.note_renewal(&mut held, answer).await {
+                        break;
+                    }
+                }
             }
             permit_sender.send_replace(LeadershipPermit {
                 epoch: held.epoch,
@@ -260,21 +281,29 @@
         log::info!(epoch = held.epoch, released = released.is_ok(); "leadership ended");
     }
 
-    /// Renews the leadership; returns whether this process still holds it or may regain it.
-    async fn keep(&mut self, held: &mut HeldLeadership) -> bool {
-        let sent = clock::now();
-        match self.context.store.renew_lease(held.lease).await {
+    /// Notes the answer to a renewal; returns whether this process still leads or may regain it.
+    async fn note_renewal(&mut self, held: &mut HeldLeadership, answer: RenewalAnswer) -> bool {
+        if answer.lease != held.lease {
+            return true;
+        }
+        match answer.result {
             Ok(()) => {
-                held.valid_until = sent + LEADERSHIP_TTL - VALIDITY_MARGIN;
+                held.failing = false;
+                let valid_until = answer.sent + LEADERSHIP_TTL - VALIDITY_MARGIN;
+                held.valid_until = held.valid_until.max(valid_until);
                 true
             }
             Err(StoreError::LeaseLapsed) => self.regain(held).await,
             Err(error) => {
-                let overdue = clock::now().saturating_sub(held.valid_until);
-                log::warn!(
-                    epoch = held.epoch, overdue_ms = overdue.as_millis() as u64, error = error.to_string();
-                    "leadership not renewed"
-                );
+                if !held.failing {
+                    let left = held.valid_until.saturating_sub(clock::now());
+                    log::warn!(
+                        epoch = held.epoch, left_ms = left.as_millis() as u64,
+                        error = error.to_string();
+                        "leadership not renewed"
+                    );
+                }
+                held.failing = true;
                 true
             }
         }
@@ -298,6 +327,12 @@
     }
 }
 
+async fn send_renewal(store: Arc<dyn BatchStore>, lease: LeaseId) -> RenewalAnswer {
+    let sent = clock::now();
+    let result = store.renew_lease(lease).await;
+    RenewalAnswer { lease, sent, result }
+}
+
 fn planner_settings(context: &InstanceContext, epoch: Epoch) -> PlannerSettings {
     let origin = unix_millis().saturating_sub(clock::now().as_millis() as u64);
     PlannerSettings {
