Let guarantees decide between urgent jobs of different customers

The planner was told each customer's guaranteed accelerators and used them nowhere: urgent work displaced all other work, but nothing displaced urgent work. A customer whose urgent jobs fill the fleet beyond its guarantee kept others from claiming theirs.

Change: a customer's urgent jobs are covered in order of acceptance while they need no more than its guarantee. Covered jobs come first and may displace urgent work that is not covered, after everything cheaper.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,13 +6,15 @@
 //! random numbers and performs no input or output, so the same events give the same orders and a
 //! recorded load replays as a test.
 //!
-//! What waits and in which order is decided in [`queue`], what is turned away in [`admission`], where
-//! work runs in [`placement`], and what is stopped for more urgent work in [`reclaim`].
+//! What waits and in which order is decided in [`queue`], what is turned away in [`admission`], which
+//! urgent jobs are covered by a customer's guarantee in [`guarantee`], where work runs in
+//! [`placement`], and what is stopped for more urgent work in [`reclaim`].
 
 pub mod admission;
 pub mod amount;
 pub mod config;
 pub mod event;
+pub mod guarantee;
 pub mod job;
 pub mod order;
 pub mod placement;
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -83,6 +83,8 @@
     roster_stored: Duration,
     renewals_allowed: bool,
     reservations: Vec<Reservation>,
+    /// Urgent jobs that their customers' guarantees cover, as of the newest planning pass.
+    covered: BTreeSet<JobKey>,
     broken_since: BTreeMap<StepKey, Duration>,
     means: WorkMeans,
     counts: PlannerCounts,
@@ -111,6 +113,7 @@
             roster_stored: now,
             renewals_allowed: true,
             reservations: Vec::new(),
+            covered: BTreeSet::new(),
             broken_since: BTreeMap::new(),
             means: WorkMeans::default(),
             counts: PlannerCounts::default(),
--- a/crates/fleet/src/planner/dispatch.rs
+++ b/crates/fleet/src/planner/dispatch.rs
@@ -5,6 +5,7 @@
 use lacewingrail_model::WorkerId;
 
 use super::{FleetPlanner, Reservation};
+use crate::guarantee::covered_jobs;
 use crate::job::{JobEntry, TaskPhase};
 use crate::order::{FleetOrder, StartBasis, StartOrder, TaskRun};
 use crate::placement::{PlaceBoard, PlaceReach, PlaceRequest, SlotIndex, StepKey, step_key};
@@ -31,7 +32,8 @@
         self.use_reservations(&mut board, now);
         let capacity = board.slots.iter().map(|slot| slot.capacity).max_by_key(|c| c.cpu_milli);
         let capacity = capacity.unwrap_or_default();
-        let items = rank_work(&self.jobs, &self.config, &self.means, &capacity, now);
+        self.covered = covered_jobs(&self.jobs, &self.config);
+        let items = rank_work(&self.jobs, &self.config, &self.covered, &self.means, &capacity, now);
         for item in items {
             if self.jobs.get(&item.job).is_none_or(|job| self.awaits_workers(job)) {
                 continue;
--- a/crates/fleet/src/planner/urgent.rs
+++ b/crates/fleet/src/planner/urgent.rs
@@ -2,7 +2,8 @@
 //!
 //! Urgent work is best started at once on workers that are fast enough for its objective. Where that
 //! would throw away more work of others than a late start costs its customer, it first waits a moment
-//! beside workers that are kept free for it, and then takes what loses the least.
+//! beside workers that are kept free for it, and then takes what loses the least. Urgent work that its
+//! customer's guarantee covers may also displace urgent work that no guarantee covers.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -35,6 +36,9 @@
 const CHEAPER_WAIT: Duration = Duration::from_millis(900);
 /// Work of others that is thrown away rather than an urgent step started too slow to be on time.
 const LOSS_FOR_SPEED: f64 = 900.0;
+/// Loss that a stop of urgent work counts as beside its own, in core-seconds: all other work goes
+/// first that may be thrown away at once.
+const URGENT_LOSS: f64 = LOSS_AT_ONCE;
 
 impl FleetPlanner {
     /// Makes room for urgent tasks that did not fit.
@@ -46,7 +50,7 @@
         tasks: &[u32],
         now: Duration,
     ) {
-        let units = self.borrowers(board);
+        let units = self.borrowers(board, self.covered.contains(&request.key.0));
         let waited = self.note_waiting(request.key, now);
         let fast = if request.least_speed > 0.0 {
             plan_reclaim(board, &request, reach, &units)
@@ -150,8 +154,9 @@
         if needed > BEST_SPEED { 0.0 } else { needed }
     }
 
-    /// Returns what may be stopped for urgent work.
-    fn borrowers(&self, board: &PlaceBoard) -> Vec<BorrowerUnit> {
+    /// Returns what may be stopped for urgent work: for work that a guarantee covers, also urgent work
+    /// that none covers.
+    fn borrowers(&self, board: &PlaceBoard, for_covered: bool) -> Vec<BorrowerUnit> {
         let mut units: Vec<BorrowerUnit> = Vec::new();
         let mut gangs = BTreeMap::new();
         for (id, worker) in &self.workers {
@@ -160,7 +165,9 @@
             };
             for ((task, run), entry) in &worker.runs {
                 let stopping = matches!(entry.phase, RunPhase::Stopping { .. });
-                if stopping || self.priority_of(*task) == Some(URGENT) {
+                let urgent = self.priority_of(*task) == Some(URGENT);
+                let safe = urgent && (!for_covered || self.covered.contains(&task.job));
+                if stopping || safe {
                     continue;
                 }
                 let Some(spec) = self.spec_of(step_key(*task)) else {
@@ -180,11 +187,8 @@
                     }
                     None => {
                         let key = step_key(*task);
-                        units.push(BorrowerUnit {
-                            loss: loss + LEAST_LOSS,
-                            key,
-                            parts: vec![part],
-                        });
+                        let least = if urgent { URGENT_LOSS } else { LEAST_LOSS };
+                        units.push(BorrowerUnit { loss: loss + least, key, parts: vec![part] });
                     }
                 }
             }
--- a/crates/fleet/src/queue.rs
+++ b/crates/fleet/src/queue.rs
@@ -1,13 +1,14 @@
 //! The order in which waiting work is considered.
 //!
 //! Answers the load pattern in which accepted work exceeds the fleet for the whole day. Urgent work
-//! comes first, in order of its objective. Behind it, work is ordered by the value that its customer
+//! that its customer's guarantee covers comes first, then other urgent work, each in order of its
+//! objective. Behind it, work is ordered by the value that its customer
 //! still gets for each second of capacity that it takes: small jobs and jobs that are nearly done
 //! come first, work that can no longer be on time comes behind work that can, and what is far too
 //! late comes last. This is weighted shortest processing time (W. E. Smith, "Various optimizers for
 //! single-stage production", 1956) with values that fall at each job's objective.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::amount::ResourceAmount;
@@ -43,6 +44,8 @@
     pub step: u32,
     /// Priority of the queue.
     pub priority: u32,
+    /// Whether the customer's guarantee covers the job.
+    pub covered: bool,
     /// Value per second of capacity; of urgent work, the negative time to its objective.
     pub rank: f64,
 }
@@ -88,6 +91,7 @@
 pub fn rank_work(
     jobs: &BTreeMap<JobKey, JobEntry>,
     config: &FleetConfig,
+    covered: &BTreeSet<JobKey>,
     means: &WorkMeans,
     capacity: &ResourceAmount,
     now: Duration,
@@ -108,15 +112,16 @@
                     occurrence: occurrence.number,
                     step,
                     priority: policy.priority,
+                    covered: covered.contains(key),
                     rank,
                 });
             }
         }
     }
     items.sort_by(|left, right| {
-        let urgent = |item: &WorkItem| item.priority != URGENT;
-        urgent(left)
-            .cmp(&urgent(right))
+        let tier = |item: &WorkItem| (!item.covered, item.priority != URGENT);
+        tier(left)
+            .cmp(&tier(right))
             .then(right.rank.total_cmp(&left.rank))
             .then(left.job.cmp(&right.job))
             .then(left.step.cmp(&right.step))
--- a/crates/fleet/tests/decisions/scene.rs
+++ b/crates/fleet/tests/decisions/scene.rs
@@ -7,15 +7,19 @@
 use lacewingrail_fleet::order::RenewOrder;
 use lacewingrail_fleet::record::WorkerRoster;
 use lacewingrail_fleet::{
-    EndReason, EndedRun, FleetConfig, FleetEvent, FleetOrder, FleetPlanner, JobKey, JobProgress,
-    JobSpec, JobSubmission, LeaseReport, PlannerSettings, QueuePolicy, ResourceAmount, RunNumber,
-    RunningRun, StartOrder, StartOutcome, StartRefusal, StepSpec, TaskKey, TaskRun, WorkerListing,
+    CustomerShare, EndReason, EndedRun, FleetConfig, FleetEvent, FleetOrder, FleetPlanner, JobKey,
+    JobProgress, JobSpec, JobSubmission, LeaseReport, PlannerSettings, QueuePolicy, ResourceAmount,
+    RunNumber, RunningRun, StartOrder, StartOutcome, StartRefusal, StepSpec, TaskKey, TaskRun,
+    WorkerListing,
 };
 
 /// Capacity of every worker.
 pub const CAPACITY: ResourceAmount =
     ResourceAmount { cpu_milli: 64_000, memory_mb: 131_072, accelerators: 8 };
 
+/// Accelerators that each customer of the scene is guaranteed: two workers.
+pub const GUARANTEED: i64 = 16;
+
 /// Declared run time of every task.
 pub const ESTIMATE: Duration = Duration::from_secs(4);
 
@@ -125,7 +129,9 @@
         ("normal".to_owned(), policy(1, 3.0, 1000)),
         ("slow".to_owned(), policy(2, 3.0, 3000)),
     ];
-    FleetConfig { version: 1, queues: queues.into(), customers: BTreeMap::new() }
+    let customers = ["school-groups", "families"]
+        .map(|name| (name.to_owned(), CustomerShare { guaranteed: GUARANTEED }));
+    FleetConfig { version: 1, queues: queues.into(), customers: customers.into() }
 }
 
 impl Scene {
