--- a/crates/standins/src/platform_server/worker.rs
+++ b/crates/standins/src/platform_server/worker.rs
@@ -142,6 +142,16 @@
         &self.id
     }
 
+    /// Returns the address that it announces.
+    pub fn address(&self) -> String {
+        lock(&self.address).clone()
+    }
+
+    /// Announces another address, such as that of a proxy in front of the worker.
+    pub fn announce(&self, address: String) {
+        *lock(&self.address) = address;
+    }
+
     /// Lets calls go unanswered, or answers them again; what runs goes on under its lease.
     pub fn set_silent(&self, silent: bool) {
         self.silent.store(silent, Ordering::Relaxed);
