Find out with own probes whether the scheduler is back

Change: after the first call that the scheduler does not serve, a probe asks it every 0.3 s for the state of a job, which it can only answer with the store in reach; clients' calls do without it until then.

--- a/crates/instance/src/leader_link.rs
+++ b/crates/instance/src/leader_link.rs
@@ -3,13 +3,15 @@
 //! Answers the load pattern in which the active scheduler dies, is suspended or is cut off while
 //! clients go on calling. A call waits for it only a fraction of what urgent work can spare; then the
 //! instance serves the call from the key-value service. While the scheduler is silent or can't serve
-//! calls itself, further calls do without it, but for one now and then that finds out whether it is
-//! back.
+//! calls itself, further calls do without it, and probes of this process find out when it is back: no
+//! client's call is spent on that.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use lacewingrail_fleet::JobKey;
 use lacewingrail_model::message::{FleetCall, FleetReply, PeerRequest, PeerResponse};
+use lacewingrail_model::timer::TimerService;
 use lacewingrail_wire::{PeerClient, WireError};
 use tokio::sync::watch;
 
@@ -19,8 +21,11 @@
 /// Time for an answer of the active scheduler: over ten times that of an ordinary one, and a quarter
 /// of the slack of the most urgent work.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time for which calls do without a scheduler that has not served one.
-const FAULT_PAUSE: Duration = Duration::from_millis(500);
+/// Time between probes of a scheduler that did not serve a call.
+const PROBE_PERIOD: Duration = Duration::from_millis(300);
+/// Job that probes ask for; a scheduler that can't read the key-value service can't tell that it does
+/// not exist.
+const PROBE_JOB: JobKey = 0;
 
 /// States what became of a call to the active scheduler.
 #[derive(Clone, Debug, PartialEq)]
@@ -39,6 +44,7 @@
     leadership: watch::Receiver<LeadershipView>,
     own_address: String,
     peers: PeerClient,
+    timer: TimerService,
     fault: Arc<Mutex<Option<LeaderFault>>>,
 }
 
@@ -46,7 +52,7 @@
 #[derive(Clone, Debug)]
 struct LeaderFault {
     address: String,
-    /// Time of the newest call that it did not serve.
+    /// Time of the call that it did not serve.
     noted: Duration,
 }
 
@@ -56,8 +62,9 @@
         leadership: watch::Receiver<LeadershipView>,
         own_address: String,
         peers: PeerClient,
+        timer: TimerService,
     ) -> Self {
-        Self { leadership, own_address, peers, fault: Arc::default() }
+        Self { leadership, own_address, peers, timer, fault: Arc::default() }
     }
 
     /// Returns whether a scheduler is known that served the newest call.
@@ -71,33 +78,50 @@
         let Some(address) = self.leader_address() else {
             return LeaderAnswer::NotReached;
         };
-        let fault = self.fault_of(&address);
-        if fault.is_some_and(|fault| clock::now() < fault.noted + FAULT_PAUSE) {
+        if self.fault_of(&address).is_some() {
             return LeaderAnswer::NotReached;
         }
+        let (answer, fault) = self.exchange(&address, call).await;
+        if let Some(cause) = fault {
+            self.note_fault(address, &cause);
+        }
+        answer
+    }
+
+    /// Calls a scheduler; returns also why it did not serve the call, if so.
+    async fn exchange(&self, address: &str, call: FleetCall) -> (LeaderAnswer, Option<String>) {
         let request = PeerRequest::Fleet(call);
-        let answer = self.peers.call(&address, String::new(), request, ANSWER_TIMEOUT).await;
+        let answer = self.peers.call(address, String::new(), request, ANSWER_TIMEOUT).await;
         match answer {
             Ok(PeerResponse::Fleet(reply)) => {
-                match &reply {
-                    FleetReply::NotActive | FleetReply::Unclear => {
-                        self.note_fault(address, "it can't serve calls now");
-                    }
-                    _ => self.note_served(&address),
-                }
-                LeaderAnswer::Answered(reply)
+                let serves = !matches!(reply, FleetReply::NotActive | FleetReply::Unclear);
+                let fault = (!serves).then(|| "it can't serve calls now".to_owned());
+                (LeaderAnswer::Answered(reply), fault)
             }
-            Ok(_) => LeaderAnswer::NotReached,
+            Ok(_) => (LeaderAnswer::NotReached, None),
             Err(error) => {
-                self.note_fault(address, &error.to_string());
+                let fault = Some(error.to_string());
                 match error {
-                    WireError::Connect(_) => LeaderAnswer::NotReached,
-                    _ => LeaderAnswer::Lost,
+                    WireError::Connect(_) => (LeaderAnswer::NotReached, fault),
+                    _ => (LeaderAnswer::Lost, fault),
                 }
             }
         }
     }
 
+    /// Probes a scheduler until it serves a call or another one leads.
+    async fn probe(self, address: String) {
+        let mut ticks = self.timer.subscribe(PROBE_PERIOD);
+        while self.leader_address().as_ref() == Some(&address) {
+            ticks.tick().await;
+            let (_, fault) = self.exchange(&address, FleetCall::State { job: PROBE_JOB }).await;
+            if fault.is_none() {
+                break;
+            }
+        }
+        self.end_fault(&address);
+    }
+
     /// Returns the address of the active scheduler unless that is this process.
     fn leader_address(&self) -> Option<String> {
         let leader = self.leadership.borrow().leader.clone();
@@ -108,22 +132,28 @@
         self.lock().clone().filter(|fault| fault.address == address)
     }
 
-    fn note_served(&self, address: &str) {
-        let ended = self.lock().take();
-        if let Some(fault) = ended.filter(|fault| fault.address == address) {
+    fn note_fault(&self, address: String, cause: &str) {
+        let fault = LeaderFault { address: address.clone(), noted: clock::now() };
+        let former = self.lock().replace(fault);
+        if former.is_some_and(|former| former.address == address) {
+            // Two calls failed at the same time; the probes have begun.
+            return;
+        }
+        log::warn!(leader = address, error = cause; "active scheduler did not serve a call");
+        tokio::spawn(self.clone().probe(address));
+    }
+
+    fn end_fault(&self, address: &str) {
+        let ended = self.lock().take_if(|fault| fault.address == address);
+        if let Some(fault) = ended {
             let age = clock::now().saturating_sub(fault.noted);
             log::info!(
-                leader = address, failed_ms_ago = age.as_millis() as u64;
-                "active scheduler serves again"
+                leader = address, fault_ms = age.as_millis() as u64;
+                "active scheduler serves again or has changed"
             );
         }
     }
 
-    fn note_fault(&self, address: String, cause: &str) {
-        log::warn!(leader = address, error = cause; "active scheduler did not serve a call");
-        *self.lock() = Some(LeaderFault { address, noted: clock::now() });
-    }
-
     fn lock(&self) -> MutexGuard<'_, Option<LeaderFault>> {
         self.fault.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/instance/src/process.rs
+++ b/crates/instance/src/process.rs
@@ -105,7 +105,7 @@
         let system = context.settings.system.clone();
         let peers = PeerClient::new().with_system(&system);
         let own_address = context.settings.peer_address.to_string();
-        let leader = LeaderLink::new(leadership.clone(), own_address, peers);
+        let leader = LeaderLink::new(leadership.clone(), own_address, peers, context.timer.clone());
         let front = JobFront::new(context.clone(), leadership.clone(), leader.clone());
         let handler = Arc::new(FrontHandler::new(front.clone(), &system));
         let server = PeerServer::bind(context.settings.peer_address, handler).await?;
