Ask the adviser of a queue which workers may run a step

Cause: queues may have an adviser that alone knows which workers may run a step, and starts there need its ticket. The scheduler did not know of it: such a job was accepted and every start refused, so it never ran.

Change: a step of such a queue asks about up to 30 workers, those with its data and in the freest racks first, and about more while it waits. Its tasks are placed on allowed workers only and their starts carry the tickets, which are asked for again when they end or the worker has a new life. At most three questions are in flight, since the adviser takes them in turn.

Before, the planner had no such notion.

--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -5,6 +5,7 @@
 
 use lacewingrail_model::{ConfigVersion, CustomerName, ServiceName};
 
+use crate::advice::AdvicePolicy;
 use crate::spec::QueueName;
 
 /// Describes a queue of jobs.
@@ -20,6 +21,8 @@
     pub stretch: f64,
     /// Time added to that multiple.
     pub slack: Duration,
+    /// Adviser that knows which workers may run a step; nothing if all may.
+    pub advice: Option<AdvicePolicy>,
 }
 
 /// Describes what a customer may always claim.
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -6,8 +6,10 @@
 
 use lacewingrail_model::{DomainName, RackName, ServiceName, WorkerId};
 
+use crate::advice::WorkerTicket;
 use crate::amount::ResourceAmount;
 use crate::config::FleetConfig;
+use crate::order::AdviceQuestion;
 use crate::record::{JobProgress, WorkerRoster};
 use crate::spec::{CheckpointName, JobKey, JobSubmission, RunNumber, TaskKey};
 
@@ -105,6 +107,8 @@
     LeaseOver,
     /// The worker lacks capacity.
     NoCapacity,
+    /// The order carried no valid ticket of the queue's adviser.
+    NoTicket,
     /// The worker is unhealthy, has another identity, or found the order invalid.
     Unhealthy,
 }
@@ -169,6 +173,13 @@
         /// Outcome.
         outcome: StartOutcome,
     },
+    /// The adviser of a queue answered a question, or not in time.
+    AdviceAnswered {
+        /// Question.
+        question: AdviceQuestion,
+        /// Workers that may run the step; nothing if no answer came.
+        allowed: Option<Vec<WorkerTicket>>,
+    },
     /// A stop order was answered, or not in time.
     StopAnswered {
         /// Worker.
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -7,6 +7,7 @@
 use lacewingrail_model::WorkerId;
 use serde::{Deserialize, Serialize};
 
+use crate::advice::StepAdvice;
 use crate::record::{FailureCount, JobProgress, StepProgress};
 use crate::spec::{CheckpointName, JobSubmission, RunNumber, StepSpec, TaskKey};
 use crate::speed::StepPace;
@@ -77,6 +78,8 @@
     pub pace: StepPace,
     /// Since when the step has waited for workers.
     pub waiting_since: Option<Duration>,
+    /// What the queue's adviser has said.
+    pub advice: StepAdvice,
 }
 
 /// Holds one occurrence of a job.
@@ -158,6 +161,11 @@
     }
 
     /// Returns a step of an occurrence.
+    pub fn step(&self, occurrence: u32, step: u32) -> Option<&StepEntry> {
+        self.occurrence(occurrence)?.steps.get(step as usize)
+    }
+
+    /// Returns a step of an occurrence for a change.
     pub fn step_mut(&mut self, occurrence: u32, step: u32) -> Option<&mut StepEntry> {
         self.occurrences
             .iter_mut()
@@ -271,6 +279,7 @@
             done_since: None,
             pace: StepPace::default(),
             waiting_since: None,
+            advice: StepAdvice::default(),
         }
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,10 +7,11 @@
 //! recorded load replays as a test.
 //!
 //! What waits and in which order is decided in [`queue`], what is turned away in [`admission`], which
-//! urgent jobs are covered by a customer's guarantee in [`guarantee`], where work runs in
-//! [`placement`], and what is stopped for more urgent work in [`reclaim`].
+//! urgent jobs are covered by a customer's guarantee in [`guarantee`], which workers a queue's policy
+//! allows in [`advice`], where work runs in [`placement`], and what is stopped for more urgent work in [`reclaim`].
 
 pub mod admission;
+pub mod advice;
 pub mod amount;
 pub mod config;
 pub mod event;
@@ -26,6 +27,7 @@
 pub mod speed;
 pub mod worker;
 
+pub use advice::{AdviceCandidate, AdvicePolicy, WorkerTicket};
 pub use amount::ResourceAmount;
 pub use config::{CustomerShare, FleetConfig, QueuePolicy};
 pub use event::{
@@ -33,7 +35,7 @@
     WorkerListing,
 };
 pub use job::JobPhase;
-pub use order::{FleetOrder, StartOrder, TaskRun};
+pub use order::{AdviceQuestion, FleetOrder, StartOrder, TaskRun};
 pub use planner::{FleetPlanner, PlannerNote, PlannerSettings};
 pub use record::JobProgress;
 pub use spec::{JobKey, JobSpec, JobSubmission, RunNumber, StepSpec, TaskKey};
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -5,6 +5,8 @@
 
 use lacewingrail_model::{RackName, WorkerId};
 
+use crate::advice::{AdviceCandidate, TicketName};
+use crate::placement::StepKey;
 use crate::record::{JobProgress, WorkerRoster};
 use crate::spec::{CheckpointName, JobKey, JobSubmission, RunNumber, TaskKey};
 
@@ -30,6 +32,8 @@
     pub submission: Arc<JobSubmission>,
     /// Checkpoint to resume from.
     pub checkpoint: Option<CheckpointName>,
+    /// Ticket of the queue's adviser, if it has one.
+    pub ticket: Option<TicketName>,
     /// End of the lease on the worker's clock.
     pub lease_end: Duration,
     /// Why the worker was chosen, for logs.
@@ -49,6 +53,17 @@
     pub waited: Duration,
 }
 
+/// Asks the adviser of a queue which workers may run a step.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AdviceQuestion {
+    /// Step.
+    pub key: StepKey,
+    /// Workers.
+    pub workers: Vec<AdviceCandidate>,
+    /// Time that the answer takes at most, beside that of the call.
+    pub limit: Duration,
+}
+
 /// Asks a worker for a report and, with `lease_end`, to keep its tasks running.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RenewOrder {
@@ -73,6 +88,8 @@
     Stop(TaskRun),
     /// Renew the lease of a worker and read its report.
     Renew(RenewOrder),
+    /// Ask the adviser of a queue.
+    Advise(AdviceQuestion),
     /// Write progress to the store.
     Store {
         /// Job.
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -85,6 +85,8 @@
     pub count: usize,
     /// Speed that a worker must have at least.
     pub least_speed: f64,
+    /// Workers that the queue's adviser allows; nothing if all may run the step.
+    pub allowed: Option<&'a BTreeSet<WorkerId>>,
 }
 
 /// Returns the step that a task belongs to.
@@ -133,6 +135,7 @@
         let labelled = request.spec.label.as_ref().is_none_or(|label| slot.labels.contains(label));
         slot.open
             && slot.service == request.service
+            && request.allowed.is_none_or(|allowed| allowed.contains(&slot.id))
             && slot.cautious_speed >= request.least_speed
             && labelled
             && slot.capacity.covers(&request.spec.demand)
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -8,6 +8,7 @@
 //! starts only when all announced workers of its job have reported, or the leases that the earlier
 //! scheduler may have extended are certainly over: it may run on a worker that was not heard yet.
 
+mod advice;
 mod dispatch;
 mod ends;
 mod lease;
@@ -85,6 +86,8 @@
     reservations: Vec<Reservation>,
     /// Urgent jobs that their customers' guarantees cover, as of the newest planning pass.
     covered: BTreeSet<JobKey>,
+    /// Questions to advisers in flight.
+    questions: usize,
     broken_since: BTreeMap<StepKey, Duration>,
     means: WorkMeans,
     counts: PlannerCounts,
@@ -114,6 +117,7 @@
             renewals_allowed: true,
             reservations: Vec::new(),
             covered: BTreeSet::new(),
+            questions: 0,
             broken_since: BTreeMap::new(),
             means: WorkMeans::default(),
             counts: PlannerCounts::default(),
@@ -199,6 +203,9 @@
             FleetEvent::StartAnswered { worker, task, run, outcome } => {
                 self.take_start(&worker, task, run, outcome, now);
             }
+            FleetEvent::AdviceAnswered { question, allowed } => {
+                self.take_advice(&question, allowed.as_deref(), now);
+            }
             FleetEvent::StopAnswered { worker, task, run, confirmed } => {
                 self.take_stop(&worker, task, run, confirmed, now);
             }
@@ -370,6 +377,13 @@
             StartOutcome::Refused(StartRefusal::StaleToken) => {
                 self.orders.push(FleetOrder::StepDown);
             }
+            StartOutcome::Refused(StartRefusal::NoTicket) => {
+                let step = self.jobs.get_mut(&task.job);
+                let step = step.and_then(|job| job.step_mut(task.occurrence, task.step));
+                if let Some(step) = step {
+                    step.advice.forget(worker);
+                }
+            }
             StartOutcome::Refused(_) | StartOutcome::Unclear => entry.pause(now),
         }
         self.counts.failed_starts += 1;
--- a/crates/fleet/src/planner/dispatch.rs
+++ b/crates/fleet/src/planner/dispatch.rs
@@ -120,7 +120,11 @@
             key,
             count: waiting.len(),
             least_speed: if urgent { self.needed_speed(key, now) } else { 0.0 },
+            allowed: None,
         };
+        let advised = self.advised_workers(board, &request, now);
+        let allowed = advised.as_ref().map(|advised| &advised.usable);
+        let request = PlaceRequest { allowed, ..request };
         let reach = board.preferred_reach(&request);
         let wider = wider_reach(board, &request, reach, waited);
         let mut placed = place_step(board, &request, reach);
@@ -139,6 +143,9 @@
             let request = PlaceRequest { count: rest.len(), ..request };
             self.make_room(board, request, reach, &rest, now);
         }
+        if let Some(advised) = &advised {
+            self.ask_advice(key, advised, now);
+        }
     }
 
     /// Starts tasks, or reserves their workers while these are announced in the store.
@@ -211,7 +218,9 @@
         };
         job.begun = true;
         let step = job.step_mut(task.occurrence, task.step);
-        let waited = step.and_then(|step| step.waiting_since).unwrap_or(now);
+        let waited = step.as_ref().and_then(|step| step.waiting_since).unwrap_or(now);
+        let born = self.workers.get(worker).map_or(0, |worker| worker.listing.born);
+        let ticket = step.and_then(|step| step.advice.ticket(worker, born, now).cloned());
         let submission = job.submission.clone();
         let gang_checkpoint = if spec.gang { first_checkpoint(job, task) } else { None };
         let Some(entry) = job.task_mut(task) else {
@@ -245,7 +254,7 @@
             waited: now.saturating_sub(waited),
         };
         let target = TaskRun { worker: worker.to_owned(), address, task, run };
-        let order = StartOrder { target, submission, checkpoint, lease_end, basis };
+        let order = StartOrder { target, submission, checkpoint, ticket, lease_end, basis };
         self.orders.push(FleetOrder::Start(order));
     }
 
--- a/crates/fleet/tests/decisions/scene.rs
+++ b/crates/fleet/tests/decisions/scene.rs
@@ -7,10 +7,10 @@
 use lacewingrail_fleet::order::RenewOrder;
 use lacewingrail_fleet::record::WorkerRoster;
 use lacewingrail_fleet::{
-    CustomerShare, EndReason, EndedRun, FleetConfig, FleetEvent, FleetOrder, FleetPlanner, JobKey,
-    JobProgress, JobSpec, JobSubmission, LeaseReport, PlannerSettings, QueuePolicy, ResourceAmount,
-    RunNumber, RunningRun, StartOrder, StartOutcome, StartRefusal, StepSpec, TaskKey, TaskRun,
-    WorkerListing,
+    AdvicePolicy, AdviceQuestion, CustomerShare, EndReason, EndedRun, FleetConfig, FleetEvent,
+    FleetOrder, FleetPlanner, JobKey, JobProgress, JobSpec, JobSubmission, LeaseReport,
+    PlannerSettings, QueuePolicy, ResourceAmount, RunNumber, RunningRun, StartOrder, StartOutcome,
+    StartRefusal, StepSpec, TaskKey, TaskRun, WorkerListing, WorkerTicket,
 };
 
 /// Capacity of every worker.
@@ -64,6 +64,9 @@
     pub listings: Vec<WorkerListing>,
     pub stepped_down: bool,
     pub store_down: bool,
+    /// Workers that the adviser allows for every step of the queue `advised`.
+    pub allowed: Vec<String>,
+    pub questions: Vec<AdviceQuestion>,
 }
 
 /// Returns the settings of a planner under a leadership.
@@ -94,6 +97,11 @@
     }
 }
 
+/// Returns the ticket that the adviser of the scene gives.
+pub fn ticket(worker: &str) -> Option<String> {
+    Some(format!("ticket-{worker}"))
+}
+
 /// Returns a step of tasks with accelerators.
 pub fn step(count: u32, accelerators: i64) -> StepSpec {
     StepSpec {
@@ -115,6 +123,13 @@
     }
 }
 
+/// The adviser of the queue `advised`.
+pub const ADVISER: AdvicePolicy = AdvicePolicy {
+    decision: Duration::from_millis(20),
+    per_worker: Duration::from_millis(2),
+    validity: Duration::from_secs(3),
+};
+
 /// Returns the configuration of the scene.
 pub fn config() -> FleetConfig {
     let policy = |priority: u32, stretch: f64, slack_ms: u64| QueuePolicy {
@@ -123,11 +138,13 @@
         max_failures: 3,
         stretch,
         slack: Duration::from_millis(slack_ms),
+        advice: None,
     };
     let queues = [
         ("urgent".to_owned(), policy(0, 1.5, 250)),
         ("normal".to_owned(), policy(1, 3.0, 1000)),
         ("slow".to_owned(), policy(2, 3.0, 3000)),
+        ("advised".to_owned(), QueuePolicy { advice: Some(ADVISER), ..policy(1, 3.0, 1000) }),
     ];
     let customers = ["school-groups", "families"]
         .map(|name| (name.to_owned(), CustomerShare { guaranteed: GUARANTEED }));
@@ -156,6 +173,8 @@
             listings,
             stepped_down: false,
             store_down: false,
+            allowed: Vec::new(),
+            questions: Vec::new(),
         };
         scene.tell(FleetEvent::ConfigChanged(Arc::new(config())));
         scene
@@ -254,7 +273,12 @@
                 let target = order.target.clone();
                 self.starts.push(order);
                 let worker = self.workers.get_mut(&target.worker).expect("a listed worker");
-                let outcome = if worker.silent {
+                let advised = self.starts.last().is_some_and(|order| {
+                    order.submission.queue == "advised" && order.ticket != ticket(&target.worker)
+                });
+                let outcome = if advised {
+                    StartOutcome::Refused(StartRefusal::NoTicket)
+                } else if worker.silent {
                     StartOutcome::Unclear
                 } else if worker.full {
                     StartOutcome::Refused(StartRefusal::NoCapacity)
@@ -277,6 +301,15 @@
                 self.tell(FleetEvent::StopAnswered { worker, task, run, confirmed: !silent });
             }
             FleetOrder::Renew(order) => self.renew(&order),
+            FleetOrder::Advise(question) => {
+                self.questions.push(question.clone());
+                let named = question.workers.iter().map(|candidate| candidate.worker.clone());
+                let tickets = named
+                    .filter(|worker| self.allowed.contains(worker))
+                    .filter_map(|worker| Some(WorkerTicket { name: ticket(&worker)?, worker }));
+                let allowed = Some(tickets.collect());
+                self.tell(FleetEvent::AdviceAnswered { question, allowed });
+            }
             FleetOrder::Store { job, progress } => {
                 if self.store_down {
                     self.tell(FleetEvent::ProgressUnstored { job });
--- a/crates/instance/src/border.rs
+++ b/crates/instance/src/border.rs
@@ -6,7 +6,9 @@
 
 use async_trait::async_trait;
 use lacewingrail_fleet::order::RenewOrder;
-use lacewingrail_fleet::{LeaseReport, StartOrder, StartOutcome, TaskRun, WorkerListing};
+use lacewingrail_fleet::{
+    AdviceQuestion, LeaseReport, StartOrder, StartOutcome, TaskRun, WorkerListing, WorkerTicket,
+};
 use lacewingrail_model::store::{Revision, StoreError};
 use lacewingrail_model::{DomainName, Epoch};
 
@@ -21,7 +23,11 @@
     NoAnswer(String),
 }
 
-/// Calls workers.
+/// States why an adviser did not answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AdviceError(pub String);
+
+/// Calls workers and the adviser that knows which of them may run a step.
 #[async_trait]
 pub trait WorkerService: Send + Sync {
     /// Starts a task.
@@ -32,6 +38,9 @@
 
     /// Extends the lease of a worker and reads its report.
     async fn renew(&self, order: &RenewOrder, token: Epoch) -> Result<LeaseReport, RenewError>;
+
+    /// Asks which workers may run a step.
+    async fn advise(&self, question: &AdviceQuestion) -> Result<Vec<WorkerTicket>, AdviceError>;
 }
 
 /// Holds what the operators ask for.
--- a/crates/instance/src/executor.rs
+++ b/crates/instance/src/executor.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use lacewingrail_fleet::order::RenewOrder;
-use lacewingrail_fleet::{FleetEvent, FleetOrder, StartOrder, StartOutcome, StartRefusal, TaskRun};
+use lacewingrail_fleet::{
+    AdviceQuestion, FleetEvent, FleetOrder, StartOrder, StartOutcome, StartRefusal, TaskRun,
+};
 use lacewingrail_model::Epoch;
 use tokio::sync::watch;
 
-use crate::border::{RenewError, WorkerService};
+use crate::border::{AdviceError, RenewError, WorkerService};
 use crate::clock;
 use crate::progress_writer::{ProgressSender, ProgressWrite};
 use crate::schedule_controller::ScheduleSender;
@@ -60,6 +62,9 @@
             FleetOrder::Renew(order) => {
                 tokio::spawn(self.clone().renew(order));
             }
+            FleetOrder::Advise(question) => {
+                tokio::spawn(self.clone().advise(question));
+            }
             FleetOrder::Store { job, progress } => {
                 // The writer ends only together with the leadership, so nothing is lost.
                 let _ = self.progress.send(ProgressWrite::Job(job, progress));
@@ -105,6 +110,20 @@
         self.schedule.tell(FleetEvent::StopAnswered { worker, task, run, confirmed }).await;
     }
 
+    async fn advise(self, question: AdviceQuestion) {
+        let answer = self.workers.advise(&question).await;
+        let outcome = match &answer {
+            Ok(tickets) => format!("{} allowed", tickets.len()),
+            Err(AdviceError(cause)) => cause.clone(),
+        };
+        log::info!(
+            job = format!("{:016x}", question.key.0), step = question.key.2,
+            workers = question.workers.len(), outcome = outcome;
+            "adviser asked"
+        );
+        self.schedule.tell(FleetEvent::AdviceAnswered { question, allowed: answer.ok() }).await;
+    }
+
     async fn renew(self, order: RenewOrder) {
         let epoch = self.permit.borrow().epoch;
         let sent = clock::now();
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -23,7 +23,7 @@
 mod leader_link;
 mod leadership;
 
-pub use border::{FleetDirectory, OperatorState, RenewError, WorkerService};
+pub use border::{AdviceError, FleetDirectory, OperatorState, RenewError, WorkerService};
 pub use front::{CallHead, ClientAnswer, ClientOperation, JobFront};
 pub use process::{InstanceProcess, InstanceSettings};
 pub use routes::{ConfigTree, CustomerRule, RouteRule};
