Pace filling tasks, limit stops of continuous steps

Cause: a submission names tasks that serve users of their own, tasks that fill what is left, and how many tasks of a continuous step may be away at once. The scheduler ignored all three: filling tasks counted as using processors and were stopped as stalled where they got none; nothing held them back beside a serving task; urgent work could stop every task of a continuous step.

Change: filling tasks count no processors, and their share halves while a serving task on the worker is near its target and rises in steps while all are far below. Urgent work stops a task of a limited step only while fewer than the limit are away, whatever the cause. Separate urgent tasks now start as far as there is room; before, a step that did not fit whole displaced nothing.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -47,8 +47,11 @@
     pub run: RunNumber,
     /// Newest checkpoint.
     pub checkpoint: Option<CheckpointName>,
-    /// Share of the work done, 0 to 100.
+    /// Share of the work done, 0 to 100; of a continuous task, 100 once it is at work.
     pub percent: u32,
+    /// Of a serving task, its tail latency in milliseconds over the last half second; of others, the
+    /// thousandths of a core in use.
+    pub usage: u32,
 }
 
 /// States how a run ended.
@@ -191,6 +194,15 @@
         /// Whether the worker has confirmed the stop.
         confirmed: bool,
     },
+    /// A worker did not confirm a change of the share of a filling task.
+    PaceUnconfirmed {
+        /// Worker.
+        worker: WorkerId,
+        /// Task.
+        task: TaskKey,
+        /// Run.
+        run: RunNumber,
+    },
     /// Progress was written to the store.
     ProgressStored {
         /// Job.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,7 +8,8 @@
 //!
 //! What waits and in which order is decided in [`queue`], what is turned away in [`admission`], which
 //! urgent jobs are covered by a customer's guarantee in [`guarantee`], which workers a queue's policy
-//! allows in [`advice`], where work runs in [`placement`], and what is stopped for more urgent work in [`reclaim`].
+//! allows in [`advice`], how much filling tasks work beside others in [`pace`], where work runs in
+//! [`placement`], and what is stopped for more urgent work in [`reclaim`].
 
 pub mod admission;
 pub mod advice;
@@ -18,6 +19,7 @@
 pub mod guarantee;
 pub mod job;
 pub mod order;
+pub mod pace;
 pub mod placement;
 pub mod planner;
 pub mod queue;
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -88,6 +88,13 @@
     Stop(TaskRun),
     /// Renew the lease of a worker and read its report.
     Renew(RenewOrder),
+    /// Change the share that a filling task may work.
+    Pace {
+        /// Run.
+        target: TaskRun,
+        /// Share, 0 to 100.
+        percent: u32,
+    },
     /// Ask the adviser of a queue.
     Advise(AdviceQuestion),
     /// Write progress to the store.
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -9,10 +9,12 @@
 //! scheduler may have extended are certainly over: it may run on a worker that was not heard yet.
 
 mod advice;
+mod away;
 mod dispatch;
 mod ends;
 mod lease;
 mod notes;
+mod pacing;
 mod upkeep;
 mod urgent;
 
@@ -209,6 +211,9 @@
             FleetEvent::StopAnswered { worker, task, run, confirmed } => {
                 self.take_stop(&worker, task, run, confirmed, now);
             }
+            FleetEvent::PaceUnconfirmed { worker, task, run } => {
+                self.note_unpaced(&worker, task, run);
+            }
             FleetEvent::ProgressStored { job, sequence } => self.note_stored(job, sequence),
             FleetEvent::ProgressUnstored { job } => {
                 if let Some(entry) = self.jobs.get_mut(&job) {
@@ -221,6 +226,7 @@
     /// Decides and returns all orders since the last call.
     pub fn plan(&mut self, now: Duration) -> Vec<FleetOrder> {
         self.keep_up(now);
+        self.adapt_pace(now);
         self.dispatch(now);
         self.renew(now);
         self.offer_progress();
--- a/crates/fleet/src/planner/dispatch.rs
+++ b/crates/fleet/src/planner/dispatch.rs
@@ -8,6 +8,7 @@
 use crate::guarantee::covered_jobs;
 use crate::job::{JobEntry, TaskPhase};
 use crate::order::{FleetOrder, StartBasis, StartOrder, TaskRun};
+use crate::pace::FULL_PACE;
 use crate::placement::{PlaceBoard, PlaceReach, PlaceRequest, SlotIndex, StepKey, step_key};
 use crate::queue::{URGENT, WorkItem, rank_work};
 use crate::spec::{RunNumber, StepSpec, TaskKey};
@@ -243,6 +244,8 @@
             percent: 0,
             progressed: now,
             mark: None,
+            pace: Some(FULL_PACE),
+            usage: 0.0,
         };
         target.add_run(task, run, run_entry);
         self.counts.starts += 1;
--- a/crates/fleet/src/planner/lease.rs
+++ b/crates/fleet/src/planner/lease.rs
@@ -107,6 +107,8 @@
             percent: running.percent,
             progressed: now,
             mark: None,
+            pace: None,
+            usage: f64::from(running.usage),
         };
         let lease = self.settings.lease;
         if let Some(entry) = self.workers.get_mut(worker) {
@@ -198,7 +200,7 @@
         };
         // Away from its rack a task is slow through no fault of the worker.
         let away = spec.data_rack.is_some() && spec.data_rack != entry.listing.rack;
-        if spec.continuous || away || spans_racks {
+        if spec.continuous || spec.fills || away || spans_racks {
             return;
         }
         let declared = spec.estimate;
@@ -230,6 +232,7 @@
         run.progressed = now;
     }
     run.checkpoint.clone_from(&running.checkpoint);
+    run.usage = f64::from(running.usage);
 }
 
 /// Returns whether the worker had confirmed the run or its stop before a renewal was sent.
--- /dev/null
+++ b/crates/fleet/src/planner/pacing.rs
@@ -0,0 +1,95 @@
+//! Pacing of filling tasks beside tasks that serve.
+
+use std::time::Duration;
+
+use super::FleetPlanner;
+use crate::order::{FleetOrder, TaskRun};
+use crate::pace::{FULL_PACE, next_pace};
+use crate::placement::step_key;
+use crate::spec::{RunNumber, TaskKey};
+use crate::worker::{RunPhase, WorkerEntry};
+
+/// Time between changes on one worker: the span of a measurement and the time until a change works.
+const PACE_PERIOD: Duration = Duration::from_millis(700);
+
+impl FleetPlanner {
+    /// Adapts the share of filling tasks on every worker to the tasks that serve beside them.
+    pub(super) fn adapt_pace(&mut self, now: Duration) {
+        let due = |worker: &&WorkerEntry| {
+            let elapsed = worker.paced.map_or(Duration::MAX, |paced| now.saturating_sub(paced));
+            elapsed >= PACE_PERIOD && worker.report_age(now) < PACE_PERIOD
+        };
+        let mut changes = Vec::new();
+        for worker in self.workers.values().filter(due) {
+            let fills: Vec<(TaskKey, RunNumber)> = worker
+                .runs
+                .iter()
+                .filter(|((task, _), run)| run.phase == RunPhase::Running && self.fills(*task))
+                .map(|(key, _)| *key)
+                .collect();
+            if !fills.is_empty() {
+                changes.push((worker.listing.id.clone(), self.pressure_on(worker), fills));
+            }
+        }
+        for (worker, pressure, fills) in changes {
+            self.set_pace(&worker, pressure, &fills, now);
+        }
+    }
+
+    /// Orders the next share of filling tasks; nothing where it stays.
+    fn set_pace(
+        &mut self,
+        worker: &str,
+        pressure: Option<f64>,
+        fills: &[(TaskKey, RunNumber)],
+        now: Duration,
+    ) {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        entry.paced = Some(now);
+        let address = entry.listing.address.clone();
+        for (task, run) in fills {
+            let Some(run_entry) = entry.runs.get_mut(&(*task, *run)) else {
+                continue;
+            };
+            // The share that an earlier scheduler left is not known; a low one is safe.
+            let known = run_entry.pace.unwrap_or_default();
+            let pace = pressure.map_or(FULL_PACE, |pressure| next_pace(known, pressure));
+            if run_entry.pace == Some(pace) {
+                continue;
+            }
+            run_entry.pace = Some(pace);
+            let target = TaskRun {
+                worker: worker.to_owned(),
+                address: address.clone(),
+                task: *task,
+                run: *run,
+            };
+            self.orders.push(FleetOrder::Pace { target, percent: pace });
+        }
+    }
+
+    /// Notes that the share of a run is not known because an order was not confirmed.
+    pub(super) fn note_unpaced(&mut self, worker: &str, task: TaskKey, run: RunNumber) {
+        let entry = self.workers.get_mut(worker).and_then(|entry| entry.runs.get_mut(&(task, run)));
+        if let Some(entry) = entry {
+            entry.pace = None;
+        }
+    }
+
+    fn fills(&self, task: TaskKey) -> bool {
+        let spec = self.jobs.get(&task.job).and_then(|job| job.step_spec(task.step));
+        spec.is_some_and(|spec| spec.fills)
+    }
+
+    /// Returns the highest tail latency of the serving tasks on a worker against its target; nothing
+    /// if none serves there.
+    fn pressure_on(&self, worker: &WorkerEntry) -> Option<f64> {
+        let pressure = |((task, _), run): (&(TaskKey, RunNumber), &crate::worker::RunEntry)| {
+            let target = self.spec_of(step_key(*task))?.target?;
+            Some(run.usage / target.as_secs_f64().max(f64::MIN_POSITIVE) / 1000.0)
+        };
+        worker.runs.iter().filter_map(pressure).max_by(f64::total_cmp)
+    }
+}
--- a/crates/fleet/src/planner/upkeep.rs
+++ b/crates/fleet/src/planner/upkeep.rs
@@ -155,7 +155,7 @@
     /// Returns whether a run should have progressed: its whole percent points take far less time.
     fn is_stalled(&self, task: TaskKey, run: &RunEntry, now: Duration) -> bool {
         let spec = self.jobs.get(&task.job).and_then(|job| job.step_spec(task.step));
-        let Some(spec) = spec.filter(|spec| !spec.continuous) else {
+        let Some(spec) = spec.filter(|spec| !spec.continuous && !spec.fills) else {
             return false;
         };
         let patience = STALL_TIME + spec.estimate.mul_f64(STALL_SHARE);
--- a/crates/fleet/src/planner/urgent.rs
+++ b/crates/fleet/src/planner/urgent.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::away::AwayBudgets;
 use super::dispatch::place_step;
 use super::{FleetPlanner, PlannerNote, Reservation};
 use crate::placement::{PlaceBoard, PlaceReach, PlaceRequest, SlotIndex, StepKey, step_key};
@@ -80,6 +81,11 @@
         let best = if loss(&fast) <= loss(&slow) + LOSS_FOR_SPEED { &fast } else { &slow };
         if let Some(plan) = best.as_ref().or(slow.as_ref()) {
             self.carry_out(board, &any, plan, &units, tasks, now);
+        } else if !request.spec.gang && tasks.len() > 1 {
+            // There is no room for all of them; separate tasks start as far as there is.
+            let half = &tasks[..tasks.len() / 2];
+            let request = PlaceRequest { count: half.len(), ..request };
+            self.make_room(board, request, reach, half, now);
         }
     }
 
@@ -159,6 +165,7 @@
     fn borrowers(&self, board: &PlaceBoard, for_covered: bool) -> Vec<BorrowerUnit> {
         let mut units: Vec<BorrowerUnit> = Vec::new();
         let mut gangs = BTreeMap::new();
+        let mut budgets = AwayBudgets::default();
         for (id, worker) in &self.workers {
             let Some(slot) = board.index(id) else {
                 continue;
@@ -173,6 +180,9 @@
                 let Some(spec) = self.spec_of(step_key(*task)) else {
                     continue;
                 };
+                if !budgets.take(self, step_key(*task), &spec) {
+                    continue;
+                }
                 let part = BorrowerPart { slot, task: *task, run: *run, demand: entry.demand };
                 let loss = stop_loss(&spec, entry);
                 let position = if spec.gang {
--- a/crates/fleet/src/spec.rs
+++ b/crates/fleet/src/spec.rs
@@ -62,6 +62,16 @@
     /// Whether the tasks run until the job is cancelled.
     #[serde(default)]
     pub continuous: bool,
+    /// Longest tail latency that the users of a serving task accept; nothing for other tasks.
+    #[serde(default)]
+    pub target: Option<Duration>,
+    /// Whether the tasks only use processors that others leave unused. Their demand counts none.
+    #[serde(default)]
+    pub fills: bool,
+    /// Tasks of a continuous step that may be away at once through orders of the scheduler; nothing
+    /// for no limit.
+    #[serde(default)]
+    pub most_away: Option<u32>,
 }
 
 /// Describes when a recurring job is due.
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -60,6 +60,10 @@
     pub progressed: Duration,
     /// Start of the span over which the rate of progress is measured.
     pub mark: Option<ProgressMark>,
+    /// Share of its processor time that a filling task may use, in percent; nothing if not known.
+    pub pace: Option<u32>,
+    /// Newest measurement, see [`RunningRun::usage`](crate::event::RunningRun::usage).
+    pub usage: f64,
 }
 
 /// Names an end that waits for its job's progress to be stored.
@@ -91,6 +95,8 @@
     pub unanswered: u32,
     /// Estimated speed.
     pub speed: WorkerSpeed,
+    /// When the share of filling tasks was decided last.
+    pub paced: Option<Duration>,
     /// Start of the life that the newest report was from; 0 before the first report.
     pub life: u64,
     clock: Option<(Duration, Duration)>,
@@ -116,6 +122,7 @@
             looked_at: false,
             unanswered: 0,
             speed: WorkerSpeed::default(),
+            paced: None,
             life: 0,
             clock: None,
             lease_end: Duration::ZERO,
--- a/crates/fleet/tests/decisions/main.rs
+++ b/crates/fleet/tests/decisions/main.rs
@@ -5,4 +5,5 @@
 mod planner;
 mod reclaim;
 mod scene;
+mod sharing;
 mod speed;
--- a/crates/fleet/tests/decisions/scene.rs
+++ b/crates/fleet/tests/decisions/scene.rs
@@ -30,6 +30,8 @@
     pub running: BTreeMap<(TaskKey, RunNumber), Duration>,
     /// Speed at which progress is reported.
     pub speed: f64,
+    /// What is reported as the usage of every run.
+    pub usage: u32,
     pub ended: Vec<EndedRun>,
     pub ends: u64,
     pub silent: bool,
@@ -43,6 +45,7 @@
         Self {
             running: BTreeMap::new(),
             speed: 1.0,
+            usage: 0,
             ended: Vec::new(),
             ends: 0,
             silent: false,
@@ -67,6 +70,8 @@
     /// Workers that the adviser allows for every step of the queue `advised`.
     pub allowed: Vec<String>,
     pub questions: Vec<AdviceQuestion>,
+    /// Shares ordered for filling tasks.
+    pub paces: Vec<(TaskRun, u32)>,
 }
 
 /// Returns the settings of a planner under a leadership.
@@ -175,6 +180,7 @@
             store_down: false,
             allowed: Vec::new(),
             questions: Vec::new(),
+            paces: Vec::new(),
         };
         scene.tell(FleetEvent::ConfigChanged(Arc::new(config())));
         scene
@@ -301,6 +307,7 @@
                 self.tell(FleetEvent::StopAnswered { worker, task, run, confirmed: !silent });
             }
             FleetOrder::Renew(order) => self.renew(&order),
+            FleetOrder::Pace { target, percent } => self.paces.push((target, percent)),
             FleetOrder::Advise(question) => {
                 self.questions.push(question.clone());
                 let named = question.workers.iter().map(|candidate| candidate.worker.clone());
@@ -337,7 +344,7 @@
         let row = |((task, run), start): (&(TaskKey, RunNumber), &Duration)| {
             let done = (now - *start).as_secs_f64() * speed / ESTIMATE.as_secs_f64();
             let percent = (done * 100.0).min(100.0) as u32;
-            RunningRun { task: *task, run: *run, checkpoint: None, percent }
+            RunningRun { task: *task, run: *run, checkpoint: None, percent, usage: worker.usage }
         };
         let report = LeaseReport {
             born: worker.born,
--- a/crates/instance/src/border.rs
+++ b/crates/instance/src/border.rs
@@ -36,6 +36,9 @@
     /// Stops a run and returns whether the worker confirmed it.
     async fn stop(&self, run: &TaskRun, token: Epoch) -> bool;
 
+    /// Changes the share that a filling task may work; returns whether the worker confirmed it.
+    async fn pace(&self, run: &TaskRun, percent: u32, token: Epoch) -> bool;
+
     /// Extends the lease of a worker and reads its report.
     async fn renew(&self, order: &RenewOrder, token: Epoch) -> Result<LeaseReport, RenewError>;
 
--- a/crates/instance/src/executor.rs
+++ b/crates/instance/src/executor.rs
@@ -62,6 +62,9 @@
             FleetOrder::Renew(order) => {
                 tokio::spawn(self.clone().renew(order));
             }
+            FleetOrder::Pace { target, percent } => {
+                tokio::spawn(self.clone().pace(target, percent));
+            }
             FleetOrder::Advise(question) => {
                 tokio::spawn(self.clone().advise(question));
             }
@@ -110,6 +113,20 @@
         self.schedule.tell(FleetEvent::StopAnswered { worker, task, run, confirmed }).await;
     }
 
+    async fn pace(self, run: TaskRun, percent: u32) {
+        let epoch = self.permit.borrow().epoch;
+        let confirmed = self.workers.pace(&run, percent, epoch).await;
+        let TaskRun { worker, task, run, .. } = run;
+        log::info!(
+            job = format!("{:016x}", task.job), step = task.step, task = task.index, run = run,
+            worker = worker, epoch = epoch, percent = percent, confirmed = confirmed;
+            "pace ordered"
+        );
+        if !confirmed {
+            self.schedule.tell(FleetEvent::PaceUnconfirmed { worker, task, run }).await;
+        }
+    }
+
     async fn advise(self, question: AdviceQuestion) {
         let answer = self.workers.advise(&question).await;
         let outcome = match &answer {
