Take over thousands of workers without losing the leadership

A new scheduler asked all workers at once; what came back kept its quarter of a core busy for seconds, renewals and calls waited, 300 instances took it for silent and probed it three times a second, and the next takeover began.

Change: a new scheduler looks at 64 workers at a time. Probes of a silent scheduler cost it no call to the store, are spread and back off to 2.4 s. With over 500 busy workers reports are asked for half as often.

The new planner test fails before (150 looks in one pass).

Conclusion: a short leadership needs a bounded takeover.

--- a/crates/fleet/src/planner/upkeep.rs
+++ b/crates/fleet/src/planner/upkeep.rs
@@ -18,8 +18,17 @@
 const SILENT_RETRY: Duration = Duration::from_millis(300);
 /// Time for which the ends of the other members of a gang are awaited before they are stopped.
 const GANG_END_WAIT: Duration = Duration::from_millis(700);
-/// Time without progress, beside a share of the run time, after which a run has stalled: two reports.
-const STALL_TIME: Duration = Duration::from_millis(2200);
+/// Workers that are looked at for the first time at once. What comes back from more of them would hold
+/// up the renewals of the leadership and the calls of clients on a small instance.
+const FIRST_LOOKS: usize = 64;
+/// Time after which the first look at a silent worker makes room for others.
+const LOOK_TIME: Duration = Duration::from_millis(200);
+/// Busy workers from which on reports are asked for half as often: they are most of the work.
+const MANY_WORKERS: usize = 500;
+/// Reports without progress, beside a share of the run time, after which a run has stalled.
+const STALL_REPORTS: u32 = 2;
+/// Time added to these for a report that is late.
+const STALL_MARGIN: Duration = Duration::from_millis(200);
 /// Share of the declared run time that a slow worker far from the data needs for a percent point.
 const STALL_SHARE: f64 = 0.06;
 /// Factor on the lease after which nothing of an earlier scheduler runs any more: the slowest clock
@@ -133,10 +142,12 @@
 
     /// Stops runs that make no progress, so that they start again on another worker.
     fn stop_stalled(&mut self, now: Duration) {
+        let stall_time = self.report_wait() * STALL_REPORTS + STALL_MARGIN;
         let mut stalled = Vec::new();
         for (id, worker) in &self.workers {
             for ((task, run), entry) in &worker.runs {
-                if self.is_stalled(*task, entry, now) && worker.report_age(now) < STALL_TIME {
+                let stalls = self.is_stalled(*task, entry, stall_time, now);
+                if stalls && worker.report_age(now) < stall_time {
                     stalled.push((id.clone(), *task, *run));
                 }
             }
@@ -153,12 +164,18 @@
     }
 
     /// Returns whether a run should have progressed: its whole percent points take far less time.
-    fn is_stalled(&self, task: TaskKey, run: &RunEntry, now: Duration) -> bool {
+    fn is_stalled(
+        &self,
+        task: TaskKey,
+        run: &RunEntry,
+        stall_time: Duration,
+        now: Duration,
+    ) -> bool {
         let spec = self.jobs.get(&task.job).and_then(|job| job.step_spec(task.step));
         let Some(spec) = spec.filter(|spec| !spec.continuous && !spec.fills) else {
             return false;
         };
-        let patience = STALL_TIME + spec.estimate.mul_f64(STALL_SHARE);
+        let patience = stall_time + spec.estimate.mul_f64(STALL_SHARE);
         run.phase == RunPhase::Running
             && run.percent < 100
             && now.saturating_sub(run.progressed) > patience
@@ -230,11 +247,18 @@
         if !self.renewals_allowed {
             return;
         }
-        let (lease, wait) = (self.settings.lease, self.settings.report_wait);
+        let (lease, wait) = (self.settings.lease, self.report_wait());
+        let mut first_looks = FIRST_LOOKS.saturating_sub(self.first_looks_in_flight(now));
         for (id, worker) in &mut self.workers {
             if worker.renewing || !needs_renewal(worker, lease, now) {
                 continue;
             }
+            if !worker.looked_at && worker.unanswered == 0 {
+                if first_looks == 0 {
+                    continue;
+                }
+                first_looks -= 1;
+            }
             let lease_end = worker.next_lease_end(now, lease);
             let waits = worker.looked_at && !worker.awaits_storage() && worker.unanswered == 0;
             worker.renewing = true;
@@ -250,6 +274,21 @@
         }
     }
 
+    /// Returns how many workers are being looked at for the first time and may answer at any moment.
+    fn first_looks_in_flight(&self, now: Duration) -> usize {
+        let in_flight = |worker: &&WorkerEntry| {
+            let young = worker.renewed.is_some_and(|at| now.saturating_sub(at) < LOOK_TIME);
+            worker.renewing && !worker.looked_at && young
+        };
+        self.workers.values().filter(in_flight).count()
+    }
+
+    /// Returns for how long a worker may wait with a report when it has no end to report.
+    fn report_wait(&self) -> Duration {
+        let busy = self.workers.values().filter(|worker| !worker.runs.is_empty()).count();
+        if busy > MANY_WORKERS { self.settings.report_wait * 2 } else { self.settings.report_wait }
+    }
+
     /// Offers changed progress for storing.
     pub(super) fn offer_progress(&mut self) {
         for (job, entry) in &mut self.jobs {
--- a/crates/fleet/tests/decisions/planner.rs
+++ b/crates/fleet/tests/decisions/planner.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::scene::{Scene, listing, step, submission};
-use lacewingrail_fleet::{EndReason, FleetEvent, JobPhase};
+use lacewingrail_fleet::{EndReason, FleetEvent, FleetOrder, JobPhase};
 
 fn two_racks() -> Vec<lacewingrail_fleet::WorkerListing> {
     let worker = |index: usize| {
@@ -386,3 +386,25 @@
         assert_eq!(scene.starts.len(), 1, "two of three attempts have failed");
     }
 }
+
+/// Returns how many workers one planning pass looks at.
+fn looks(scene: &mut Scene) -> usize {
+    let orders = scene.planner.plan(scene.now);
+    orders.iter().filter(|order| matches!(order, FleetOrder::Renew(_))).count()
+}
+
+/// Guards against a takeover that loses its leadership because the answers of thousands of workers
+/// come back at once: at 3,000 workers one takeover followed the other.
+#[test]
+fn new_scheduler_looks_at_workers_in_bounded_numbers() {
+    let worker = |index: usize| listing(&format!("w{index:03}"), "north", "r1");
+    let mut scene = Scene::unheard(2, (0..150).map(worker).collect());
+    let listings = scene.listings.clone();
+    scene.tell(FleetEvent::WorkersListed(listings));
+    assert_eq!((looks(&mut scene), looks(&mut scene)), (64, 0));
+    // Silent workers hold up the others for a moment only.
+    scene.now += Duration::from_millis(250);
+    assert_eq!(looks(&mut scene), 64);
+    scene.now += Duration::from_millis(250);
+    assert_eq!(looks(&mut scene), 22);
+}
--- a/crates/instance/src/front.rs
+++ b/crates/instance/src/front.rs
@@ -458,6 +458,8 @@
                 ClientAnswer::Pending(count) => FleetReply::Pending(count),
                 _ => FleetReply::NotActive,
             },
+            FleetCall::Probe if self.context.health.outage().is_some() => FleetReply::NotActive,
+            FleetCall::Probe => FleetReply::Serving,
         }
     }
 }
--- a/crates/instance/src/leader_link.rs
+++ b/crates/instance/src/leader_link.rs
@@ -9,7 +9,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use lacewingrail_fleet::JobKey;
 use lacewingrail_model::message::{FleetCall, FleetReply, PeerRequest, PeerResponse};
 use lacewingrail_model::timer::TimerService;
 use lacewingrail_wire::{PeerClient, WireError};
@@ -21,11 +20,11 @@
 /// Time for an answer of the active scheduler: over ten times that of an ordinary one, and a quarter
 /// of the slack of the most urgent work.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time between probes of a scheduler that did not serve a call.
-const PROBE_PERIOD: Duration = Duration::from_millis(300);
-/// Job that probes ask for; a scheduler that can't read the key-value service can't tell that it does
-/// not exist.
-const PROBE_JOB: JobKey = 0;
+/// Time until the first probe of a scheduler that did not serve a call; doubles with each, so that
+/// many instances do not add to the load of a scheduler that is late because of its load.
+const PROBE_PAUSE: Duration = Duration::from_millis(300);
+/// Longest time between probes.
+const LONGEST_PROBE_PAUSE: Duration = Duration::from_millis(2400);
 
 /// States what became of a call to the active scheduler.
 #[derive(Clone, Debug, PartialEq)]
@@ -111,13 +110,14 @@
 
     /// Probes a scheduler until it serves a call or another one leads.
     async fn probe(self, address: String) {
-        let mut ticks = self.timer.subscribe(PROBE_PERIOD);
+        let mut pause = PROBE_PAUSE;
         while self.leader_address().as_ref() == Some(&address) {
-            ticks.tick().await;
-            let (_, fault) = self.exchange(&address, FleetCall::State { job: PROBE_JOB }).await;
+            self.timer.wait(pause.mul_f64(0.5 + rand::random::<f64>())).await;
+            let (_, fault) = self.exchange(&address, FleetCall::Probe).await;
             if fault.is_none() {
                 break;
             }
+            pause = (pause * 2).min(LONGEST_PROBE_PAUSE);
         }
         self.end_fault(&address);
     }
--- a/crates/model/src/message.rs
+++ b/crates/model/src/message.rs
@@ -124,6 +124,8 @@
         /// Queue.
         queue: String,
     },
+    /// Tell whether the receiver serves calls.
+    Probe,
 }
 
 /// Answers a [`FleetCall`].
@@ -150,6 +152,8 @@
     NotActive,
     /// The outcome of a write is unknown.
     Unclear,
+    /// The receiver is the active scheduler and serves calls.
+    Serving,
 }
 
 /// States how far a job has come, as its customer sees it.
