Keep learned speeds of workers over a change of scheduler

The stored speeds were applied when a worker was first listed, but the list is read with one call and usually arrives before them. The new scheduler then also stored the forgotten values. Urgent gangs so ran on slow workers and were late although they started at once.

Change: stored speeds are applied to listed workers too, unless these were measured meanwhile. The test of speeds over a takeover now reads list and speeds in both orders and fails before.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -191,7 +191,7 @@
             FleetEvent::ConfigChanged(config) => self.config = config,
             FleetEvent::DomainsOut(domains) => self.domains_out = domains,
             FleetEvent::WorkersListed(listings) => self.take_list(listings),
-            FleetEvent::RosterLoaded(workers) => self.digests = workers,
+            FleetEvent::RosterLoaded(workers) => self.take_roster(workers),
             FleetEvent::JobAccepted { submission, progress, age } => {
                 self.accept(submission, progress.as_ref(), now.saturating_sub(age), now);
             }
@@ -322,11 +322,7 @@
             match self.workers.get_mut(&listing.id) {
                 None => {
                     let mut worker = WorkerEntry::new(listing);
-                    let digest = self.digests.get(&worker.listing.id);
-                    if let Some(digest) = digest.filter(|digest| digest.born == worker.listing.born)
-                    {
-                        worker.speed = digest.speed;
-                    }
+                    worker.recall(&self.digests);
                     self.workers.insert(worker.listing.id.clone(), worker);
                 }
                 Some(worker) if listing.born > worker.listing.born => {
@@ -340,6 +336,12 @@
         }
     }
 
+    /// Takes what an earlier scheduler knew of the workers, which may be listed already.
+    fn take_roster(&mut self, roster: WorkerRoster) {
+        self.digests = roster;
+        self.workers.values_mut().for_each(|worker| worker.recall(&self.digests));
+    }
+
     /// Returns a task to the queue unless it is done or was given to another run since.
     fn unassign(&mut self, worker: &str, task: TaskKey, run: RunNumber) {
         let entry = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task));
--- a/crates/fleet/src/speed.rs
+++ b/crates/fleet/src/speed.rs
@@ -52,6 +52,11 @@
         self.log.exp()
     }
 
+    /// Returns whether the speed has ever been measured.
+    pub fn is_measured(&self) -> bool {
+        self.count > 0.0
+    }
+
     /// Returns the speed that may be relied on: lower as long as little has been measured.
     pub fn cautious(&self) -> f64 {
         self.value() * (1.0 - UNCERTAINTY / (1.0 + self.count))
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -9,6 +9,7 @@
 
 use crate::amount::ResourceAmount;
 use crate::event::WorkerListing;
+use crate::record::WorkerRoster;
 use crate::spec::{CheckpointName, JobKey, RunNumber, TaskKey};
 use crate::speed::{ProgressMark, WorkerSpeed};
 
@@ -135,6 +136,16 @@
         }
     }
 
+    /// Takes over what an earlier scheduler knew of this life of the worker, unless more is known.
+    pub fn recall(&mut self, roster: &WorkerRoster) {
+        let digest = roster.get(&self.listing.id);
+        if let Some(digest) = digest.filter(|digest| digest.born == self.listing.born)
+            && !self.speed.is_measured()
+        {
+            self.speed = digest.speed;
+        }
+    }
+
     /// Returns the capacity that nothing takes.
     pub fn free(&self) -> ResourceAmount {
         self.listing.capacity - self.used
--- a/crates/fleet/tests/decisions/scene.rs
+++ b/crates/fleet/tests/decisions/scene.rs
@@ -67,6 +67,8 @@
     pub listings: Vec<WorkerListing>,
     pub stepped_down: bool,
     pub store_down: bool,
+    /// Whether a new scheduler reads the list of workers before what the former one stored.
+    pub listed_first: bool,
     /// Workers that the adviser allows for every step of the queue `advised`.
     pub allowed: Vec<String>,
     pub questions: Vec<AdviceQuestion>,
@@ -178,6 +180,7 @@
             listings,
             stepped_down: false,
             store_down: false,
+            listed_first: false,
             allowed: Vec::new(),
             questions: Vec::new(),
             paces: Vec::new(),
@@ -192,6 +195,10 @@
         self.starts.clear();
         self.stops.clear();
         self.tell(FleetEvent::ConfigChanged(Arc::new(config())));
+        if self.listed_first {
+            let listings = self.listings.clone();
+            self.tell(FleetEvent::WorkersListed(listings));
+        }
         let roster = self.roster.clone();
         self.tell(FleetEvent::RosterLoaded(roster));
         for submission in submissions {
--- a/crates/fleet/tests/decisions/speed.rs
+++ b/crates/fleet/tests/decisions/speed.rs
@@ -110,8 +110,16 @@
 /// jobs ran on workers of unknown speed).
 #[test]
 fn speeds_survive_a_change_of_scheduler() {
+    for listed_first in [false, true] {
+        check_speeds_after_takeover(listed_first);
+    }
+}
+
+/// The list of workers and what the former scheduler stored are read in either order.
+fn check_speeds_after_takeover(listed_first: bool) {
     let mut scene = unequal_workers();
     scene.pass(Duration::from_millis(2500));
+    scene.listed_first = listed_first;
     let mut scene = scene.take_over(2, &[]);
     scene.pass(Duration::from_millis(300));
     scene.accept(submission(2, "urgent", vec![gang(2)]));
