Show that urgent gangs spread over domains for fast workers

Tried and reverted: letting an urgent gang without a common rack use all failure domains at once, in place of after 0.5 s. The test written for it passes without the change, since a domain that lacks fast enough workers is not preferred in the first place.

The test stays.

--- a/crates/fleet/tests/decisions/speed.rs
+++ b/crates/fleet/tests/decisions/speed.rs
@@ -127,3 +127,27 @@
     assert_eq!(workers.len(), 2);
     assert!(workers.iter().all(|worker| scene.workers[worker].speed == FAST), "{workers:?}");
 }
+
+/// Guards against an urgent gang that runs on slow workers of one failure domain, or stops others,
+/// although workers that are fast enough are free in several.
+#[test]
+fn urgent_gang_spreads_over_domains_for_fast_workers() {
+    let worker = |index: usize| {
+        let domain = if index < 2 { "north" } else { "south" };
+        listing(&format!("w{index}"), domain, domain)
+    };
+    let mut scene = Scene::new(1, (0..4).map(worker).collect());
+    for (index, speed) in [(0, FAST), (1, SLOW), (2, FAST), (3, SLOW)] {
+        scene.workers.get_mut(&format!("w{index}")).expect("a worker").speed = speed;
+    }
+    scene.accept(submission(1, "normal", vec![step(8, 4)]));
+    scene.pass(Duration::from_millis(2500));
+    for order in scene.starts.clone() {
+        scene.end(&order, EndReason::Done);
+    }
+    scene.pass(Duration::from_millis(300));
+    scene.accept(submission(2, "urgent", vec![StepSpec { gang: true, ..step(2, 8) }]));
+    let mut workers = scene.started(2);
+    workers.sort();
+    assert_eq!(workers, ["w0", "w2"]);
+}
