Put the parts of a leadership in one place; measure waits and orders

Left behind: the selection of the leader also assembled the scheduler, in one function of 65 lines; three crates had a copy of the conversion to milliseconds, and the adapter cast without a bound.

Change: LeaderParts starts, updates and ends what runs while a process leads. The model crate has the one conversion. New histograms: how long work had waited when its start was ordered, and how long workers take to answer starts and stops. Behaviour stays.

--- a/crates/clients/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -128,11 +128,6 @@
 /// Cause of a timeout in error messages.
 pub const NO_ANSWER: &str = "no answer in time";
 
-/// Returns the milliseconds of a duration.
-pub fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn classify(error: reqwest::Error) -> ExchangeError {
     let cause = root_cause(&error);
     if error.is_connect() || error.is_builder() {
--- a/crates/clients/src/http_store.rs
+++ b/crates/clients/src/http_store.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use lacewingrail_model::clock::millis;
 use lacewingrail_model::store::{
     KeyValueService, LeaseId, MAX_VALUE_BYTES, Revision, StoreEntry, StoreError, WatchBatch,
 };
@@ -15,7 +16,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::calls::{CallCounter, CallKind};
-use crate::http::{ExchangeError, HttpAnswer, NO_ANSWER, RenewableClient, exchange, join, millis};
+use crate::http::{ExchangeError, HttpAnswer, NO_ANSWER, RenewableClient, exchange, join};
 use crate::protocol::{
     ConflictAnswer, GetAnswer, LeaseAnswer, LeaseRequest, ListAnswer, WriteAnswer,
 };
--- a/crates/clients/src/http_worker.rs
+++ b/crates/clients/src/http_worker.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use lacewingrail_model::clock::millis;
 use lacewingrail_model::worker::{
     MemberId, RenewItem, ReserveRequest, WorkerError, WorkerReport, WorkerService, WorkerSpec,
 };
@@ -24,7 +25,7 @@
 use tokio::time::Instant;
 
 use crate::http::{
-    ExchangeError, HttpAnswer, IDLE_TIMEOUT, NO_ANSWER, build_client, exchange, join, millis,
+    ExchangeError, HttpAnswer, IDLE_TIMEOUT, NO_ANSWER, build_client, exchange, join,
 };
 use crate::protocol::{
     CheckpointAnswer, CommitBody, MemberBody, RenewBody, ReserveBody, StartBody, ThrottleBody,
--- a/crates/experiment/src/trial/drive.rs
+++ b/crates/experiment/src/trial/drive.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use lacewingrail_clients::StoreFaults;
+use lacewingrail_model::clock::millis;
 use lacewingrail_model::config::ConfigView;
 use lacewingrail_model::job::{HistoryPage, JobRecord};
 use lacewingrail_model::keys;
@@ -108,11 +109,6 @@
     Ok(record)
 }
 
-/// Returns whole milliseconds.
-pub fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 async fn submit_all(
     site: &Arc<TrialSite>,
     jobs: Vec<PlannedJob>,
--- a/crates/instance/src/executor.rs
+++ b/crates/instance/src/executor.rs
@@ -8,10 +8,12 @@
     AdviceQuestion, FleetEvent, FleetOrder, StartOrder, StartOutcome, StartRefusal, TaskRun,
 };
 use lacewingrail_model::Epoch;
+use lacewingrail_model::clock::millis;
 use tokio::sync::watch;
 
 use crate::border::{AdviceError, RenewError, WorkerService};
 use crate::clock;
+use crate::metrics::InstanceMetrics;
 use crate::progress_writer::{ProgressSender, ProgressWrite};
 use crate::schedule_controller::ScheduleSender;
 
@@ -47,6 +49,8 @@
     pub progress: ProgressSender,
     /// Scheduler to tell of answers.
     pub schedule: ScheduleSender,
+    /// Metrics.
+    pub metrics: InstanceMetrics,
 }
 
 impl OrderExecutor {
@@ -84,12 +88,15 @@
 
     async fn start(self, order: StartOrder) {
         let permit = *self.permit.borrow();
+        let sent = clock::now();
         let outcome = if permit.is_valid() {
             self.workers.start(&order, permit.epoch).await
         } else {
             StartOutcome::Refused(StartRefusal::LeaseOver)
         };
+        self.metrics.order_seconds.observe((clock::now() - sent).as_secs_f64());
         let (TaskRun { worker, task, run, .. }, basis) = (order.target, order.basis);
+        self.metrics.start_wait_seconds.observe(basis.waited.as_secs_f64());
         log::info!(
             job = format!("{:016x}", task.job), step = task.step, task = task.index, run = run,
             worker = worker, rack = basis.rack.unwrap_or_default(),
@@ -103,7 +110,9 @@
 
     async fn stop(self, run: TaskRun) {
         let epoch = self.permit.borrow().epoch;
+        let sent = clock::now();
         let confirmed = self.workers.stop(&run, epoch).await;
+        self.metrics.order_seconds.observe((clock::now() - sent).as_secs_f64());
         let TaskRun { worker, task, run, .. } = run;
         log::info!(
             job = format!("{:016x}", task.job), step = task.step, task = task.index, run = run,
@@ -160,7 +169,3 @@
         self.schedule.tell(event).await;
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/instance/src/front.rs
+++ b/crates/instance/src/front.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use lacewingrail_fleet::{JobKey, JobPhase, JobProgress, JobSpec, JobSubmission};
-use lacewingrail_model::clock::unix_millis;
+use lacewingrail_model::clock::{millis, unix_millis};
 use lacewingrail_model::message::{FleetCall, FleetReply, JobStanding};
 use lacewingrail_model::store::{KeyExpectation, KeyWrite, StoreBatch, StoreError};
 use tokio::sync::watch;
@@ -157,7 +157,7 @@
         let version = self.context.operators.borrow().tree.as_ref().map_or(0, |tree| tree.version);
         log::info!(
             operation = name, host = head.host, path = head.path, config = version,
-            outcome = answer.name(), detail = format!("{answer:?}"), taken_ms = taken.as_millis() as u64;
+            outcome = answer.name(), detail = format!("{answer:?}"), taken_ms = millis(taken);
             "client call answered"
         );
         answer
@@ -439,7 +439,7 @@
                         FleetReply::NotActive
                     }
                     ClientAnswer::NotAccepted { reason, retry } => {
-                        FleetReply::NotAccepted { reason, retry_ms: retry.as_millis() as u64 }
+                        FleetReply::NotAccepted { reason, retry_ms: millis(retry) }
                     }
                     _ => FleetReply::Unclear,
                 }
--- a/crates/instance/src/leader_link.rs
+++ b/crates/instance/src/leader_link.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use lacewingrail_model::clock::millis;
 use lacewingrail_model::message::{FleetCall, FleetReply, PeerRequest, PeerResponse};
 use lacewingrail_model::timer::TimerService;
 use lacewingrail_wire::{PeerClient, WireError};
@@ -148,7 +149,7 @@
         if let Some(fault) = ended {
             let age = clock::now().saturating_sub(fault.noted);
             log::info!(
-                leader = address, fault_ms = age.as_millis() as u64;
+                leader = address, fault_ms = millis(age);
                 "active scheduler serves again or has changed"
             );
         }
--- /dev/null
+++ b/crates/instance/src/leader_parts.rs
@@ -0,0 +1,91 @@
+//! The parts that run while this process leads: the planner's controller, the feeds of its events,
+//! the executor of its orders and the writer of progress.
+
+use std::sync::Arc;
+
+use kameo::actor::{ActorRef, Spawn};
+use lacewingrail_fleet::FleetPlanner;
+use lacewingrail_model::store::Revision;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+
+use crate::executor::{LeadershipPermit, OrderExecutor};
+use crate::feeds;
+use crate::process::InstanceContext;
+use crate::progress_writer::ProgressWriter;
+use crate::schedule_controller::{Connect, ScheduleController, ScheduleSender, SetEpoch};
+
+/// Runs the parts of one leadership.
+pub struct LeaderParts {
+    context: Arc<InstanceContext>,
+    controller: ActorRef<ScheduleController>,
+    permit: watch::Sender<LeadershipPermit>,
+    holder: watch::Sender<Revision>,
+    tasks: JoinSet<()>,
+}
+
+impl LeaderParts {
+    /// Starts all parts under a permit and the revision of the leadership's key.
+    pub async fn start(
+        context: Arc<InstanceContext>,
+        planner: FleetPlanner,
+        permit: LeadershipPermit,
+        holder: Revision,
+    ) -> Self {
+        context.metrics.epoch.set(permit.epoch as i64);
+        let (permit, permit_receiver) = watch::channel(permit);
+        let (holder, holder_receiver) = watch::channel(holder);
+        let controller =
+            ScheduleController::spawn(ScheduleController::new(planner, context.metrics.clone()));
+        let schedule = ScheduleSender(controller.clone());
+        let (progress, receiver) = mpsc::unbounded_channel();
+        let executor = OrderExecutor {
+            workers: context.workers.clone(),
+            permit: permit_receiver,
+            progress,
+            schedule: schedule.clone(),
+            metrics: context.metrics.clone(),
+        };
+        // The controller has just been started and takes messages.
+        let _ = controller.tell(Connect(executor)).await;
+        let writer = ProgressWriter {
+            store: context.store.clone(),
+            holder: holder_receiver,
+            schedule: schedule.clone(),
+        };
+        let mut tasks = JoinSet::new();
+        tasks.spawn(writer.run(receiver));
+        feeds::spawn(&mut tasks, &context, &schedule);
+        Self { context, controller, permit, holder, tasks }
+    }
+
+    /// Returns the address of the scheduler.
+    pub fn schedule(&self) -> ScheduleSender {
+        ScheduleSender(self.controller.clone())
+    }
+
+    /// Returns whether the scheduler runs; it ends when a worker follows a later leadership.
+    pub fn is_alive(&self) -> bool {
+        self.controller.is_alive()
+    }
+
+    /// Passes on how the leadership stands.
+    pub async fn follow(&self, permit: LeadershipPermit, holder: Revision) {
+        let epoch = permit.epoch;
+        self.permit.send_replace(permit);
+        if *self.holder.borrow() == holder {
+            return;
+        }
+        self.holder.send_replace(holder);
+        self.context.metrics.epoch.set(epoch as i64);
+        // A scheduler that has just ended needs no epoch.
+        let _ = self.controller.tell(SetEpoch(epoch)).await;
+    }
+
+    /// Ends all parts.
+    pub async fn stop(mut self) {
+        self.controller.kill();
+        self.tasks.shutdown().await;
+        self.context.metrics.epoch.set(0);
+    }
+}
--- a/crates/instance/src/leadership.rs
+++ b/crates/instance/src/leadership.rs
@@ -8,23 +8,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kameo::actor::Spawn;
 use lacewingrail_fleet::{FleetPlanner, PlannerSettings};
 use lacewingrail_model::Epoch;
-use lacewingrail_model::clock::unix_millis;
+use lacewingrail_model::clock::{millis, unix_millis};
 use lacewingrail_model::store::{
     BatchStore, KeyExpectation, KeyWrite, LeaseId, Revision, StoreBatch, StoreError, StoreEvent,
 };
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 use crate::clock;
-use crate::executor::{LeadershipPermit, OrderExecutor};
-use crate::feeds;
+use crate::executor::LeadershipPermit;
+use crate::leader_parts::LeaderParts;
 use crate::process::InstanceContext;
-use crate::progress_writer::ProgressWriter;
 use crate::records::{EPOCH_KEY, HOLDER_KEY, LEAD_PREFIX, LeaderRecord};
-use crate::schedule_controller::{Connect, ScheduleController, ScheduleSender, SetEpoch};
+use crate::schedule_controller::ScheduleSender;
 
 /// Time to live of the leadership, which a takeover waits for: renewals to a service that answers a
 /// hundred times slower than usual still come in time, and four lost ones in a row do no harm.
@@ -80,6 +78,12 @@
     failing: bool,
 }
 
+impl HeldLeadership {
+    fn permit(&self) -> LeadershipPermit {
+        LeadershipPermit { epoch: self.epoch, valid_until: self.valid_until }
+    }
+}
+
 /// Holds the answer to a renewal.
 struct RenewalAnswer {
     lease: LeaseId,
@@ -225,32 +229,12 @@
     async fn lead(&mut self, mut held: HeldLeadership) {
         log::info!(epoch = held.epoch, revision = held.holder; "leadership taken");
         let context = self.context.clone();
-        context.metrics.epoch.set(held.epoch as i64);
-        let permit = LeadershipPermit { epoch: held.epoch, valid_until: held.valid_until };
-        let (permit_sender, permit) = watch::channel(permit);
-        let (holder_sender, holder) = watch::channel(held.holder);
         let planner = FleetPlanner::new(planner_settings(&context, held.epoch), clock::now());
-        let controller =
-            ScheduleController::spawn(ScheduleController::new(planner, context.metrics.clone()));
-        let schedule = ScheduleSender(controller.clone());
-        let (progress, receiver) = mpsc::unbounded_channel();
-        let executor = OrderExecutor {
-            workers: context.workers.clone(),
-            permit,
-            progress,
-            schedule: schedule.clone(),
-        };
-        let _ = controller.tell(Connect(executor)).await;
-        let writer =
-            ProgressWriter { store: context.store.clone(), holder, schedule: schedule.clone() };
-        let mut tasks = JoinSet::new();
-        tasks.spawn(writer.run(receiver));
-        feeds::spawn(&mut tasks, &context, &schedule);
-        self.view.send_modify(|view| view.own = Some(schedule));
-
+        let parts = LeaderParts::start(context.clone(), planner, held.permit(), held.holder).await;
+        self.view.send_modify(|view| view.own = Some(parts.schedule()));
         let mut ticks = context.timer.subscribe(RENEW_PERIOD);
         let mut renewals = JoinSet::new();
-        while controller.is_alive() && !context.is_draining() {
+        while parts.is_alive() && !context.is_draining() {
             tokio::select! {
                 _ = ticks.tick() => {
                     if renewals.len() < MOST_RENEWALS {
@@ -263,21 +247,11 @@
                     }
                 }
             }
-            permit_sender.send_replace(LeadershipPermit {
-                epoch: held.epoch,
-                valid_until: held.valid_until,
-            });
-            if *holder_sender.borrow() != held.holder {
-                holder_sender.send_replace(held.holder);
-                let _ = controller.tell(SetEpoch(held.epoch)).await;
-                context.metrics.epoch.set(held.epoch as i64);
-            }
+            parts.follow(held.permit(), held.holder).await;
         }
         self.view.send_modify(|view| view.own = None);
-        controller.kill();
-        tasks.shutdown().await;
+        parts.stop().await;
         let released = context.store.revoke_lease(held.lease).await;
-        context.metrics.epoch.set(0);
         log::info!(epoch = held.epoch, released = released.is_ok(); "leadership ended");
     }
 
@@ -298,7 +272,7 @@
                 if !held.failing {
                     let left = held.valid_until.saturating_sub(clock::now());
                     log::warn!(
-                        epoch = held.epoch, left_ms = left.as_millis() as u64,
+                        epoch = held.epoch, left_ms = millis(left),
                         error = error.to_string();
                         "leadership not renewed"
                     );
@@ -334,7 +308,7 @@
 }
 
 fn planner_settings(context: &InstanceContext, epoch: Epoch) -> PlannerSettings {
-    let origin = unix_millis().saturating_sub(clock::now().as_millis() as u64);
+    let origin = unix_millis().saturating_sub(millis(clock::now()));
     PlannerSettings {
         epoch,
         lease: context.settings.worker_lease,
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -21,6 +21,7 @@
 mod executor;
 mod feeds;
 mod leader_link;
+mod leader_parts;
 mod leadership;
 
 pub use border::{AdviceError, FleetDirectory, OperatorState, RenewError, WorkerService};
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -25,6 +25,10 @@
     pub calls: Family<CallLabels, Counter>,
     /// Time to answer a client call, in seconds.
     pub call_seconds: Histogram,
+    /// Time for which work had waited when its start was ordered, in seconds.
+    pub start_wait_seconds: Histogram,
+    /// Time until a worker answered a start or a stop, in seconds.
+    pub order_seconds: Histogram,
     /// Number of the leadership that this process holds; 0 for none.
     pub epoch: Gauge,
     /// Start orders sent.
@@ -42,10 +46,22 @@
     pub fn new() -> Self {
         let registry = MetricsRegistry::new();
         // From one millisecond to about four seconds, the longest time that clients wait.
-        let latency = Histogram::new(exponential_buckets(0.001, 2.0, 13));
+        let latency = || Histogram::new(exponential_buckets(0.001, 2.0, 13));
+        // From ten milliseconds to about 80 seconds; work may wait for most of a day's load.
+        let waits = Histogram::new(exponential_buckets(0.01, 2.0, 14));
         Self {
             calls: registry.register("client_calls", "Client calls", Family::default()),
-            call_seconds: registry.register("client_call_seconds", "Time to answer", latency),
+            call_seconds: registry.register("client_call_seconds", "Time to answer", latency()),
+            start_wait_seconds: registry.register(
+                "start_wait_seconds",
+                "Time for which work had waited when its start was ordered",
+                waits,
+            ),
+            order_seconds: registry.register(
+                "order_seconds",
+                "Time until a worker answered a start or a stop",
+                latency(),
+            ),
             epoch: registry.register("leadership_epoch", "Leadership held", Gauge::default()),
             starts: registry.register("task_starts", "Start orders", Gauge::default()),
             failed_starts: registry.register(
--- a/crates/instance/src/schedule_controller.rs
+++ b/crates/instance/src/schedule_controller.rs
@@ -14,6 +14,7 @@
     FleetEvent, FleetOrder, FleetPlanner, JobKey, JobPhase, JobSubmission, PlannerNote,
 };
 use lacewingrail_model::Epoch;
+use lacewingrail_model::clock::millis;
 use lacewingrail_model::message::JobStanding;
 
 use crate::clock;
@@ -264,11 +265,11 @@
     match note {
         PlannerNote::JobEnded { job, queue, phase, age, objective } => log::info!(
             epoch = epoch, job = format!("{job:016x}"), queue = queue, phase = format!("{phase:?}"),
-            age_ms = age.as_millis() as u64, objective_ms = objective.as_millis() as u64;
+            age_ms = millis(age), objective_ms = millis(objective);
             "job ended"
         ),
         PlannerNote::Reclaimed { job, waited, borrowers, loss } => log::info!(
-            epoch = epoch, job = format!("{job:016x}"), waited_ms = waited.as_millis() as u64,
+            epoch = epoch, job = format!("{job:016x}"), waited_ms = millis(waited),
             borrowers = format!("{borrowers:016x?}"), lost_core_seconds = loss.round() as u64;
             "borrowers stopped"
         ),
--- a/crates/instance/src/store_health.rs
+++ b/crates/instance/src/store_health.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use lacewingrail_model::clock::millis;
 use lacewingrail_model::store::{
     BatchStore, KeyValueService, LeaseId, Revision, StoreBatch, StoreEntry, StoreError, WatchBatch,
 };
@@ -124,7 +125,7 @@
         let failing = self.failing_ms.swap(0, Ordering::Relaxed);
         if failing > 0 || outage.is_some() {
             log::info!(
-                outage_ms = outage.unwrap_or_default().as_millis() as u64;
+                outage_ms = millis(outage.unwrap_or_default());
                 "key-value service regained"
             );
         }
@@ -220,5 +221,5 @@
 }
 
 fn now_ms() -> u64 {
-    u64::try_from(clock::now().as_millis()).unwrap_or(u64::MAX)
+    millis(clock::now())
 }
--- a/crates/model/src/clock.rs
+++ b/crates/model/src/clock.rs
@@ -10,6 +10,10 @@
 
 /// Returns the wall-clock time in milliseconds since the Unix epoch.
 pub fn unix_millis() -> UnixMillis {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    millis(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO))
+}
+
+/// Returns the whole milliseconds of a duration, for logs and messages.
+pub fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
