Name steps and places by types; split dispatching by job

Left behind: a step was named by a tuple of three numbers, places by tuples of a task and a worker, and the file of the planning pass also held reservations and start orders.

Change: StepKey and TaskPlace are structs; reservations and starts have files of their own. On the way a start on a worker that is not known any more leaves its task waiting; it was marked as assigned without an order.

--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -9,7 +9,7 @@
 
 use crate::advice::StepAdvice;
 use crate::record::{FailureCount, JobProgress, StepProgress};
-use crate::spec::{CheckpointName, JobSubmission, RunNumber, StepSpec, TaskKey};
+use crate::spec::{CheckpointName, JobSubmission, RunNumber, StepKey, StepSpec, TaskKey};
 use crate::speed::StepPace;
 
 /// States how far a job has come.
@@ -161,26 +161,26 @@
     }
 
     /// Returns a step of an occurrence.
-    pub fn step(&self, occurrence: u32, step: u32) -> Option<&StepEntry> {
-        self.occurrence(occurrence)?.steps.get(step as usize)
+    pub fn step(&self, key: StepKey) -> Option<&StepEntry> {
+        self.occurrence(key.occurrence)?.steps.get(key.step as usize)
     }
 
     /// Returns a step of an occurrence for a change.
-    pub fn step_mut(&mut self, occurrence: u32, step: u32) -> Option<&mut StepEntry> {
+    pub fn step_mut(&mut self, key: StepKey) -> Option<&mut StepEntry> {
         self.occurrences
             .iter_mut()
-            .find(|entry| entry.number == occurrence)
-            .and_then(|entry| entry.steps.get_mut(step as usize))
+            .find(|entry| entry.number == key.occurrence)
+            .and_then(|entry| entry.steps.get_mut(key.step as usize))
     }
 
     /// Returns a task.
     pub fn task(&self, key: TaskKey) -> Option<&TaskEntry> {
-        self.occurrence(key.occurrence)?.steps.get(key.step as usize)?.tasks.get(key.index as usize)
+        self.step(key.step_key())?.tasks.get(key.index as usize)
     }
 
     /// Returns a task for a change.
     pub fn task_mut(&mut self, key: TaskKey) -> Option<&mut TaskEntry> {
-        self.step_mut(key.occurrence, key.step)?.tasks.get_mut(key.index as usize)
+        self.step_mut(key.step_key())?.tasks.get_mut(key.index as usize)
     }
 
     /// Adds an occurrence that is due.
@@ -263,7 +263,12 @@
         for stored in &progress.steps {
             self.add_occurrence(stored.occurrence);
             let gang = self.step_spec(stored.step).is_some_and(|spec| spec.gang);
-            if let Some(step) = self.step_mut(stored.occurrence, stored.step) {
+            let key = StepKey {
+                job: self.submission.key,
+                occurrence: stored.occurrence,
+                step: stored.step,
+            };
+            if let Some(step) = self.step_mut(key) {
                 step.restore(stored, gang);
             }
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -40,4 +40,4 @@
 pub use order::{AdviceQuestion, FleetOrder, StartOrder, TaskRun};
 pub use planner::{FleetPlanner, PlannerNote, PlannerSettings};
 pub use record::JobProgress;
-pub use spec::{JobKey, JobSpec, JobSubmission, RunNumber, StepSpec, TaskKey};
+pub use spec::{JobKey, JobSpec, JobSubmission, RunNumber, StepKey, StepSpec, TaskKey};
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -6,9 +6,8 @@
 use lacewingrail_model::{RackName, WorkerId};
 
 use crate::advice::{AdviceCandidate, TicketName};
-use crate::placement::StepKey;
 use crate::record::{JobProgress, WorkerRoster};
-use crate::spec::{CheckpointName, JobKey, JobSubmission, RunNumber, TaskKey};
+use crate::spec::{CheckpointName, JobKey, JobSubmission, RunNumber, StepKey, TaskKey};
 
 /// Names one run of a task on a worker.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -11,7 +11,7 @@
 use lacewingrail_model::{DomainName, RackName, ServiceName, WorkerId};
 
 use crate::amount::ResourceAmount;
-use crate::spec::{StepSpec, TaskKey};
+use crate::spec::{StepKey, StepSpec};
 use crate::worker::WorkerEntry;
 
 /// Ratio above which two speeds are told apart.
@@ -51,9 +51,6 @@
     steps: BTreeMap<StepKey, u32>,
 }
 
-/// Names one step of one occurrence of a job.
-pub type StepKey = (u64, u32, u32);
-
 /// Holds the workers of a planning pass.
 #[derive(Clone, Debug)]
 pub struct PlaceBoard {
@@ -89,11 +86,6 @@
     pub allowed: Option<&'a BTreeSet<WorkerId>>,
 }
 
-/// Returns the step that a task belongs to.
-pub fn step_key(task: TaskKey) -> StepKey {
-    (task.job, task.occurrence, task.step)
-}
-
 impl PlaceBoard {
     /// Creates the board from the present state of the workers.
     pub fn new(
@@ -354,7 +346,7 @@
         let listing = &worker.listing;
         let mut steps: BTreeMap<StepKey, u32> = BTreeMap::new();
         for (task, _) in worker.runs.keys() {
-            *steps.entry(step_key(*task)).or_default() += 1;
+            *steps.entry(task.step_key()).or_default() += 1;
         }
         Self {
             id: listing.id.clone(),
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -15,6 +15,8 @@
 mod lease;
 mod notes;
 mod pacing;
+mod reservation;
+mod start;
 mod upkeep;
 mod urgent;
 
@@ -26,15 +28,15 @@
 
 pub use notes::{PlannerCounts, PlannerNote};
 
+use self::reservation::Reservation;
 use crate::admission::{self, AdmissionRefusal};
 use crate::config::FleetConfig;
 use crate::event::{FleetEvent, StartOutcome, StartRefusal, WorkerListing};
 use crate::job::{JobEntry, JobPhase, TaskPhase};
 use crate::order::{FleetOrder, TaskRun};
-use crate::placement::StepKey;
 use crate::queue::{WorkMeans, job_work, objective};
 use crate::record::{JobProgress, WorkerRoster};
-use crate::spec::{JobKey, JobSpec, JobSubmission, RunNumber, TaskKey};
+use crate::spec::{JobKey, JobSpec, JobSubmission, RunNumber, StepKey, TaskKey};
 use crate::worker::{RunPhase, WorkerEntry};
 
 /// Runs that one scheduler may give a task before its numbers reach those of the next scheduler.
@@ -57,14 +59,6 @@
     pub unix_origin_ms: u64,
 }
 
-/// Reserves workers for urgent work until borrowers have left them.
-#[derive(Clone, Debug)]
-struct Reservation {
-    key: StepKey,
-    places: Vec<(u32, WorkerId)>,
-    since: Duration,
-}
-
 /// Decides over all jobs and workers of a region.
 #[derive(Clone, Debug)]
 pub struct FleetPlanner {
@@ -288,7 +282,7 @@
             JobPhase::Failed => self.counts.failed += 1,
             JobPhase::Active | JobPhase::Cancelled => {}
         }
-        self.reservations.retain(|reservation| reservation.key.0 != job);
+        self.reservations.retain(|reservation| reservation.key.job != job);
         if phase == JobPhase::Completed {
             // The members of a gang end together; what is still there later is stopped then.
             return;
@@ -387,7 +381,7 @@
             }
             StartOutcome::Refused(StartRefusal::NoTicket) => {
                 let step = self.jobs.get_mut(&task.job);
-                let step = step.and_then(|job| job.step_mut(task.occurrence, task.step));
+                let step = step.and_then(|job| job.step_mut(task.step_key()));
                 if let Some(step) = step {
                     step.advice.forget(worker);
                 }
--- a/crates/fleet/src/planner/advice.rs
+++ b/crates/fleet/src/planner/advice.rs
@@ -9,7 +9,8 @@
 use super::FleetPlanner;
 use crate::advice::{AdviceCandidate, AdvicePolicy, QUESTIONS, WorkerTicket};
 use crate::order::{AdviceQuestion, FleetOrder};
-use crate::placement::{PlaceBoard, PlaceRequest, SlotIndex, StepKey};
+use crate::placement::{PlaceBoard, PlaceRequest, SlotIndex};
+use crate::spec::StepKey;
 
 /// Holds what advice a step can go by.
 pub(super) struct AdvisedWorkers {
@@ -30,7 +31,7 @@
     ) -> Option<AdvisedWorkers> {
         let key = request.key;
         let policy = self.advice_policy(key)?;
-        let step = self.jobs.get(&key.0)?.step(key.1, key.2)?;
+        let step = self.jobs.get(&key.job)?.step(key)?;
         let any_speed = PlaceRequest { least_speed: 0.0, ..*request };
         let candidates = self.advice_candidates(board, &any_speed);
         let usable = step.advice.usable(&candidates, now);
@@ -39,7 +40,7 @@
 
     /// Returns the adviser of the queue of a step's job, if it has one.
     fn advice_policy(&self, key: StepKey) -> Option<AdvicePolicy> {
-        let queue = &self.jobs.get(&key.0)?.submission.queue;
+        let queue = &self.jobs.get(&key.job)?.submission.queue;
         self.config.queues.get(queue)?.advice
     }
 
@@ -74,7 +75,7 @@
         if served || self.questions >= QUESTIONS {
             return;
         }
-        let step = self.jobs.get_mut(&key.0).and_then(|job| job.step_mut(key.1, key.2));
+        let step = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key));
         let Some(step) = step.filter(|step| step.waiting().next().is_some()) else {
             return;
         };
@@ -103,7 +104,7 @@
         self.questions = self.questions.saturating_sub(1);
         let key = question.key;
         let validity = self.advice_policy(key).unwrap_or_default().validity;
-        let step = self.jobs.get_mut(&key.0).and_then(|job| job.step_mut(key.1, key.2));
+        let step = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key));
         if let Some(step) = step {
             step.advice.end_question(&question.workers, allowed, now + validity);
         }
--- a/crates/fleet/src/planner/away.rs
+++ b/crates/fleet/src/planner/away.rs
@@ -7,8 +7,7 @@
 
 use super::FleetPlanner;
 use crate::job::TaskPhase;
-use crate::placement::StepKey;
-use crate::spec::StepSpec;
+use crate::spec::{StepKey, StepSpec};
 use crate::worker::RunPhase;
 
 /// Share at which a continuous task is at work.
@@ -37,15 +36,14 @@
 impl FleetPlanner {
     /// Returns how many tasks of a step are not at work.
     fn tasks_away(&self, key: StepKey) -> u32 {
-        let step = self.jobs.get(&key.0).and_then(|job| job.step(key.1, key.2));
+        let step = self.jobs.get(&key.job).and_then(|job| job.step(key));
         let tasks = step.map(|step| step.tasks.as_slice()).unwrap_or_default();
         let at_work = |phase: &TaskPhase, index: usize| {
             let TaskPhase::Assigned { worker, run } = phase else {
                 return false;
             };
-            let (job, occurrence, step) = key;
-            let task = crate::spec::TaskKey { job, occurrence, step, index: index as u32 };
-            let entry = self.workers.get(worker).and_then(|worker| worker.runs.get(&(task, *run)));
+            let run_key = (key.task(index as u32), *run);
+            let entry = self.workers.get(worker).and_then(|worker| worker.runs.get(&run_key));
             entry.is_some_and(|run| run.phase == RunPhase::Running && run.percent >= AT_WORK)
         };
         let working = tasks.iter().enumerate().filter(|(index, task)| at_work(&task.phase, *index));
--- a/crates/fleet/src/planner/ends.rs
+++ b/crates/fleet/src/planner/ends.rs
@@ -74,8 +74,7 @@
     }
 
     fn finish_tasks(&mut self, task: TaskKey, gang: bool, now: Duration) {
-        let step =
-            self.jobs.get_mut(&task.job).and_then(|job| job.step_mut(task.occurrence, task.step));
+        let step = self.jobs.get_mut(&task.job).and_then(|job| job.step_mut(task.step_key()));
         let Some(step) = step else {
             return;
         };
@@ -99,7 +98,7 @@
             return;
         };
         let failures = if gang {
-            let Some(step) = job.step_mut(task.occurrence, task.step) else {
+            let Some(step) = job.step_mut(task.step_key()) else {
                 return;
             };
             step.gang_failures.note(run)
--- a/crates/fleet/src/planner/lease.rs
+++ b/crates/fleet/src/planner/lease.rs
@@ -213,7 +213,7 @@
             return;
         };
         let job = self.jobs.get_mut(&task.job);
-        let Some(step) = job.and_then(|job| job.step_mut(task.occurrence, task.step)) else {
+        let Some(step) = job.and_then(|job| job.step_mut(task.step_key())) else {
             return;
         };
         if note_progress(&mut step.pace, &mut entry.speed, declared, from, to) {
--- a/crates/fleet/src/planner/pacing.rs
+++ b/crates/fleet/src/planner/pacing.rs
@@ -5,7 +5,6 @@
 use super::FleetPlanner;
 use crate::order::{FleetOrder, TaskRun};
 use crate::pace::{FULL_PACE, next_pace};
-use crate::placement::step_key;
 use crate::spec::{RunNumber, TaskKey};
 use crate::worker::{RunPhase, WorkerEntry};
 
@@ -87,7 +86,7 @@
     /// if none serves there.
     fn pressure_on(&self, worker: &WorkerEntry) -> Option<f64> {
         let pressure = |((task, _), run): (&(TaskKey, RunNumber), &crate::worker::RunEntry)| {
-            let target = self.spec_of(step_key(*task))?.target?;
+            let target = self.spec_of(task.step_key())?.target?;
             Some(run.usage / target.as_secs_f64().max(f64::MIN_POSITIVE) / 1000.0)
         };
         worker.runs.iter().filter_map(pressure).max_by(f64::total_cmp)
--- /dev/null
+++ b/crates/fleet/src/planner/start.rs
@@ -0,0 +1,117 @@
+//! Start orders.
+
+use std::time::Duration;
+
+use lacewingrail_model::WorkerId;
+
+use super::FleetPlanner;
+use super::reservation::TaskPlace;
+use crate::job::{JobEntry, TaskPhase};
+use crate::order::{FleetOrder, StartBasis, StartOrder, TaskRun};
+use crate::pace::FULL_PACE;
+use crate::spec::{CheckpointName, RunNumber, StepSpec, TaskKey};
+use crate::worker::{RunEntry, RunPhase};
+
+impl FleetPlanner {
+    /// Starts tasks of one step; the members of a gang get the same run number.
+    pub(super) fn start_tasks(&mut self, places: Vec<TaskPlace>, now: Duration) {
+        let Some(key) = places.first().map(|place| place.task.step_key()) else {
+            return;
+        };
+        let Some(spec) = self.spec_of(key) else {
+            return;
+        };
+        let highest = places.iter().map(|place| self.next_run(place.task)).max();
+        for TaskPlace { task, worker } in places {
+            let own = self.next_run(task);
+            let run = if spec.gang { highest.unwrap_or(own) } else { own };
+            self.start_task(task, &worker, run, &spec, now);
+        }
+        let step = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key));
+        if let Some(step) = step {
+            step.waiting_since = None;
+        }
+    }
+
+    /// Returns the number of the next run of a task.
+    fn next_run(&self, task: TaskKey) -> RunNumber {
+        let first_run = self.first_run();
+        let entry = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        entry.map_or(first_run, |entry| (entry.last_run + 1).max(first_run))
+    }
+
+    fn start_task(
+        &mut self,
+        task: TaskKey,
+        worker: &str,
+        run: RunNumber,
+        spec: &StepSpec,
+        now: Duration,
+    ) {
+        let lease = self.settings.lease;
+        let Some(target) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let step = job.step(task.step_key());
+        let waited = step.and_then(|step| step.waiting_since).unwrap_or(now);
+        let ticket = step.and_then(|step| step.advice.ticket(worker, target.listing.born, now));
+        let ticket = ticket.cloned();
+        let checkpoint = checkpoint_of(job, task, spec);
+        if !assign(job, task, worker, run) {
+            return;
+        }
+        let lease_end = target.clock_at(now).unwrap_or_default() + lease;
+        target.extend_lease(lease_end);
+        target.add_run(task, run, starting_run(spec, checkpoint.clone(), now));
+        self.counts.starts += 1;
+        let basis = StartBasis {
+            rack: target.listing.rack.clone(),
+            speed: target.speed.value(),
+            report_age: target.report_age(now),
+            waited: now.saturating_sub(waited),
+        };
+        let address = target.listing.address.clone();
+        let target = TaskRun { worker: WorkerId::from(worker), address, task, run };
+        let submission = job.submission.clone();
+        let order = StartOrder { target, submission, checkpoint, ticket, lease_end, basis };
+        self.orders.push(FleetOrder::Start(order));
+    }
+}
+
+/// Notes that a task runs on a worker; returns whether the task exists.
+fn assign(job: &mut JobEntry, task: TaskKey, worker: &str, run: RunNumber) -> bool {
+    job.begun = true;
+    let Some(entry) = job.task_mut(task) else {
+        return false;
+    };
+    entry.last_run = run;
+    entry.phase = TaskPhase::Assigned { worker: WorkerId::from(worker), run };
+    true
+}
+
+/// Returns the checkpoint that a task resumes from; all members of a gang resume from the same.
+fn checkpoint_of(job: &JobEntry, task: TaskKey, spec: &StepSpec) -> Option<CheckpointName> {
+    if !spec.gang {
+        return job.task(task)?.checkpoint.clone();
+    }
+    let step = job.step(task.step_key())?;
+    step.tasks.iter().find_map(|entry| entry.checkpoint.clone())
+}
+
+fn starting_run(spec: &StepSpec, checkpoint: Option<CheckpointName>, now: Duration) -> RunEntry {
+    RunEntry {
+        phase: RunPhase::Starting,
+        since: now,
+        confirmed: None,
+        demand: spec.demand,
+        checkpoint,
+        percent: 0,
+        progressed: now,
+        mark: None,
+        pace: Some(FULL_PACE),
+        usage: 0.0,
+    }
+}
--- a/crates/fleet/src/planner/upkeep.rs
+++ b/crates/fleet/src/planner/upkeep.rs
@@ -5,9 +5,8 @@
 use super::{FleetPlanner, PlannerNote};
 use crate::job::{JobEntry, TaskPhase};
 use crate::order::{FleetOrder, RenewOrder, TaskRun};
-use crate::placement::{StepKey, step_key};
 use crate::record::WorkerDigest;
-use crate::spec::TaskKey;
+use crate::spec::{StepKey, TaskKey};
 use crate::worker::{RunEntry, RunPhase, STOP_RETRY, WorkerEntry};
 
 /// Share of the lease after which a renewal is sent although ends wait to be stored.
@@ -133,7 +132,7 @@
                 }
             }
         }
-        let is_broken = |key: &StepKey| broken.iter().any(|task| step_key(*task) == *key);
+        let is_broken = |key: &StepKey| broken.iter().any(|task| task.step_key() == *key);
         self.broken_since.retain(|key, _| is_broken(key));
         for task in broken {
             self.stop_overdue_members(task, now);
@@ -209,7 +208,7 @@
     }
 
     fn stop_overdue_members(&mut self, task: TaskKey, now: Duration) {
-        let key = step_key(task);
+        let key = task.step_key();
         let since = self.broken_since.entry(key).or_insert(now);
         if now.saturating_sub(*since) >= GANG_END_WAIT {
             self.broken_since.remove(&key);
--- a/crates/fleet/src/planner/urgent.rs
+++ b/crates/fleet/src/planner/urgent.rs
@@ -10,11 +10,12 @@
 
 use super::away::AwayBudgets;
 use super::dispatch::place_step;
-use super::{FleetPlanner, PlannerNote, Reservation};
-use crate::placement::{PlaceBoard, PlaceReach, PlaceRequest, SlotIndex, StepKey, step_key};
+use super::reservation::{Reservation, task_places};
+use super::{FleetPlanner, PlannerNote};
+use crate::placement::{PlaceBoard, PlaceReach, PlaceRequest};
 use crate::queue::{URGENT, objective, step_work};
 use crate::reclaim::{BorrowerPart, BorrowerUnit, ReclaimPlan, plan_reclaim};
-use crate::spec::{JobKey, StepSpec, TaskKey};
+use crate::spec::{JobKey, StepKey, StepSpec};
 use crate::worker::{RunEntry, RunPhase};
 
 /// Time for which urgent work waits for room in its rack; half of the time within which guaranteed
@@ -51,7 +52,7 @@
         tasks: &[u32],
         now: Duration,
     ) {
-        let units = self.borrowers(board, self.covered.contains(&request.key.0));
+        let units = self.borrowers(board, self.covered.contains(&request.key.job));
         let waited = self.note_waiting(request.key, now);
         let fast = if request.least_speed > 0.0 {
             plan_reclaim(board, &request, reach, &units)
@@ -99,12 +100,7 @@
     ) -> bool {
         let reach = board.preferred_reach(request);
         let placed = place_step(board, request, reach);
-        let (job, occurrence, step) = request.key;
-        let place = |(index, slot): (&u32, &SlotIndex)| {
-            let task = TaskKey { job, occurrence, step, index: *index };
-            (task, board.slots[*slot].id.clone())
-        };
-        let places = tasks.iter().zip(&placed).map(place).collect();
+        let places = task_places(board, request.key, tasks, &placed);
         self.start_or_announce(request.key, places, now);
         !placed.is_empty()
     }
@@ -120,12 +116,12 @@
         now: Duration,
     ) {
         let waited = self.note_waiting(request.key, now);
-        if let Some(job) = self.jobs.get_mut(&request.key.0) {
+        if let Some(job) = self.jobs.get_mut(&request.key.job) {
             job.announce(plan.places.iter().map(|slot| &board.slots[*slot].id));
         }
         if !plan.stopped.is_empty() {
             self.notes.push(PlannerNote::Reclaimed {
-                job: request.key.0,
+                job: request.key.job,
                 waited,
                 borrowers: jobs_of(plan, units),
                 loss: plan.loss,
@@ -138,17 +134,16 @@
                 self.order_stop(&worker, part.task, part.run, now);
             }
         }
-        let mut places = Vec::new();
-        for (task, slot) in tasks.iter().zip(&plan.places) {
+        let places = task_places(board, request.key, tasks, &plan.places);
+        for slot in plan.places.iter().take(places.len()) {
             board.take(*slot, request.key, &request.spec.demand);
-            places.push((*task, board.slots[*slot].id.clone()));
         }
         self.reservations.push(Reservation { key: request.key, places, since: now });
     }
 
     /// Returns the speed that urgent work needs to be on time; 0 if it can't be any more.
     pub(super) fn needed_speed(&self, key: StepKey, now: Duration) -> f64 {
-        let Some(job) = self.jobs.get(&key.0) else {
+        let Some(job) = self.jobs.get(&key.job) else {
             return 0.0;
         };
         let Some(policy) = self.config.queues.get(&job.submission.queue) else {
@@ -177,16 +172,16 @@
                 if stopping || safe {
                     continue;
                 }
-                let Some(spec) = self.spec_of(step_key(*task)) else {
+                let Some(spec) = self.spec_of(task.step_key()) else {
                     continue;
                 };
-                if !budgets.take(self, step_key(*task), &spec) {
+                if !budgets.take(self, task.step_key(), &spec) {
                     continue;
                 }
                 let part = BorrowerPart { slot, task: *task, run: *run, demand: entry.demand };
                 let loss = stop_loss(&spec, entry);
                 let position = if spec.gang {
-                    *gangs.entry(step_key(*task)).or_insert(units.len())
+                    *gangs.entry(task.step_key()).or_insert(units.len())
                 } else {
                     units.len()
                 };
@@ -196,7 +191,7 @@
                         unit.parts.push(part);
                     }
                     None => {
-                        let key = step_key(*task);
+                        let key = task.step_key();
                         let least = if urgent { URGENT_LOSS } else { LEAST_LOSS };
                         units.push(BorrowerUnit { loss: loss + least, key, parts: vec![part] });
                     }
@@ -209,7 +204,7 @@
 
 /// Returns the jobs whose runs a plan stops, each once.
 fn jobs_of(plan: &ReclaimPlan, units: &[BorrowerUnit]) -> Vec<JobKey> {
-    let jobs: BTreeSet<JobKey> = plan.stopped.iter().map(|index| units[*index].key.0).collect();
+    let jobs: BTreeSet<JobKey> = plan.stopped.iter().map(|index| units[*index].key.job).collect();
     jobs.into_iter().collect()
 }
 
--- a/crates/fleet/src/reclaim.rs
+++ b/crates/fleet/src/reclaim.rs
@@ -7,8 +7,8 @@
 //! checkpoint lose almost nothing, since a stop makes a checkpoint.
 
 use crate::amount::ResourceAmount;
-use crate::placement::{PlaceBoard, PlaceReach, PlaceRequest, SlotIndex, StepKey};
-use crate::spec::{RunNumber, TaskKey};
+use crate::placement::{PlaceBoard, PlaceReach, PlaceRequest, SlotIndex};
+use crate::spec::{RunNumber, StepKey, TaskKey};
 
 /// Holds one run of a borrower on one worker.
 #[derive(Clone, Debug)]
--- a/crates/fleet/src/spec.rs
+++ b/crates/fleet/src/spec.rs
@@ -29,6 +29,31 @@
     pub index: u32,
 }
 
+impl TaskKey {
+    /// Returns the step that the task belongs to.
+    pub fn step_key(&self) -> StepKey {
+        StepKey { job: self.job, occurrence: self.occurrence, step: self.step }
+    }
+}
+
+/// Identifies one step of one occurrence of a job.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct StepKey {
+    /// Job.
+    pub job: JobKey,
+    /// Occurrence of a recurring job, from 0.
+    pub occurrence: u32,
+    /// Step within the job, from 0.
+    pub step: u32,
+}
+
+impl StepKey {
+    /// Returns a task of the step.
+    pub fn task(&self, index: u32) -> TaskKey {
+        TaskKey { job: self.job, occurrence: self.occurrence, step: self.step, index }
+    }
+}
+
 /// Describes one step of a job.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct StepSpec {
--- a/crates/instance/src/executor.rs
+++ b/crates/instance/src/executor.rs
@@ -143,7 +143,7 @@
             Err(AdviceError(cause)) => cause.clone(),
         };
         log::info!(
-            job = format!("{:016x}", question.key.0), step = question.key.2,
+            job = format!("{:016x}", question.key.job), step = question.key.step,
             workers = question.workers.len(), outcome = outcome;
             "adviser asked"
         );
