--- a/crates/fleet/tests/decisions/speed.rs
+++ b/crates/fleet/tests/decisions/speed.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
 use crate::scene::{Scene, listing, step, submission};
 use lacewingrail_fleet::speed::{ProgressMark, StepPace, WorkerSpeed, note_progress};
 use lacewingrail_fleet::{EndReason, StepSpec};
@@ -151,3 +154,80 @@
     workers.sort();
     assert_eq!(workers, ["w0", "w2"]);
 }
+
+/// Speeds of the simulated fleet, a third each.
+const SPEEDS: [f64; 3] = [0.6, 1.0, 1.6];
+/// Largest error of the logarithm of a speed at which 0.6 and 1.0 can still be told apart.
+const LARGEST_ERROR: f64 = 0.255;
+
+/// Runs steps of five tasks on random workers, whose declared run times are wrong by a random factor,
+/// and returns the share of workers whose speed is then known well enough.
+fn known_after(steps: usize, error: f64, seed: u64) -> f64 {
+    const WORKERS: usize = 48;
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut speeds = vec![WorkerSpeed::default(); WORKERS];
+    for _ in 0..steps {
+        let declared = Duration::from_secs_f64(random.random_range(2.0..10.0));
+        // The sum of uniform numbers stands for a normal one.
+        let normal: f64 = (0..12).map(|_| random.random::<f64>()).sum::<f64>() - 6.0;
+        let work = declared.as_secs_f64() * (error * normal).exp();
+        let workers: Vec<usize> = (0..5).map(|_| random.random_range(0..WORKERS)).collect();
+        let mut pace = StepPace::default();
+        for second in 0..10u32 {
+            for worker in &workers {
+                let rate = SPEEDS[worker % 3] / work;
+                let mark = |second: u32| ProgressMark {
+                    at: Duration::from_secs(u64::from(second)),
+                    percent: (rate * f64::from(second) * 100.0).min(100.0) as u32,
+                };
+                note_progress(
+                    &mut pace,
+                    &mut speeds[*worker],
+                    declared,
+                    mark(second),
+                    mark(second + 1),
+                );
+            }
+        }
+    }
+    let known = |(index, speed): &(usize, &WorkerSpeed)| {
+        (speed.value() / SPEEDS[index % 3]).ln().abs() < LARGEST_ERROR
+    };
+    speeds.iter().enumerate().filter(known).count() as f64 / WORKERS as f64
+}
+
+/// Guards against urgent work on slow workers that are taken for faster ones because the newest step
+/// there was declared wrongly.
+#[test]
+fn speeds_are_known_although_declared_times_are_wrong() {
+    let mean = |steps: usize, error: f64| {
+        (0..20).map(|seed| known_after(steps, error, seed)).sum::<f64>() / 20.0
+    };
+    let known = mean(200, 0.3);
+    assert!(known >= 0.9, "{known} of the workers are known");
+}
+
+/// Guards against a worker that turned slow and is taken for a fast one for long.
+#[test]
+fn a_worker_that_turns_slow_is_noticed_within_three_reports() {
+    let (mut pace, mut speed) = (StepPace::default(), WorkerSpeed::default());
+    let declared = Duration::from_secs(10);
+    let mark =
+        |second: u64, percent: u32| ProgressMark { at: Duration::from_secs(second), percent };
+    for second in 0..30 {
+        let mut other = StepPace::default();
+        note_progress(&mut other, &mut speed, declared, mark(second, 10), mark(second + 1, 20));
+    }
+    assert!((0.9..1.1).contains(&speed.value()), "{}", speed.value());
+    for second in 0..3 {
+        let from = 10 + 2 * second as u32;
+        note_progress(
+            &mut pace,
+            &mut speed,
+            declared,
+            mark(2 * second, from),
+            mark(2 * second + 2, from + 3),
+        );
+    }
+    assert!(speed.value() < 0.67, "{}", speed.value());
+}
