Do not blame workers for continuous tasks; scan shares less often

Cause: continuous tasks may fail at any time, but each failure set their worker aside for 1 s to 8 s, so that they started again late. Found by reading the change as a whole, and with it: the planning pass looked for filling tasks among all runs of workers that have none, in every pass; a question to an adviser was built in two steps that did the same.

Change: ends of continuous tasks do not count for their worker (test fails before: 2 of 5 starts); every worker is scanned for filling tasks once in 0.7 s; the question is built once.

--- a/crates/fleet/src/advice.rs
+++ b/crates/fleet/src/advice.rs
@@ -104,7 +104,7 @@
         &mut self,
         candidates: &[AdviceCandidate],
         now: Duration,
-    ) -> Vec<WorkerId> {
+    ) -> Vec<AdviceCandidate> {
         let paused = self.asked.is_some_and(|asked| now < asked + QUESTION_PAUSE);
         if self.in_flight || paused {
             return Vec::new();
@@ -116,8 +116,7 @@
         };
         let unknown = |candidate: &&AdviceCandidate| !self.known.contains_key(&candidate.worker);
         let chosen = candidates.iter().filter(lapsed).chain(candidates.iter().filter(unknown));
-        let workers: Vec<WorkerId> =
-            chosen.take(QUESTION_WORKERS).map(|candidate| candidate.worker.clone()).collect();
+        let workers: Vec<AdviceCandidate> = chosen.take(QUESTION_WORKERS).cloned().collect();
         if !workers.is_empty() {
             self.in_flight = true;
             self.asked = Some(now);
--- a/crates/fleet/src/planner/advice.rs
+++ b/crates/fleet/src/planner/advice.rs
@@ -79,16 +79,10 @@
         let Some(step) = step.filter(|step| step.waiting().next().is_some()) else {
             return;
         };
-        let named = step.advice.begin_question(&advised.candidates, now);
-        if named.is_empty() {
+        let workers = step.advice.begin_question(&advised.candidates, now);
+        if workers.is_empty() {
             return;
         }
-        let workers: Vec<AdviceCandidate> = advised
-            .candidates
-            .iter()
-            .filter(|candidate| named.contains(&candidate.worker))
-            .cloned()
-            .collect();
         self.questions += 1;
         let limit = advised.policy.answer_time(workers.len()) * QUESTIONS as u32;
         self.orders.push(FleetOrder::Advise(AdviceQuestion { key, workers, limit }));
--- a/crates/fleet/src/planner/ends.rs
+++ b/crates/fleet/src/planner/ends.rs
@@ -22,7 +22,9 @@
         if !fresh && !held {
             return;
         }
-        if held {
+        let spec = self.jobs.get(&end.task.job).and_then(|job| job.step_spec(end.task.step));
+        // A continuous task may fail at any time through no fault of its worker.
+        if held && !spec.is_some_and(|spec| spec.continuous) {
             self.judge_worker(worker, end.reason, now);
         }
         self.apply_checkpoint(end.task, end.checkpoint);
--- a/crates/fleet/src/planner/pacing.rs
+++ b/crates/fleet/src/planner/pacing.rs
@@ -2,15 +2,25 @@
 
 use std::time::Duration;
 
+use lacewingrail_model::WorkerId;
+
 use super::FleetPlanner;
 use crate::order::{FleetOrder, TaskRun};
 use crate::pace::{FULL_PACE, next_pace};
 use crate::spec::{RunNumber, TaskKey};
-use crate::worker::{RunPhase, WorkerEntry};
+use crate::worker::{RunEntry, RunPhase, WorkerEntry};
 
 /// Time between changes on one worker: the span of a measurement and the time until a change works.
 const PACE_PERIOD: Duration = Duration::from_millis(700);
 
+/// Holds what decides over the share of the filling tasks on one worker.
+struct PaceChange {
+    worker: WorkerId,
+    /// Highest tail latency of a serving task against its target; nothing if none serves there.
+    pressure: Option<f64>,
+    fills: Vec<(TaskKey, RunNumber)>,
+}
+
 impl FleetPlanner {
     /// Adapts the share of filling tasks on every worker to the tasks that serve beside them.
     pub(super) fn adapt_pace(&mut self, now: Duration) {
@@ -18,49 +28,47 @@
             let elapsed = worker.paced.map_or(Duration::MAX, |paced| now.saturating_sub(paced));
             elapsed >= PACE_PERIOD && worker.report_age(now) < PACE_PERIOD
         };
-        let mut changes = Vec::new();
-        for worker in self.workers.values().filter(due) {
-            let fills: Vec<(TaskKey, RunNumber)> = worker
-                .runs
-                .iter()
-                .filter(|((task, _), run)| run.phase == RunPhase::Running && self.fills(*task))
-                .map(|(key, _)| *key)
-                .collect();
-            if !fills.is_empty() {
-                changes.push((worker.listing.id.clone(), self.pressure_on(worker), fills));
-            }
+        let due = self.workers.values().filter(due);
+        let changes: Vec<PaceChange> = due.map(|worker| self.pace_change(worker)).collect();
+        for change in changes {
+            self.set_pace(&change, now);
         }
-        for (worker, pressure, fills) in changes {
-            self.set_pace(&worker, pressure, &fills, now);
+    }
+
+    /// Returns what decides over the share of the filling tasks on a worker.
+    fn pace_change(&self, worker: &WorkerEntry) -> PaceChange {
+        let fills = worker
+            .runs
+            .iter()
+            .filter(|((task, _), run)| run.phase == RunPhase::Running && self.fills(*task))
+            .map(|(key, _)| *key);
+        PaceChange {
+            worker: worker.listing.id.clone(),
+            pressure: self.pressure_on(worker),
+            fills: fills.collect(),
         }
     }
 
     /// Orders the next share of filling tasks; nothing where it stays.
-    fn set_pace(
-        &mut self,
-        worker: &str,
-        pressure: Option<f64>,
-        fills: &[(TaskKey, RunNumber)],
-        now: Duration,
-    ) {
-        let Some(entry) = self.workers.get_mut(worker) else {
+    fn set_pace(&mut self, change: &PaceChange, now: Duration) {
+        let Some(entry) = self.workers.get_mut(&change.worker) else {
             return;
         };
         entry.paced = Some(now);
         let address = entry.listing.address.clone();
-        for (task, run) in fills {
+        for (task, run) in &change.fills {
             let Some(run_entry) = entry.runs.get_mut(&(*task, *run)) else {
                 continue;
             };
             // The share that an earlier scheduler left is not known; a low one is safe.
             let known = run_entry.pace.unwrap_or_default();
-            let pace = pressure.map_or(FULL_PACE, |pressure| next_pace(known, pressure));
+            let pace = change.pressure.map_or(FULL_PACE, |pressure| next_pace(known, pressure));
             if run_entry.pace == Some(pace) {
                 continue;
             }
             run_entry.pace = Some(pace);
             let target = TaskRun {
-                worker: worker.to_owned(),
+                worker: change.worker.clone(),
                 address: address.clone(),
                 task: *task,
                 run: *run,
@@ -85,7 +93,7 @@
     /// Returns the highest tail latency of the serving tasks on a worker against its target; nothing
     /// if none serves there.
     fn pressure_on(&self, worker: &WorkerEntry) -> Option<f64> {
-        let pressure = |((task, _), run): (&(TaskKey, RunNumber), &crate::worker::RunEntry)| {
+        let pressure = |((task, _), run): (&(TaskKey, RunNumber), &RunEntry)| {
             let target = self.spec_of(task.step_key())?.target?;
             Some(run.usage / target.as_secs_f64().max(f64::MIN_POSITIVE) / 1000.0)
         };
--- a/crates/fleet/tests/decisions/sharing.rs
+++ b/crates/fleet/tests/decisions/sharing.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use lacewingrail_fleet::StepSpec;
 use lacewingrail_fleet::pace::next_pace;
+use lacewingrail_fleet::{EndReason, StepSpec};
 
 use crate::scene::{Scene, listing, step, submission};
 
@@ -68,3 +68,17 @@
     let stopped = scene.stops.iter().filter(|run| run.task.job == 1).count();
     assert_eq!((stopped, scene.started(2).len()), (1, 1));
 }
+
+/// Guards against workers that are set aside because continuous tasks, which may fail at any time,
+/// failed there.
+#[test]
+fn failing_continuous_task_starts_again_at_once() {
+    let mut scene = Scene::new(1, vec![listing("w0", "north", "r1")]);
+    scene.accept(submission(1, "normal", vec![serving(1, 8)]));
+    for _ in 0..4 {
+        let order = scene.starts.last().expect("a start").clone();
+        scene.end(&order, EndReason::Failed);
+        scene.pass(Duration::from_millis(300));
+    }
+    assert_eq!(scene.started(1).len(), 5);
+}
