Never refuse a job whose earlier submission ended unknown

Cause: found by reading with a refusal's meaning in mind: it says that the job never runs. A submission whose write was not answered gets 504 and may take effect seconds later; the client's next try, during an outage of the store, got 429, and the job then ran.

--- a/crates/instance/src/front.rs
+++ b/crates/instance/src/front.rs
@@ -24,6 +24,7 @@
 use crate::schedule_controller::{
     AskPending, AskStanding, CheckSubmission, ScheduleSender, StandingReply, SubmissionVerdict,
 };
+use crate::unclear_jobs::UnclearJobs;
 
 /// Retry time during an outage of the key-value service: the resolution of the header, about half of
 /// a change of leadership.
@@ -129,6 +130,7 @@
     context: Arc<InstanceContext>,
     leadership: watch::Receiver<LeadershipView>,
     leader: LeaderLink,
+    unclear: Arc<UnclearJobs>,
 }
 
 impl JobFront {
@@ -138,7 +140,7 @@
         leadership: watch::Receiver<LeadershipView>,
         leader: LeaderLink,
     ) -> Self {
-        Self { context, leadership, leader }
+        Self { context, leadership, leader, unclear: Arc::default() }
     }
 
     /// Answers a call of a client.
@@ -193,7 +195,8 @@
                     spec,
                     accepted_unix_ms: unix_millis(),
                 };
-                self.submit(submission).await
+                let answer = self.submit(submission).await;
+                self.unclear.judge(job, answer)
             }
             ClientOperation::Cancel => self.cancel(job).await,
             ClientOperation::Ask => self.ask(job).await,
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -23,6 +23,7 @@
 mod leader_link;
 mod leader_parts;
 mod leadership;
+mod unclear_jobs;
 
 pub use border::{AdviceError, FleetDirectory, OperatorState, RenewError, WorkerService};
 pub use front::{CallHead, ClientAnswer, ClientOperation, JobFront};
