Name readings and outcomes by types in three places

Left behind: pairs of durations, of a number and a revision, and of an answer and a cause stood for a reading of a worker's clock, the newest epoch and the outcome of a call to the scheduler. They are structs now; behaviour stays.

--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -75,6 +75,15 @@
     sequence: u64,
 }
 
+/// Holds a reading of a worker's steady clock.
+#[derive(Clone, Copy, Debug)]
+struct ClockReading {
+    /// What the worker's clock showed.
+    shown: Duration,
+    /// When its answer was received, on the scheduler's clock.
+    read: Duration,
+}
+
 /// Holds what is known of one worker.
 #[derive(Clone, Debug)]
 pub struct WorkerEntry {
@@ -100,7 +109,7 @@
     pub paced: Option<Duration>,
     /// Start of the life that the newest report was from; 0 before the first report.
     pub life: u64,
-    clock: Option<(Duration, Duration)>,
+    clock: Option<ClockReading>,
     lease_end: Duration,
     paused_until: Duration,
     failure_streak: u32,
@@ -200,18 +209,18 @@
 
     /// Notes the worker's clock as of an answer received `now`.
     pub fn note_clock(&mut self, clock: Duration, now: Duration) {
-        self.clock = Some((clock, now));
+        self.clock = Some(ClockReading { shown: clock, read: now });
     }
 
     /// Returns the worker's clock, at least as far as it has come.
     pub fn clock_at(&self, now: Duration) -> Option<Duration> {
-        let (clock, read) = self.clock?;
-        Some(clock + now.saturating_sub(read))
+        let clock = self.clock?;
+        Some(clock.shown + now.saturating_sub(clock.read))
     }
 
     /// Returns the time since the worker's newest report.
     pub fn report_age(&self, now: Duration) -> Duration {
-        self.clock.map_or(Duration::MAX, |(_, read)| now.saturating_sub(read))
+        self.clock.map_or(Duration::MAX, |clock| now.saturating_sub(clock.read))
     }
 
     /// Notes that an order may extend the lease up to a time on the worker's clock.
@@ -247,13 +256,13 @@
 
     /// Returns whether the lease of everything on the worker is certainly over.
     ///
-    /// The worker's clock showed `clock` before its answer was received and may be slow.
+    /// The worker's clock was read before its answer was received and may be slow.
     pub fn is_lease_over(&self, now: Duration) -> bool {
-        let Some((clock, read)) = self.clock else {
+        let Some(clock) = self.clock else {
             return self.runs.is_empty();
         };
-        let left = self.lease_end.saturating_sub(clock).div_f64(SLOWEST_CLOCK_RATE);
-        now > read + left + LEASE_MARGIN
+        let left = self.lease_end.saturating_sub(clock.shown).div_f64(SLOWEST_CLOCK_RATE);
+        now > clock.read + left + LEASE_MARGIN
     }
 
     /// Lets the worker pause after it has refused a start or not answered.
--- a/crates/instance/src/leader_link.rs
+++ b/crates/instance/src/leader_link.rs
@@ -38,6 +38,13 @@
     Lost,
 }
 
+/// Holds how a call to a scheduler ended.
+struct LeaderExchange {
+    answer: LeaderAnswer,
+    /// Why the scheduler did not serve the call, if so.
+    fault: Option<String>,
+}
+
 /// Calls the active scheduler that was seen last.
 #[derive(Clone)]
 pub struct LeaderLink {
@@ -81,30 +88,30 @@
         if self.fault_of(&address).is_some() {
             return LeaderAnswer::NotReached;
         }
-        let (answer, fault) = self.exchange(&address, call).await;
-        if let Some(cause) = fault {
+        let exchange = self.exchange(&address, call).await;
+        if let Some(cause) = exchange.fault {
             self.note_fault(address, &cause);
         }
-        answer
+        exchange.answer
     }
 
-    /// Calls a scheduler; returns also why it did not serve the call, if so.
-    async fn exchange(&self, address: &str, call: FleetCall) -> (LeaderAnswer, Option<String>) {
+    async fn exchange(&self, address: &str, call: FleetCall) -> LeaderExchange {
         let request = PeerRequest::Fleet(call);
         let answer = self.peers.call(address, String::new(), request, ANSWER_TIMEOUT).await;
         match answer {
             Ok(PeerResponse::Fleet(reply)) => {
                 let serves = !matches!(reply, FleetReply::NotActive | FleetReply::Unclear);
                 let fault = (!serves).then(|| "it can't serve calls now".to_owned());
-                (LeaderAnswer::Answered(reply), fault)
+                LeaderExchange { answer: LeaderAnswer::Answered(reply), fault }
             }
-            Ok(_) => (LeaderAnswer::NotReached, None),
+            Ok(_) => LeaderExchange { answer: LeaderAnswer::NotReached, fault: None },
             Err(error) => {
                 let fault = Some(error.to_string());
-                match error {
-                    WireError::Connect(_) => (LeaderAnswer::NotReached, fault),
-                    _ => (LeaderAnswer::Lost, fault),
-                }
+                let answer = match error {
+                    WireError::Connect(_) => LeaderAnswer::NotReached,
+                    _ => LeaderAnswer::Lost,
+                };
+                LeaderExchange { answer, fault }
             }
         }
     }
@@ -114,8 +121,7 @@
         let mut pause = PROBE_PAUSE;
         while self.leader_address().as_ref() == Some(&address) {
             self.timer.wait(pause.mul_f64(0.5 + rand::random::<f64>())).await;
-            let (_, fault) = self.exchange(&address, FleetCall::Probe).await;
-            if fault.is_none() {
+            if self.exchange(&address, FleetCall::Probe).await.fault.is_none() {
                 break;
             }
             pause = (pause * 2).min(LONGEST_PROBE_PAUSE);
--- a/crates/instance/src/leadership.rs
+++ b/crates/instance/src/leadership.rs
@@ -64,8 +64,16 @@
     view: watch::Sender<LeadershipView>,
     nonce: u64,
     revision: Revision,
-    holder: Option<(LeaderRecord, Revision)>,
-    epoch: (Epoch, Revision),
+    holder: Option<LeaderRecord>,
+    epoch: SeenEpoch,
+}
+
+/// Holds the newest epoch that was read.
+#[derive(Clone, Copy, Debug, Default)]
+struct SeenEpoch {
+    number: Epoch,
+    /// Revision of its key.
+    revision: Revision,
 }
 
 /// Holds what a leadership consists of.
@@ -94,7 +102,14 @@
 impl LeadershipController {
     /// Creates the controller.
     pub fn new(context: Arc<InstanceContext>, view: watch::Sender<LeadershipView>) -> Self {
-        Self { context, view, nonce: rand::random(), revision: 0, holder: None, epoch: (0, 0) }
+        Self {
+            context,
+            view,
+            nonce: rand::random(),
+            revision: 0,
+            holder: None,
+            epoch: SeenEpoch::default(),
+        }
     }
 
     /// Runs until the process ends.
@@ -105,7 +120,7 @@
                 Ok(batch) => {
                     if batch.reset {
                         self.holder = None;
-                        self.epoch = (0, 0);
+                        self.epoch = SeenEpoch::default();
                     }
                     batch.events.into_iter().for_each(|event| self.apply(event));
                     self.revision = batch.revision;
@@ -125,7 +140,7 @@
                 }
                 // What happened meanwhile is read anew.
                 (self.revision, wait) = (0, Duration::ZERO);
-                (self.holder, self.epoch) = (None, (0, 0));
+                (self.holder, self.epoch) = (None, SeenEpoch::default());
             }
         }
     }
@@ -141,22 +156,22 @@
         match (event.key.as_str(), event.value) {
             (HOLDER_KEY, None) => self.holder = None,
             (HOLDER_KEY, Some(value)) => match serde_json::from_str(&value) {
-                Ok(record) => self.holder = Some((record, event.revision)),
+                Ok(record) => self.holder = Some(record),
                 Err(error) => log::error!(error = error.to_string(); "leadership record malformed"),
             },
             (EPOCH_KEY, Some(value)) => {
                 let epoch = value.parse().unwrap_or_else(|_| {
                     log::error!(value = value; "epoch record malformed");
-                    self.epoch.0
+                    self.epoch.number
                 });
-                self.epoch = (epoch, event.revision);
+                self.epoch = SeenEpoch { number: epoch, revision: event.revision };
             }
             _ => {}
         }
     }
 
     fn publish(&self) {
-        let leader = self.holder.as_ref().map(|(record, _)| record.clone());
+        let leader = self.holder.clone();
         let changed = self.view.borrow().leader != leader;
         if changed {
             if let Some(record) = &leader {
@@ -188,7 +203,7 @@
                 return None;
             }
         };
-        let (newest, epoch_revision) = self.epoch;
+        let SeenEpoch { number: newest, revision: epoch_revision } = self.epoch;
         let epoch = newest + 1;
         let record = self.record(epoch);
         let value = serde_json::to_string(&record).ok()?;
@@ -211,9 +226,9 @@
                 return None;
             }
         };
-        self.epoch = (epoch, holder);
+        self.epoch = SeenEpoch { number: epoch, revision: holder };
         let valid_until = sent + LEADERSHIP_TTL - VALIDITY_MARGIN;
-        self.holder = Some((record, holder));
+        self.holder = Some(record);
         self.publish();
         Some(HeldLeadership { lease, holder, epoch, valid_until, failing: false })
     }
@@ -295,7 +310,8 @@
             None => {
                 let entry = self.context.store.get(EPOCH_KEY).await;
                 // An unreadable epoch proves nothing; the next renewal tries again.
-                entry.is_err() || matches!(entry, Ok(Some(entry)) if entry.revision == self.epoch.1)
+                entry.is_err()
+                    || matches!(entry, Ok(Some(entry)) if entry.revision == self.epoch.revision)
             }
         }
     }
