Look up a task's step and name a run for an order in one place each

The description of a task's step was looked up by the same expression in six places, in two hot ones (borrowers of urgent work, shares of filling tasks) with a copy of the whole description for each run; the name of a run for an order was put together in four places; the pressure of serving tasks was computed on workers without filling tasks; one accessor was unused.

Change: FleetPlanner::task_spec and WorkerListing::target serve these places; pressure is computed only where it decides. Behaviour stays and no test was changed.

--- a/crates/fleet/src/advice.rs
+++ b/crates/fleet/src/advice.rs
@@ -77,11 +77,6 @@
 }
 
 impl StepAdvice {
-    /// Returns whether an answer is awaited.
-    pub fn is_in_flight(&self) -> bool {
-        self.in_flight
-    }
-
     /// Returns the ticket for a start on one life of a worker.
     pub fn ticket(&self, worker: &str, born: u64, now: Duration) -> Option<&TicketName> {
         let advice = self.known.get(worker)?;
@@ -124,7 +119,8 @@
         workers
     }
 
-    /// Takes the answer to the question that was sent at a time; nothing if none came.
+    /// Takes the answer to a question, with the time until which its tickets are valid; nothing if none
+    /// came.
     pub fn end_question(
         &mut self,
         asked: &[AdviceCandidate],
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -9,7 +9,7 @@
 use crate::advice::WorkerTicket;
 use crate::amount::ResourceAmount;
 use crate::config::FleetConfig;
-use crate::order::AdviceQuestion;
+use crate::order::{AdviceQuestion, TaskRun};
 use crate::record::{JobProgress, WorkerRoster};
 use crate::spec::{CheckpointName, JobKey, JobSubmission, RunNumber, TaskKey};
 
@@ -38,6 +38,13 @@
     pub born: u64,
 }
 
+impl WorkerListing {
+    /// Names a run on the worker for an order.
+    pub fn target(&self, task: TaskKey, run: RunNumber) -> TaskRun {
+        TaskRun { worker: self.id.clone(), address: self.address.clone(), task, run }
+    }
+}
+
 /// Reports a task that runs on a worker.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RunningRun {
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -33,7 +33,7 @@
 use crate::config::FleetConfig;
 use crate::event::{FleetEvent, StartOutcome, StartRefusal, WorkerListing};
 use crate::job::{JobEntry, JobPhase, TaskPhase};
-use crate::order::{FleetOrder, TaskRun};
+use crate::order::FleetOrder;
 use crate::queue::{WorkMeans, job_work, objective};
 use crate::record::{JobProgress, WorkerRoster};
 use crate::spec::{JobKey, JobSpec, JobSubmission, RunNumber, StepKey, TaskKey};
@@ -416,7 +416,7 @@
 
     /// Stops the other members of a gang of which one can't run.
     fn stop_gang_rest(&mut self, task: TaskKey, now: Duration) {
-        let gang = self.jobs.get(&task.job).and_then(|job| job.step_spec(task.step));
+        let gang = self.task_spec(task);
         if !gang.is_some_and(|spec| spec.gang) {
             return;
         }
@@ -433,7 +433,6 @@
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
-        let address = entry.listing.address.clone();
         let Some(run_entry) = entry.runs.get_mut(&(task, run)) else {
             return;
         };
@@ -441,7 +440,7 @@
             return;
         }
         run_entry.phase = RunPhase::Stopping { ordered: now, confirmed: None };
-        let target = TaskRun { worker: worker.to_owned(), address, task, run };
+        let target = entry.listing.target(task, run);
         self.orders.push(FleetOrder::Stop(target));
     }
 
--- a/crates/fleet/src/planner/dispatch.rs
+++ b/crates/fleet/src/planner/dispatch.rs
@@ -90,6 +90,11 @@
         })
     }
 
+    /// Returns the description of the step that a task belongs to.
+    pub(super) fn task_spec(&self, task: TaskKey) -> Option<&StepSpec> {
+        self.jobs.get(&task.job)?.step_spec(task.step)
+    }
+
     pub(super) fn spec_of(&self, key: StepKey) -> Option<StepSpec> {
         self.jobs.get(&key.job)?.step_spec(key.step).cloned()
     }
--- a/crates/fleet/src/planner/ends.rs
+++ b/crates/fleet/src/planner/ends.rs
@@ -22,7 +22,7 @@
         if !fresh && !held {
             return;
         }
-        let spec = self.jobs.get(&end.task.job).and_then(|job| job.step_spec(end.task.step));
+        let spec = self.task_spec(end.task);
         // A continuous task may fail at any time through no fault of its worker.
         if held && !spec.is_some_and(|spec| spec.continuous) {
             self.judge_worker(worker, end.reason, now);
--- a/crates/fleet/src/planner/pacing.rs
+++ b/crates/fleet/src/planner/pacing.rs
@@ -5,7 +5,7 @@
 use lacewingrail_model::WorkerId;
 
 use super::FleetPlanner;
-use crate::order::{FleetOrder, TaskRun};
+use crate::order::FleetOrder;
 use crate::pace::{FULL_PACE, next_pace};
 use crate::spec::{RunNumber, TaskKey};
 use crate::worker::{RunEntry, RunPhase, WorkerEntry};
@@ -37,16 +37,14 @@
 
     /// Returns what decides over the share of the filling tasks on a worker.
     fn pace_change(&self, worker: &WorkerEntry) -> PaceChange {
-        let fills = worker
+        let fills: Vec<(TaskKey, RunNumber)> = worker
             .runs
             .iter()
             .filter(|((task, _), run)| run.phase == RunPhase::Running && self.fills(*task))
-            .map(|(key, _)| *key);
-        PaceChange {
-            worker: worker.listing.id.clone(),
-            pressure: self.pressure_on(worker),
-            fills: fills.collect(),
-        }
+            .map(|(key, _)| *key)
+            .collect();
+        let pressure = if fills.is_empty() { None } else { self.pressure_on(worker) };
+        PaceChange { worker: worker.listing.id.clone(), pressure, fills }
     }
 
     /// Orders the next share of filling tasks; nothing where it stays.
@@ -55,7 +53,6 @@
             return;
         };
         entry.paced = Some(now);
-        let address = entry.listing.address.clone();
         for (task, run) in &change.fills {
             let Some(run_entry) = entry.runs.get_mut(&(*task, *run)) else {
                 continue;
@@ -67,12 +64,7 @@
                 continue;
             }
             run_entry.pace = Some(pace);
-            let target = TaskRun {
-                worker: change.worker.clone(),
-                address: address.clone(),
-                task: *task,
-                run: *run,
-            };
+            let target = entry.listing.target(*task, *run);
             self.orders.push(FleetOrder::Pace { target, percent: pace });
         }
     }
@@ -86,15 +78,14 @@
     }
 
     fn fills(&self, task: TaskKey) -> bool {
-        let spec = self.jobs.get(&task.job).and_then(|job| job.step_spec(task.step));
-        spec.is_some_and(|spec| spec.fills)
+        self.task_spec(task).is_some_and(|spec| spec.fills)
     }
 
     /// Returns the highest tail latency of the serving tasks on a worker against its target; nothing
     /// if none serves there.
     fn pressure_on(&self, worker: &WorkerEntry) -> Option<f64> {
         let pressure = |((task, _), run): (&(TaskKey, RunNumber), &RunEntry)| {
-            let target = self.spec_of(task.step_key())?.target?;
+            let target = self.task_spec(*task)?.target?;
             Some(run.usage / target.as_secs_f64().max(f64::MIN_POSITIVE) / 1000.0)
         };
         worker.runs.iter().filter_map(pressure).max_by(f64::total_cmp)
--- a/crates/fleet/src/planner/start.rs
+++ b/crates/fleet/src/planner/start.rs
@@ -7,7 +7,7 @@
 use super::FleetPlanner;
 use super::reservation::TaskPlace;
 use crate::job::{JobEntry, TaskPhase};
-use crate::order::{FleetOrder, StartBasis, StartOrder, TaskRun};
+use crate::order::{FleetOrder, StartBasis, StartOrder};
 use crate::pace::FULL_PACE;
 use crate::spec::{CheckpointName, RunNumber, StepSpec, TaskKey};
 use crate::worker::{RunEntry, RunPhase};
@@ -73,8 +73,7 @@
             report_age: target.report_age(now),
             waited: now.saturating_sub(waited),
         };
-        let address = target.listing.address.clone();
-        let target = TaskRun { worker: WorkerId::from(worker), address, task, run };
+        let target = target.listing.target(task, run);
         let submission = job.submission.clone();
         let order = StartOrder { target, submission, checkpoint, ticket, lease_end, basis };
         self.orders.push(FleetOrder::Start(order));
--- a/crates/fleet/src/planner/upkeep.rs
+++ b/crates/fleet/src/planner/upkeep.rs
@@ -4,7 +4,7 @@
 
 use super::{FleetPlanner, PlannerNote};
 use crate::job::{JobEntry, TaskPhase};
-use crate::order::{FleetOrder, RenewOrder, TaskRun};
+use crate::order::{FleetOrder, RenewOrder};
 use crate::record::WorkerDigest;
 use crate::spec::{StepKey, TaskKey};
 use crate::worker::{RunEntry, RunPhase, STOP_RETRY, WorkerEntry};
@@ -85,19 +85,13 @@
     }
 
     fn repeat_stops(&mut self, now: Duration) {
-        for (id, worker) in &mut self.workers {
-            let address = worker.listing.address.clone();
+        for worker in self.workers.values_mut() {
             for ((task, run), entry) in &mut worker.runs {
                 if let RunPhase::Stopping { ordered, confirmed: None } = &mut entry.phase
                     && now.saturating_sub(*ordered) >= STOP_RETRY
                 {
                     *ordered = now;
-                    let target = TaskRun {
-                        worker: id.clone(),
-                        address: address.clone(),
-                        task: *task,
-                        run: *run,
-                    };
+                    let target = worker.listing.target(*task, *run);
                     self.orders.push(FleetOrder::Stop(target));
                 }
             }
@@ -170,8 +164,7 @@
         stall_time: Duration,
         now: Duration,
     ) -> bool {
-        let spec = self.jobs.get(&task.job).and_then(|job| job.step_spec(task.step));
-        let Some(spec) = spec.filter(|spec| !spec.continuous && !spec.fills) else {
+        let Some(spec) = self.task_spec(task).filter(|spec| !spec.continuous && !spec.fills) else {
             return false;
         };
         let patience = stall_time + spec.estimate.mul_f64(STALL_SHARE);
--- a/crates/fleet/src/planner/urgent.rs
+++ b/crates/fleet/src/planner/urgent.rs
@@ -172,14 +172,14 @@
                 if stopping || safe {
                     continue;
                 }
-                let Some(spec) = self.spec_of(task.step_key()) else {
+                let Some(spec) = self.task_spec(*task) else {
                     continue;
                 };
-                if !budgets.take(self, task.step_key(), &spec) {
+                if !budgets.take(self, task.step_key(), spec) {
                     continue;
                 }
                 let part = BorrowerPart { slot, task: *task, run: *run, demand: entry.demand };
-                let loss = stop_loss(&spec, entry);
+                let loss = stop_loss(spec, entry);
                 let position = if spec.gang {
                     *gangs.entry(task.step_key()).or_insert(units.len())
                 } else {
