Do not let requests in flight change an ejection

The trace shows one backend ejected seven times within 65 ms: each failure of a request that was already in flight counted as a failed trial and doubled the ejection, 2 s up to 30 s. In the same way an answer to an earlier request ended an ejection, logged as a trial.

Change: only the trial request lengthens or ends an ejection. What a request in flight says is kept for the latency and left out of the counts of failures.

The new test fails on the old rule (Open in place of Closed). No bound or check is changed.

--- a/crates/entry/src/backend.rs
+++ b/crates/entry/src/backend.rs
@@ -190,28 +190,6 @@
         Some(BackendUse { backend: self.clone(), trial })
     }
 
-    /// Records an answered request and returns the backend to service.
-    pub fn note_success(&self, latency: Duration) {
-        self.smooth(latency);
-        lock(&self.health).note_success(Instant::now());
-        if self.ejected_until_ms.swap(0, Ordering::AcqRel) != 0 {
-            log::info!("backend {} answered its trial request and is back in service", self.id);
-        }
-    }
-
-    /// Records a failed request; returns whether the backend should be ejected.
-    ///
-    /// `latency` enters the smoothed latency only where it raises it, because a backend that fails
-    /// fast must not look attractive.
-    pub fn note_failure(&self, verdict: Verdict, latency: Duration, eject_after: u32) -> bool {
-        if latency.as_micros() > u128::from(self.latency_us()) {
-            self.smooth(latency);
-        }
-        let now = Instant::now();
-        let due = lock(&self.health).note_failure(verdict, eject_after, now);
-        due || self.is_ejected()
-    }
-
     /// Ejects the backend for a time that doubles with each ejection in a row.
     pub fn eject(&self) {
         let time = lock(&self.health).eject(Instant::now());
@@ -241,6 +219,43 @@
         self.trial
     }
 
+    /// Records that the request was answered. The answer of a trial returns the backend to service;
+    /// a request sent before the ejection says nothing of the time since.
+    pub fn note_success(&self, latency: Duration) {
+        let backend = &self.backend;
+        backend.smooth(latency);
+        if self.precedes_ejection() {
+            return;
+        }
+        lock(&backend.health).note_success(Instant::now());
+        if backend.ejected_until_ms.swap(0, Ordering::AcqRel) != 0 {
+            log::info!("backend {} answered its trial request and is back in service", backend.id);
+        }
+    }
+
+    /// Records that the request failed; returns whether the backend should be ejected. Requests that
+    /// were in flight at an ejection do not lengthen it.
+    ///
+    /// `latency` enters the smoothed latency only where it raises it, because a backend that fails
+    /// fast must not look attractive.
+    pub fn note_failure(&self, verdict: Verdict, latency: Duration, eject_after: u32) -> bool {
+        let backend = &self.backend;
+        if latency.as_micros() > u128::from(backend.latency_us()) {
+            backend.smooth(latency);
+        }
+        if self.precedes_ejection() {
+            return false;
+        }
+        let now = Instant::now();
+        let due = lock(&backend.health).note_failure(verdict, eject_after, now);
+        due || self.trial
+    }
+
+    /// Returns whether the backend was ejected while the request was in flight.
+    fn precedes_ejection(&self) -> bool {
+        !self.trial && self.backend.is_ejected()
+    }
+
     /// Returns the backend.
     pub fn backend(&self) -> &Arc<Backend> {
         &self.backend
--- a/crates/entry/src/routing/router.rs
+++ b/crates/entry/src/routing/router.rs
@@ -223,7 +223,7 @@
             Ok(answer) if answer.status.is_server_error() => self.fail(Verdict::Failed, latency),
             Ok(_) => {
                 self.pool.latency.record(latency);
-                self.used.backend().note_success(latency);
+                self.used.note_success(latency);
             }
             Err(TryError::NotSent { gone: true, .. }) => self.fail(Verdict::Gone, latency),
             Err(
@@ -249,9 +249,8 @@
     }
 
     fn fail(&self, verdict: Verdict, latency: Duration) {
-        let backend = self.used.backend();
-        if backend.note_failure(verdict, latency, self.eject_after) {
-            self.pool.eject(backend);
+        if self.used.note_failure(verdict, latency, self.eject_after) {
+            self.pool.eject(self.used.backend());
         }
     }
 }
--- a/crates/entry/tests/routing.rs
+++ b/crates/entry/tests/routing.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use lacewingrail_entry::backend::health::Verdict;
+use lacewingrail_entry::backend::{Availability, BackendUse};
 use lacewingrail_model::config::PolicyOverlay;
 use lacewingrail_standins::{BackendFaults, FaultProxy, LinkSpec};
 use reqwest::Client;
@@ -71,6 +73,34 @@
     panic!("{} backends are still ejected", ejected(&entry));
 }
 
+/// Guards against an ejection that each request in flight doubles, up to half a minute, and against
+/// one that an answer to an earlier request ends.
+#[tokio::test]
+async fn requests_in_flight_do_not_change_an_ejection() {
+    let system = TestSystem::new(PolicyOverlay::default()).await;
+    for name in ["failing", "b2", "b3"] {
+        system.backend(name, |_| {}).await;
+    }
+    let entry = system.start(|_| {}).await;
+    let pool = entry.pools().get(SERVICE).unwrap();
+    let failing = pool.backends().iter().find(|backend| backend.id == "failing").unwrap().clone();
+    let uses: Vec<BackendUse> = (0..8).map(|_| failing.acquire().unwrap()).collect();
+    let latency = Duration::from_millis(2);
+    for used in &uses[..7] {
+        if used.note_failure(Verdict::Failed, latency, 5) {
+            pool.eject(&failing);
+        }
+    }
+    uses[7].note_success(latency);
+    assert_eq!(failing.availability(), Availability::Closed);
+    tokio::time::sleep(Duration::from_millis(2_100)).await;
+    assert_eq!(failing.availability(), Availability::Trial);
+    let trial = failing.acquire().unwrap();
+    assert!(failing.acquire().is_none());
+    trial.note_success(latency);
+    assert_eq!(failing.availability(), Availability::Open);
+}
+
 /// Guards against retries that multiply the load of an outage.
 #[tokio::test]
 async fn retries_stay_within_budget_in_outage() {
