Let old latencies count less with their age

Two reasons show in the trace: its one slow answer (196 ms, from the overloaded start) kept 0.8 of its weight however old it was, and counted in full again after each new answer; and the average that an idle backend's latency moves to was one over up to 4,096 answers, so that it held the slow start while the others answered in 5 ms.

Change: the smoothed latency of a backend loses weight with its age before a new answer enters it, by the decay that the choice of a backend already uses; the average of a service is smoothed over some thirty answers.

The two new tests fail on the old code (161 ms in place of under 40 ms after 2 s; 28 ms in place of under 10 ms after a hundred answers).

--- a/crates/entry/src/backend.rs
+++ b/crates/entry/src/backend.rs
@@ -160,9 +160,13 @@
         if known == 0 {
             return average;
         }
+        average + (known as f64 - average) * self.memory_weight()
+    }
+
+    /// Returns how much the smoothed latency still counts, from 1 down to 0 by its age.
+    fn memory_weight(&self) -> f64 {
         let age_ms = self.clock_ms().saturating_sub(self.sampled_ms.load(Ordering::Relaxed));
-        let weight = (-(age_ms as f64) / LATENCY_MEMORY.as_millis() as f64).exp();
-        average + (known as f64 - average) * weight
+        (-(age_ms as f64) / LATENCY_MEMORY.as_millis() as f64).exp()
     }
 
     /// Returns whether the backend may get a request.
@@ -198,12 +202,14 @@
         log::warn!("backend {} is ejected for {} ms", self.id, time.as_millis());
     }
 
+    /// Takes an answer into the smoothed latency; what was known before counts less with its age.
     fn smooth(&self, latency: Duration) {
         let sample = latency.as_micros() as f64;
+        let old_weight = (1.0 - LATENCY_WEIGHT) * self.memory_weight();
         self.sampled_ms.store(self.clock_ms(), Ordering::Relaxed);
         let blend = |old: u64| {
             let old = if old == 0 { sample } else { old as f64 };
-            Some((old + LATENCY_WEIGHT * (sample - old)).max(1.0) as u64)
+            Some((sample + old_weight * (old - sample)).max(1.0) as u64)
         };
         let _ = self.latency_us.fetch_update(Ordering::Relaxed, Ordering::Relaxed, blend);
     }
--- a/crates/entry/src/routing/latency.rs
+++ b/crates/entry/src/routing/latency.rs
@@ -16,6 +16,9 @@
 const WINDOW_SAMPLES: u64 = 4096;
 /// Answers below which there is no p95.
 const FEWEST_SAMPLES: u64 = 64;
+/// Share of a new answer in the average: it follows a change within some thirty answers, so that an
+/// unused backend is not measured against a slow time that has passed.
+const AVERAGE_WEIGHT: f64 = 1.0 / 32.0;
 /// Quantile after which a hedge may start.
 const HEDGE_QUANTILE: f64 = 0.95;
 
@@ -52,11 +55,11 @@
             return;
         };
         histogram.saturating_record(micros);
+        self.average(micros);
         let count = histogram.len();
         if count >= FEWEST_SAMPLES && count % REFRESH_SAMPLES == 0 {
             let p95 = histogram.value_at_quantile(HEDGE_QUANTILE);
             self.p95_us.store(p95, Ordering::Relaxed);
-            self.mean_us.store(histogram.mean() as u64, Ordering::Relaxed);
         }
         if count >= WINDOW_SAMPLES {
             histogram.reset();
@@ -71,10 +74,20 @@
         }
     }
 
-    /// Returns the average in microseconds; 0 before enough answers.
+    /// Returns the smoothed average in microseconds; 0 before the first answer.
     pub fn mean_us(&self) -> u64 {
         self.mean_us.load(Ordering::Relaxed)
     }
+
+    /// Takes an answer into the average. The caller holds the lock of the window.
+    fn average(&self, micros: u64) {
+        let old = match self.mean_us() {
+            0 => micros as f64,
+            mean => mean as f64,
+        };
+        let mean = old + AVERAGE_WEIGHT * (micros as f64 - old);
+        self.mean_us.store(mean.round() as u64, Ordering::Relaxed);
+    }
 }
 
 impl Default for LatencyTracker {
--- a/crates/entry/tests/routing.rs
+++ b/crates/entry/tests/routing.rs
@@ -9,6 +9,7 @@
 use futures::future::join_all;
 use lacewingrail_entry::backend::health::Verdict;
 use lacewingrail_entry::backend::{Availability, BackendUse};
+use lacewingrail_entry::routing::latency::LatencyTracker;
 use lacewingrail_model::config::PolicyOverlay;
 use lacewingrail_standins::{BackendFaults, FaultProxy, LinkSpec};
 use reqwest::Client;
@@ -101,6 +102,31 @@
     assert_eq!(failing.availability(), Availability::Open);
 }
 
+/// Guards against a backend server that gets no requests although it is as fast as the others,
+/// because a slow time of the whole service still counts in the average.
+#[test]
+fn average_latency_follows_recent_answers() {
+    let tracker = LatencyTracker::new();
+    (0..1_000).for_each(|_| tracker.record(Duration::from_millis(30)));
+    assert!(tracker.mean_us() > 29_000, "{}", tracker.mean_us());
+    (0..100).for_each(|_| tracker.record(Duration::from_millis(5)));
+    assert!(tracker.mean_us() < 10_000, "{}", tracker.mean_us());
+}
+
+/// Guards against a backend server whose one slow answer counts again with each later fast one, so
+/// that it gets a request only every few seconds.
+#[tokio::test]
+async fn old_latency_counts_less_with_its_age() {
+    let system = TestSystem::new(PolicyOverlay::default()).await;
+    system.backend("backend", |_| {}).await;
+    let entry = system.start(|_| {}).await;
+    let backend = entry.pools().get(SERVICE).unwrap().backends()[0].clone();
+    backend.acquire().unwrap().note_success(Duration::from_millis(200));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    backend.acquire().unwrap().note_success(Duration::from_millis(5));
+    assert!(backend.latency_us() < 40_000, "{}", backend.latency_us());
+}
+
 /// Guards against retries that multiply the load of an outage.
 #[tokio::test]
 async fn retries_stay_within_budget_in_outage() {
