Add a lab that replays loads on the planner in simulated time

Change: `experiment lab` draws arrivals from a load sheet (examples/loads) over seeds and multiples of the load, replays them on the real planner with simulated workers (speeds, gangs, data locality, checkpoints) and compares four orders of waiting work: today's, arrival, deadline and value density. It prints credit by queue, size and customer, work lost, starts refused, renewals and writes, as table, JSON and plot. The order is a setting of the planner; the product keeps its own.

--- /dev/null
+++ b/crates/experiment/src/lab.rs
@@ -0,0 +1,170 @@
+//! Compares orders of waiting work on a replayed load, in simulated time.
+//!
+//! The planner is the real one; workers, store and arrivals are simulated without faults. So the lab
+//! shows what an order does to users at a load, not what failures do.
+
+pub mod credit;
+pub mod fleet;
+pub mod replay;
+pub mod sheet;
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use lacewingrail_fleet::queue::QueueOrder;
+use serde::Serialize;
+
+use crate::lab::credit::CreditFigures;
+use crate::lab::sheet::LoadSheet;
+use crate::report::{self, PlotLine};
+
+/// Orders that are compared, by name.
+const ORDERS: [(&str, QueueOrder); 4] = [
+    ("value", QueueOrder::Value),
+    ("arrival", QueueOrder::Arrival),
+    ("deadline", QueueOrder::Deadline),
+    ("density", QueueOrder::Density),
+];
+/// Figure that the plot shows.
+const PLOTTED: &str = "credit all";
+
+/// Holds the options of the command.
+pub struct LabOptions {
+    /// Load sheet.
+    pub sheet: PathBuf,
+    /// Multiples of the sheet's rates.
+    pub factors: Vec<f64>,
+    /// Number of seeds.
+    pub seeds: u64,
+    /// Number of the first seed.
+    pub first_seed: u64,
+    /// Seconds of arrivals.
+    pub seconds: u64,
+    /// Replays at a time.
+    pub parallel: usize,
+    /// Folder of the results.
+    pub out: PathBuf,
+}
+
+/// Names one replay.
+#[derive(Clone, Copy, Debug)]
+struct LabCase {
+    order: usize,
+    factor: f64,
+    seed: u64,
+}
+
+/// Holds the mean figures of one order at one load.
+#[derive(Clone, Debug, Serialize)]
+struct LabResult {
+    order: String,
+    factor: f64,
+    seeds: u64,
+    first_seed: u64,
+    figures: CreditFigures,
+}
+
+/// Replays the load under every order and writes tables, JSON and a plot.
+pub fn run(options: &LabOptions) -> Result<(), String> {
+    let sheet = LoadSheet::read(&options.sheet)?;
+    let name = options.sheet.file_stem().map_or("load".into(), |stem| stem.to_string_lossy());
+    let mut cases = Vec::new();
+    for factor in &options.factors {
+        for seed in options.first_seed..options.first_seed + options.seeds {
+            cases.extend((0..ORDERS.len()).map(|order| LabCase { order, factor: *factor, seed }));
+        }
+    }
+    let measured = replay_all(&sheet, &cases, options);
+    let mut results = Vec::new();
+    for factor in &options.factors {
+        for (index, (order, _)) in ORDERS.iter().enumerate() {
+            let own = |(case, _): &&(LabCase, CreditFigures)| {
+                case.order == index && case.factor == *factor
+            };
+            let figures: Vec<&CreditFigures> =
+                measured.iter().filter(own).map(|(_, figures)| figures).collect();
+            results.push(LabResult {
+                order: (*order).to_owned(),
+                factor: *factor,
+                seeds: options.seeds,
+                first_seed: options.first_seed,
+                figures: mean(&figures),
+            });
+        }
+    }
+    let text = tables(&results, &options.factors);
+    println!("{name}, seeds {} from {}\n\n{text}", options.seeds, options.first_seed);
+    let path = |ending: &str| options.out.join(format!("lab-{name}.{ending}"));
+    report::write_json(&path("json"), &results)?;
+    report::write_text(&path("md"), &text)?;
+    plot(&path("svg"), &results)
+}
+
+/// Replays all cases on a few threads.
+fn replay_all(
+    sheet: &LoadSheet,
+    cases: &[LabCase],
+    options: &LabOptions,
+) -> Vec<(LabCase, CreditFigures)> {
+    let (next, measured) = (AtomicUsize::new(0), Mutex::new(Vec::new()));
+    let work = || {
+        while let Some(case) = cases.get(next.fetch_add(1, Ordering::Relaxed)) {
+            let jobs = sheet.draw(case.factor, Duration::from_secs(options.seconds), case.seed);
+            let record = replay::replay(sheet, &jobs, ORDERS[case.order].1);
+            let figures = credit::measure(sheet, &jobs, &record);
+            measured.lock().unwrap_or_else(PoisonError::into_inner).push((*case, figures));
+        }
+    };
+    std::thread::scope(|scope| {
+        for _ in 0..options.parallel.max(1) {
+            scope.spawn(work);
+        }
+    });
+    measured.into_inner().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Returns the mean of each figure over the replays that have it.
+fn mean(figures: &[&CreditFigures]) -> CreditFigures {
+    let mut sums: BTreeMap<String, (f64, f64)> = BTreeMap::new();
+    for (name, value) in figures.iter().flat_map(|set| set.iter()) {
+        let (sum, count) = sums.entry(name.clone()).or_default();
+        *sum += value;
+        *count += 1.0;
+    }
+    sums.into_iter().map(|(name, (sum, count))| (name, sum / count)).collect()
+}
+
+fn tables(results: &[LabResult], factors: &[f64]) -> String {
+    let mut text = String::new();
+    for factor in factors {
+        let own: Vec<&LabResult> =
+            results.iter().filter(|result| result.factor == *factor).collect();
+        let names = own.first().map(|result| result.figures.keys()).into_iter().flatten();
+        let row = |name: &String| {
+            let values = own.iter().map(|result| result.figures.get(name).copied());
+            let values = values.map(|value| value.map_or("-".into(), report::format_number));
+            std::iter::once(name.clone()).chain(values).collect::<Vec<String>>()
+        };
+        let head: Vec<&str> = std::iter::once("figure")
+            .chain(own.iter().map(|result| result.order.as_str()))
+            .collect();
+        let rows: Vec<Vec<String>> = names.map(row).collect();
+        text += &format!("Load x {factor}\n\n{}\n", report::format_table(&head, &rows));
+    }
+    text
+}
+
+fn plot(path: &Path, results: &[LabResult]) -> Result<(), String> {
+    let lines = ORDERS.iter().map(|(name, _)| {
+        let own = results.iter().filter(|result| result.order == *name);
+        let value = |result: &LabResult| result.figures.get(PLOTTED).copied().unwrap_or_default();
+        PlotLine {
+            name: (*name).to_owned(),
+            points: own.map(|result| (result.factor, value(result))).collect(),
+        }
+    });
+    report::plot_lines(path, "multiple of the load", PLOTTED, &lines.collect::<Vec<PlotLine>>())
+}
--- /dev/null
+++ b/crates/experiment/src/lab/credit.rs
@@ -0,0 +1,116 @@
+//! What the users of a replayed load got.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use lacewingrail_fleet::queue::job_work;
+use serde::Serialize;
+
+use crate::lab::replay::ReplayRecord;
+use crate::lab::sheet::{LabJob, LoadSheet, QueueSheet};
+
+/// Share of a job's credit that does not depend on its size.
+const FIXED_CREDIT: f64 = 0.3;
+/// Largest credit of a job against the mean of its queue.
+const LARGEST_CREDIT: f64 = 4.0;
+/// Multiple of the objective after which a job earns nothing.
+const LATE_MULTIPLE: f64 = 3.0;
+/// Share of the jobs of a queue that count as large.
+const LARGE_SHARE: f64 = 0.1;
+/// Share of the jobs of a queue, below the large ones, that count as medium.
+const MEDIUM_SHARE: f64 = 0.2;
+
+/// Holds the credit that a group of jobs earned of what it could.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct CreditShare {
+    /// Credit earned.
+    pub earned: f64,
+    /// Credit of all jobs on time.
+    pub owed: f64,
+}
+
+/// Holds the figures of one replay by name.
+pub type CreditFigures = BTreeMap<String, f64>;
+
+impl CreditShare {
+    /// Adds a job.
+    pub fn add(&mut self, earned: f64, owed: f64) {
+        self.earned += earned;
+        self.owed += owed;
+    }
+
+    /// Returns the share earned; 1 for a group that nothing is owed.
+    pub fn share(&self) -> f64 {
+        if self.owed > 0.0 { self.earned / self.owed } else { 1.0 }
+    }
+}
+
+/// Computes the credit by queue, size and customer, and what the schedule cost.
+pub fn measure(sheet: &LoadSheet, jobs: &[LabJob], record: &ReplayRecord) -> CreditFigures {
+    let mut groups: BTreeMap<String, CreditShare> = BTreeMap::new();
+    for queue in &sheet.queues {
+        let mut own: Vec<&LabJob> =
+            jobs.iter().filter(|job| job.submission.queue == queue.name).collect();
+        own.sort_by(|left, right| work_of(right).total_cmp(&work_of(left)));
+        let mean = own.iter().map(|job| work_of(job)).sum::<f64>() / own.len().max(1) as f64;
+        for (place, job) in own.iter().enumerate() {
+            let size = FIXED_CREDIT + (1.0 - FIXED_CREDIT) * work_of(job) / mean;
+            let owed = queue.worth * size.min(LARGEST_CREDIT);
+            let completed = record.completed.get(&job.submission.key);
+            let earned = owed * completed.map_or(0.0, |age| timeliness(queue, job, *age));
+            let size = size_name(place as f64 / own.len() as f64);
+            let customer = &job.submission.customer;
+            let names = [
+                format!("queue {}", queue.name),
+                size,
+                format!("customer {customer}"),
+                "all".into(),
+            ];
+            for name in names {
+                groups.entry(name).or_default().add(earned, owed);
+            }
+        }
+    }
+    let credit = groups.iter().map(|(name, share)| (format!("credit {name}"), share.share()));
+    let mut figures: CreditFigures = credit.collect();
+    let costs = [
+        ("jobs completed, share", record.completed.len() as f64 / jobs.len().max(1) as f64),
+        ("work lost, core-s", record.lost),
+        ("starts", record.starts as f64),
+        ("starts refused", record.refused as f64),
+        ("stops", record.stops as f64),
+        ("stops of borrowers", record.preemptions as f64),
+        ("renewals", record.renewals as f64),
+        ("store writes", record.writes as f64),
+    ];
+    figures.extend(costs.map(|(name, value)| (name.to_owned(), value)));
+    figures
+}
+
+/// Returns the share of its credit that a job earns by the time it took.
+fn timeliness(queue: &QueueSheet, job: &LabJob, age: Duration) -> f64 {
+    let chain: f64 = job.work.iter().map(|step| step.iter().copied().fold(0.0, f64::max)).sum();
+    let objective = chain * queue.stretch + Duration::from_millis(queue.slack_ms).as_secs_f64();
+    if age.as_secs_f64() <= objective {
+        1.0
+    } else if age.as_secs_f64() <= objective * LATE_MULTIPLE {
+        queue.late_share
+    } else {
+        0.0
+    }
+}
+
+fn work_of(job: &LabJob) -> f64 {
+    job_work(&job.submission.spec.steps)
+}
+
+/// Names the size of a job by the share of larger ones in its queue.
+fn size_name(larger: f64) -> String {
+    if larger < LARGE_SHARE {
+        "size largest tenth".into()
+    } else if larger < LARGE_SHARE + MEDIUM_SHARE {
+        "size fifth below".into()
+    } else {
+        "size smaller".into()
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/lab/replay.rs
@@ -0,0 +1,163 @@
+//! Replays a load on the planner in simulated time.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use lacewingrail_fleet::order::RenewOrder;
+use lacewingrail_fleet::queue::QueueOrder;
+use lacewingrail_fleet::{
+    FleetEvent, FleetOrder, FleetPlanner, JobKey, JobPhase, PlannerNote, PlannerSettings,
+    StartOutcome, TaskRun,
+};
+
+use crate::lab::fleet::SimFleet;
+use crate::lab::sheet::{LabJob, LoadSheet};
+
+/// Step of the simulated time; orders are answered and events seen one step later.
+const STEP: Duration = Duration::from_millis(20);
+/// Time after the last arrival for which jobs may still end.
+const FINISH: Duration = Duration::from_secs(30);
+/// Time before the first arrival in which the planner hears its workers.
+const SETTLE: Duration = Duration::from_secs(2);
+
+/// Holds what one replay showed.
+#[derive(Clone, Debug, Default)]
+pub struct ReplayRecord {
+    /// Time from arrival to completion of the jobs that completed.
+    pub completed: BTreeMap<JobKey, Duration>,
+    /// Work that was stopped or broken and not saved, in core-seconds.
+    pub lost: f64,
+    /// Starts ordered.
+    pub starts: u64,
+    /// Starts refused for want of room.
+    pub refused: u64,
+    /// Stops ordered.
+    pub stops: u64,
+    /// Stops of borrowers for urgent work.
+    pub preemptions: u64,
+    /// Renewals sent.
+    pub renewals: u64,
+    /// Writes to the store.
+    pub writes: u64,
+}
+
+/// Holds a replay in progress.
+struct Replay<'a> {
+    planner: FleetPlanner,
+    fleet: SimFleet,
+    work: BTreeMap<JobKey, &'a LabJob>,
+    waiting: Vec<(RenewOrder, Duration)>,
+    events: VecDeque<FleetEvent>,
+    record: ReplayRecord,
+    now: Duration,
+}
+
+/// Replays jobs under an order of the waiting work.
+pub fn replay(sheet: &LoadSheet, jobs: &[LabJob], order: QueueOrder) -> ReplayRecord {
+    let settings = PlannerSettings {
+        epoch: 1,
+        lease: Duration::from_secs(6),
+        grace: Duration::from_secs(6),
+        report_wait: Duration::from_secs(1),
+        keep_ended: Duration::from_secs(120),
+        unix_origin_ms: 0,
+    };
+    let mut planner = FleetPlanner::new(settings, Duration::ZERO);
+    planner.set_order(order);
+    let mut replay = Replay {
+        planner,
+        fleet: SimFleet::new(sheet),
+        work: jobs.iter().map(|job| (job.submission.key, job)).collect(),
+        waiting: Vec::new(),
+        events: VecDeque::new(),
+        record: ReplayRecord::default(),
+        now: Duration::ZERO,
+    };
+    replay.events.push_back(FleetEvent::ConfigChanged(Arc::new(sheet.config())));
+    replay.events.push_back(FleetEvent::WorkersListed(sheet.listings()));
+    replay.events.push_back(FleetEvent::RosterLoaded(Default::default()));
+    let last = jobs.last().map_or(Duration::ZERO, |job| job.at);
+    let mut arrivals = jobs.iter().peekable();
+    while replay.now < SETTLE + last + FINISH {
+        while let Some(job) = arrivals.next_if(|job| job.at + SETTLE <= replay.now) {
+            replay.events.push_back(FleetEvent::JobAccepted {
+                submission: job.submission.clone(),
+                progress: None,
+                age: Duration::ZERO,
+            });
+        }
+        replay.step();
+    }
+    replay.record.lost = replay.fleet.lost;
+    replay.record.preemptions = replay.planner.counts().preemptions;
+    replay.record
+}
+
+impl Replay<'_> {
+    fn step(&mut self) {
+        self.now += STEP;
+        self.fleet.pass(self.now, STEP);
+        self.answer_renewals();
+        for event in std::mem::take(&mut self.events) {
+            self.planner.handle(self.now, event);
+        }
+        for order in self.planner.plan(self.now) {
+            self.execute(order);
+        }
+        for note in self.planner.take_notes() {
+            if let PlannerNote::JobEnded { job, phase: JobPhase::Completed, age, .. } = note {
+                self.record.completed.insert(job, age);
+            }
+        }
+    }
+
+    /// Answers the renewals whose worker has ends to report or that have waited for long enough.
+    fn answer_renewals(&mut self) {
+        let (now, fleet) = (self.now, &mut self.fleet);
+        let due = |(order, sent): &mut (RenewOrder, Duration)| {
+            now >= *sent + order.wait || fleet.has_ended(&order.worker, order.acknowledge)
+        };
+        let answered: Vec<_> = self.waiting.extract_if(.., due).collect();
+        for (order, sent) in answered {
+            if let Some(report) = self.fleet.report(&order.worker, order.acknowledge, now) {
+                self.events.push_back(FleetEvent::LeaseAnswered {
+                    worker: order.worker,
+                    sent,
+                    report,
+                });
+            }
+        }
+    }
+
+    fn execute(&mut self, order: FleetOrder) {
+        match order {
+            FleetOrder::Start(order) => {
+                self.record.starts += 1;
+                let TaskRun { worker, task, run, .. } = order.target.clone();
+                let work = self.work[&task.job].work[task.step as usize][task.index as usize];
+                let outcome = self.fleet.start(&order, work, self.now);
+                self.record.refused += u64::from(outcome != StartOutcome::Started);
+                self.events.push_back(FleetEvent::StartAnswered { worker, task, run, outcome });
+            }
+            FleetOrder::Stop(TaskRun { worker, task, run, .. }) => {
+                self.record.stops += 1;
+                self.fleet.stop(&worker, task, run);
+                let confirmed = true;
+                self.events.push_back(FleetEvent::StopAnswered { worker, task, run, confirmed });
+            }
+            FleetOrder::Renew(order) => {
+                self.record.renewals += 1;
+                self.waiting.push((order, self.now));
+            }
+            FleetOrder::Store { job, progress } => {
+                self.record.writes += 1;
+                let sequence = progress.sequence;
+                self.events.push_back(FleetEvent::ProgressStored { job, sequence });
+            }
+            FleetOrder::StoreRoster(_) | FleetOrder::Forget(_) => self.record.writes += 1,
+            // The loads of the lab have no filling tasks and no advisers, and one scheduler.
+            FleetOrder::Pace { .. } | FleetOrder::Advise(_) | FleetOrder::StepDown => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/lab/sheet.rs
@@ -0,0 +1,269 @@
+//! The load that the lab replays: a sheet of queues and workers, and the jobs drawn from it.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lacewingrail_fleet::{
+    CustomerShare, FleetConfig, JobKey, JobSpec, JobSubmission, QueuePolicy, ResourceAmount,
+    StepSpec, WorkerListing,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+
+/// Service of all workers and queues.
+const SERVICE: &str = "desk";
+/// Failed runs after which a task is given up.
+const MAX_FAILURES: u32 = 4;
+/// Uniform numbers whose sum stands for a normal one.
+const NORMAL_TERMS: usize = 12;
+
+/// Describes a region and its load.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LoadSheet {
+    /// Failure domains.
+    pub domains: Vec<String>,
+    /// Number of workers, spread evenly over the domains.
+    pub workers: usize,
+    /// Workers in a rack.
+    pub rack: usize,
+    /// Speeds of the workers, in turn.
+    pub speeds: Vec<f64>,
+    /// Capacity of each worker.
+    pub capacity: SheetAmount,
+    /// Factor by which work away from its rack takes longer.
+    pub away_factor: f64,
+    /// Seconds between checkpoints.
+    pub checkpoint_s: f64,
+    /// Milliseconds that a restored task takes before it goes on.
+    pub restore_ms: u64,
+    /// Guaranteed accelerators by customer.
+    pub customers: BTreeMap<String, i64>,
+    /// Queues.
+    pub queues: Vec<QueueSheet>,
+}
+
+/// Holds an amount of resources.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SheetAmount {
+    cores: f64,
+    memory_mb: i64,
+    accelerators: i64,
+}
+
+/// Describes a number that varies.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SpreadNumber {
+    mean: f64,
+    /// Standard deviation of the logarithm.
+    spread: f64,
+    most: f64,
+}
+
+/// Describes a queue and the jobs that come to it.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct QueueSheet {
+    /// Name.
+    pub name: String,
+    /// Priority.
+    pub priority: u32,
+    /// Credit of a job of mean work on time.
+    pub worth: f64,
+    /// Share of the credit of a late job.
+    pub late_share: f64,
+    /// Jobs a second.
+    pub per_second: f64,
+    /// Multiple of the longest chain of work within which a job is on time.
+    pub stretch: f64,
+    /// Milliseconds added to that multiple.
+    pub slack_ms: u64,
+    run_s: SpreadNumber,
+    tasks: SpreadNumber,
+    /// Mean number of steps; each waits for the one before.
+    steps: f64,
+    cores: f64,
+    memory_mb: i64,
+    /// Accelerators of a task, drawn evenly.
+    accelerators: Vec<i64>,
+    /// Shares of the jobs.
+    gang: f64,
+    one_rack: f64,
+    data_rack: f64,
+    checkpoints: f64,
+    /// Spread of the run times of the tasks of a step.
+    task_spread: f64,
+    /// Spread of the declared run time about the real one.
+    declared_spread: f64,
+}
+
+/// Holds a job of the load.
+#[derive(Clone, Debug)]
+pub struct LabJob {
+    /// Submission.
+    pub submission: Arc<JobSubmission>,
+    /// Time of arrival.
+    pub at: Duration,
+    /// Seconds of real work of each task of each step on a worker of speed 1.
+    pub work: Vec<Vec<f64>>,
+}
+
+impl LoadSheet {
+    /// Reads a sheet; the error names the file.
+    pub fn read(path: &Path) -> Result<Self, String> {
+        let fail = |error: String| format!("cannot read {}: {error}", path.display());
+        let text = std::fs::read_to_string(path).map_err(|error| fail(error.to_string()))?;
+        let sheet: Self = serde_norway::from_str(&text).map_err(|error| fail(error.to_string()))?;
+        let complete = !sheet.domains.is_empty() && !sheet.speeds.is_empty() && sheet.rack > 0;
+        let filled = sheet.queues.iter().all(|queue| !queue.accelerators.is_empty());
+        if complete && filled && !sheet.customers.is_empty() {
+            Ok(sheet)
+        } else {
+            Err(fail("domains, speeds, rack, customers or accelerators are empty".into()))
+        }
+    }
+
+    /// Returns the settings that the planner works under.
+    pub fn config(&self) -> FleetConfig {
+        let queues = self.queues.iter().map(|queue| {
+            let policy = QueuePolicy {
+                service: SERVICE.into(),
+                priority: queue.priority,
+                max_failures: MAX_FAILURES,
+                stretch: queue.stretch,
+                slack: Duration::from_millis(queue.slack_ms),
+                advice: None,
+            };
+            (queue.name.clone(), policy)
+        });
+        let customers = self
+            .customers
+            .iter()
+            .map(|(name, guaranteed)| (name.clone(), CustomerShare { guaranteed: *guaranteed }));
+        FleetConfig { version: 1, queues: queues.collect(), customers: customers.collect() }
+    }
+
+    /// Returns the workers.
+    pub fn listings(&self) -> Vec<WorkerListing> {
+        let in_domain = self.workers.div_ceil(self.domains.len());
+        let listing = |index: usize| {
+            let domain = &self.domains[index / in_domain];
+            let rack = self.rack_name(index);
+            WorkerListing {
+                id: format!("worker-{index}"),
+                address: format!("worker-{index}:80"),
+                service: SERVICE.into(),
+                domain: domain.clone(),
+                rack: Some(rack.clone()),
+                labels: vec![rack],
+                capacity: self.capacity.amount(),
+                draining: false,
+                remaining: None,
+                born: 1,
+            }
+        };
+        (0..self.workers).map(listing).collect()
+    }
+
+    /// Returns the jobs that arrive within a time, at a multiple of the sheet's rates.
+    pub fn draw(&self, factor: f64, time: Duration, seed: u64) -> Vec<LabJob> {
+        let mut jobs = Vec::new();
+        for (index, queue) in self.queues.iter().enumerate() {
+            // A stream of its own keeps the jobs of a queue the same whatever the others hold.
+            let mut random = ChaCha8Rng::seed_from_u64(seed);
+            random.set_stream(index as u64);
+            let mut at = 0.0;
+            loop {
+                at -= random.random::<f64>().max(f64::MIN_POSITIVE).ln()
+                    / (queue.per_second * factor);
+                if at >= time.as_secs_f64() {
+                    break;
+                }
+                let key = (index as JobKey + 1) << 32 | jobs.len() as JobKey;
+                jobs.push(self.draw_job(queue, key, Duration::from_secs_f64(at), &mut random));
+            }
+        }
+        jobs.sort_by_key(|job| job.at);
+        jobs
+    }
+
+    fn draw_job(
+        &self,
+        queue: &QueueSheet,
+        key: JobKey,
+        at: Duration,
+        random: &mut ChaCha8Rng,
+    ) -> LabJob {
+        let gang = random.random_bool(queue.gang);
+        let rack = random.random_range(0..self.workers);
+        let data_rack = random.random_bool(queue.data_rack).then(|| self.rack_name(rack));
+        let extra = queue.steps - 1.0;
+        let count = 1 + usize::from(random.random_bool(extra.clamp(0.0, 1.0)));
+        let (mut steps, mut work) = (Vec::new(), Vec::new());
+        for index in 0..count {
+            let run_s = queue.run_s.draw(random);
+            let tasks = queue.tasks.draw(random).round().max(1.0) as usize;
+            let uneven = |random: &mut ChaCha8Rng| run_s * scatter(queue.task_spread, random);
+            work.push((0..tasks).map(|_| uneven(random)).collect());
+            let declared = run_s * scatter(queue.declared_spread, random);
+            let accelerators = queue.accelerators[random.random_range(0..queue.accelerators.len())];
+            steps.push(StepSpec {
+                count: tasks as u32,
+                demand: ResourceAmount {
+                    cpu_milli: (queue.cores * 1000.0) as i64,
+                    memory_mb: queue.memory_mb,
+                    accelerators,
+                },
+                estimate: Duration::from_secs_f64(declared),
+                after: index.checked_sub(1).map(|before| before as u32).into_iter().collect(),
+                gang,
+                one_rack: gang && random.random_bool(queue.one_rack),
+                data_rack: data_rack.clone(),
+                checkpoints: random.random_bool(queue.checkpoints),
+                ..StepSpec::default()
+            });
+        }
+        let customer = random.random_range(0..self.customers.len());
+        let customer = self.customers.keys().nth(customer).cloned().unwrap_or_default();
+        let submission = JobSubmission {
+            key,
+            queue: queue.name.clone(),
+            customer,
+            spec: JobSpec { payload: String::new(), steps, schedule: None },
+            accepted_unix_ms: 0,
+        };
+        LabJob { submission: Arc::new(submission), at, work }
+    }
+
+    fn rack_name(&self, worker: usize) -> String {
+        format!("rack-{}", worker / self.rack)
+    }
+}
+
+impl SheetAmount {
+    fn amount(self) -> ResourceAmount {
+        ResourceAmount {
+            cpu_milli: (self.cores * 1000.0) as i64,
+            memory_mb: self.memory_mb,
+            accelerators: self.accelerators,
+        }
+    }
+}
+
+impl SpreadNumber {
+    fn draw(self, random: &mut ChaCha8Rng) -> f64 {
+        (self.mean * scatter(self.spread, random)).min(self.most)
+    }
+}
+
+/// Returns a factor of mean 1 whose logarithm is normal.
+fn scatter(spread: f64, random: &mut ChaCha8Rng) -> f64 {
+    let sum: f64 = (0..NORMAL_TERMS).map(|_| random.random::<f64>()).sum();
+    let normal = sum - NORMAL_TERMS as f64 / 2.0;
+    (spread * normal - spread * spread / 2.0).exp()
+}
--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -5,6 +5,7 @@
 
 mod capacity;
 mod harness;
+mod lab;
 mod policies;
 mod report;
 mod slope;
@@ -25,6 +26,10 @@
              both: --user om-north|jawa, --seeds N (default 5), --first-seed N (default 1),
              --parallel N runs at a time (default 5), --seconds N of load (default 40),
              --only TEXT in the name of a configuration, --out DIR (default docs/experiments)
+  lab        compare orders of waiting work on the planner, in simulated time
+             --sheet FILE (such as examples/loads/om-north.yaml), --factors LIST (default 1,2,3),
+             --seeds N (default 5), --first-seed N (default 1), --parallel N (default 4),
+             --seconds N of arrivals (default 40), --out DIR (default docs/experiments)
 
 example:
   cargo run --release -p lacewingrail-experiment -- capacity --out docs/capacity
@@ -84,6 +89,23 @@
                 _ => runtime.block_on(policies::run_domains(&options)),
             }
         }
+        Some("lab") => {
+            let factors: String =
+                read(&mut arguments, "--factors")?.unwrap_or_else(|| "1,2,3".to_owned());
+            let factors = factors.split(',').map(str::parse::<f64>).collect::<Result<_, _>>();
+            let options = lab::LabOptions {
+                sheet: read(&mut arguments, "--sheet")?.ok_or("--sheet is missing")?,
+                factors: factors.map_err(|error| format!("--factors: {error}\n{USAGE}"))?,
+                seeds: read(&mut arguments, "--seeds")?.unwrap_or(5),
+                first_seed: read(&mut arguments, "--first-seed")?.unwrap_or(1),
+                seconds: read(&mut arguments, "--seconds")?.unwrap_or(40),
+                parallel: read(&mut arguments, "--parallel")?.unwrap_or(4),
+                out: read(&mut arguments, "--out")?
+                    .unwrap_or_else(|| PathBuf::from("docs/experiments")),
+            };
+            refuse_rest(arguments)?;
+            lab::run(&options)
+        }
         Some(other) => Err(format!("the command {other:?} is unknown\n{USAGE}")),
         None => Err(format!("a command is missing\n{USAGE}")),
     }
--- a/crates/experiment/src/report.rs
+++ b/crates/experiment/src/report.rs
@@ -11,6 +11,14 @@
 /// Width and height of a plot in pixels.
 const PLOT_SIZE: (u32, u32) = (640, 360);
 
+/// Holds one line of a plot.
+pub struct PlotLine {
+    /// Name in the legend.
+    pub name: String,
+    /// Points from left to right.
+    pub points: Vec<(f64, f64)>,
+}
+
 /// Writes a value as indented JSON.
 pub fn write_json<T>(path: &Path, value: &T) -> Result<(), String>
 where
@@ -80,3 +88,31 @@
     }
     area.present().map_err(|error| fail(error.to_string()))
 }
+
+/// Plots named lines as SVG.
+pub fn plot_lines(path: &Path, x: &str, y: &str, lines: &[PlotLine]) -> Result<(), String> {
+    let fail = |error: String| format!("cannot plot {}: {error}", path.display());
+    let points = || lines.iter().flat_map(|line| &line.points);
+    let right = points().map(|point| point.0).fold(0.0, f64::max) * 1.05 + f64::EPSILON;
+    let top = points().map(|point| point.1).fold(0.0, f64::max) * 1.15 + f64::EPSILON;
+    let area = SVGBackend::new(path, PLOT_SIZE).into_drawing_area();
+    area.fill(&WHITE).map_err(|error| fail(error.to_string()))?;
+    let mut chart = ChartBuilder::on(&area)
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(64)
+        .build_cartesian_2d(0.0..right, 0.0..top)
+        .map_err(|error| fail(error.to_string()))?;
+    chart.configure_mesh().x_desc(x).y_desc(y).draw().map_err(|error| fail(error.to_string()))?;
+    for (index, line) in lines.iter().enumerate() {
+        let color = Palette99::pick(index).to_rgba();
+        let series = LineSeries::new(line.points.iter().copied(), color.stroke_width(2));
+        let drawn = chart.draw_series(series).map_err(|error| fail(error.to_string()))?;
+        drawn
+            .label(&line.name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color));
+    }
+    let labels = chart.configure_series_labels().border_style(BLACK).draw();
+    labels.map_err(|error| fail(error.to_string()))?;
+    area.present().map_err(|error| fail(error.to_string()))
+}
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -34,7 +34,7 @@
 use crate::event::{FleetEvent, StartOutcome, StartRefusal, WorkerListing};
 use crate::job::{JobEntry, JobPhase, TaskPhase};
 use crate::order::FleetOrder;
-use crate::queue::{WorkMeans, job_work, objective};
+use crate::queue::{QueueOrder, WorkMeans, job_work, objective};
 use crate::record::{JobProgress, WorkerRoster};
 use crate::spec::{JobKey, JobSpec, JobSubmission, RunNumber, StepKey, TaskKey};
 use crate::worker::{RunPhase, WorkerEntry};
@@ -65,6 +65,7 @@
     settings: PlannerSettings,
     started: Duration,
     config: Arc<FleetConfig>,
+    order: QueueOrder,
     domains_out: BTreeSet<DomainName>,
     jobs: BTreeMap<JobKey, JobEntry>,
     /// Jobs whose cancellation was read before their submission.
@@ -98,6 +99,7 @@
             settings,
             started: now,
             config: Arc::default(),
+            order: QueueOrder::default(),
             domains_out: BTreeSet::new(),
             jobs: BTreeMap::new(),
             early_cancels: BTreeSet::new(),
@@ -134,6 +136,11 @@
         self.settings.epoch = epoch;
     }
 
+    /// Sets how waiting work is ordered.
+    pub fn set_order(&mut self, order: QueueOrder) {
+        self.order = order;
+    }
+
     /// Returns what is worth a log line since the last call.
     pub fn take_notes(&mut self) -> Vec<PlannerNote> {
         std::mem::take(&mut self.notes)
--- a/crates/fleet/src/planner/dispatch.rs
+++ b/crates/fleet/src/planner/dispatch.rs
@@ -7,7 +7,7 @@
 use crate::guarantee::covered_jobs;
 use crate::job::JobEntry;
 use crate::placement::{PlaceBoard, PlaceReach, PlaceRequest, SlotIndex};
-use crate::queue::{URGENT, WorkItem, rank_work};
+use crate::queue::{RankBasis, URGENT, WorkItem, rank_work};
 use crate::spec::{StepKey, StepSpec, TaskKey};
 
 /// Time after which a gang that needs no common rack spreads over failure domains.
@@ -27,7 +27,15 @@
         let capacity = board.slots.iter().map(|slot| slot.capacity).max_by_key(|c| c.cpu_milli);
         let capacity = capacity.unwrap_or_default();
         self.covered = covered_jobs(&self.jobs, &self.config);
-        let items = rank_work(&self.jobs, &self.config, &self.covered, &self.means, &capacity, now);
+        let basis = RankBasis {
+            order: self.order,
+            config: &self.config,
+            covered: &self.covered,
+            means: &self.means,
+            capacity: &capacity,
+            now,
+        };
+        let items = rank_work(&self.jobs, &basis);
         for item in items {
             if self.jobs.get(&item.job).is_none_or(|job| self.awaits_workers(job)) {
                 continue;
@@ -52,7 +60,7 @@
             return;
         }
         let waited = self.note_waiting(key, now);
-        let urgent = item.priority == URGENT;
+        let urgent = item.priority == URGENT && self.order.preempts();
         let request = PlaceRequest {
             service: &service,
             spec: &spec,
--- a/crates/fleet/src/queue.rs
+++ b/crates/fleet/src/queue.rs
@@ -33,6 +33,45 @@
 /// Cores that an accelerator counts as when work is measured.
 const ACCELERATOR_CORES: f64 = 8.0;
 
+/// Selects how waiting work is ordered.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum QueueOrder {
+    /// Urgent work first, then by value for the capacity taken, see the head of the module.
+    #[default]
+    Value,
+    /// By acceptance, without preemption; a baseline for measurements.
+    Arrival,
+    /// By the end of the objective, without preemption; a baseline for measurements.
+    Deadline,
+    /// By value for the capacity taken, whether or not it comes in time, without preemption; a
+    /// baseline for measurements.
+    Density,
+}
+
+impl QueueOrder {
+    /// Returns whether urgent work comes before all other work and takes its room.
+    pub fn preempts(self) -> bool {
+        self == Self::Value
+    }
+}
+
+/// Holds what the order of work depends on beside the jobs.
+#[derive(Clone, Copy, Debug)]
+pub struct RankBasis<'a> {
+    /// Order.
+    pub order: QueueOrder,
+    /// Settings.
+    pub config: &'a FleetConfig,
+    /// Urgent jobs that their customers' guarantees cover.
+    pub covered: &'a BTreeSet<JobKey>,
+    /// Mean work of the jobs of each queue.
+    pub means: &'a WorkMeans,
+    /// Capacity of the largest worker.
+    pub capacity: &'a ResourceAmount,
+    /// Time.
+    pub now: Duration,
+}
+
 /// Names a step that has waiting tasks.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WorkItem {
@@ -46,7 +85,8 @@
     pub priority: u32,
     /// Whether the customer's guarantee covers the job.
     pub covered: bool,
-    /// Value per second of capacity; of urgent work, the negative time to its objective.
+    /// Value per second of capacity; of urgent work, the negative time to its objective. Higher comes
+    /// first.
     pub rank: f64,
 }
 
@@ -88,23 +128,16 @@
 }
 
 /// Returns all steps that can start now, the first to be considered first.
-pub fn rank_work(
-    jobs: &BTreeMap<JobKey, JobEntry>,
-    config: &FleetConfig,
-    covered: &BTreeSet<JobKey>,
-    means: &WorkMeans,
-    capacity: &ResourceAmount,
-    now: Duration,
-) -> Vec<WorkItem> {
+pub fn rank_work(jobs: &BTreeMap<JobKey, JobEntry>, basis: &RankBasis<'_>) -> Vec<WorkItem> {
     let mut items = Vec::new();
     for (key, entry) in jobs {
         if entry.phase.is_final() {
             continue;
         }
-        let Some(policy) = config.queues.get(&entry.submission.queue) else {
+        let Some(policy) = basis.config.queues.get(&entry.submission.queue) else {
             continue;
         };
-        let rank = rank_job(entry, policy, means, capacity, now);
+        let rank = rank_job(entry, policy, basis);
         for occurrence in &entry.occurrences {
             for step in ready_steps(entry, occurrence.number) {
                 items.push(WorkItem {
@@ -112,7 +145,7 @@
                     occurrence: occurrence.number,
                     step,
                     priority: policy.priority,
-                    covered: covered.contains(key),
+                    covered: basis.covered.contains(key),
                     rank,
                 });
             }
@@ -120,6 +153,7 @@
     }
     items.sort_by(|left, right| {
         let tier = |item: &WorkItem| (!item.covered, item.priority != URGENT);
+        let tier = |item: &WorkItem| if basis.order.preempts() { tier(item) } else { (true, true) };
         tier(left)
             .cmp(&tier(right))
             .then(right.rank.total_cmp(&left.rank))
@@ -143,26 +177,31 @@
     specs.filter(ready).map(|(index, _)| index as u32).collect()
 }
 
-fn rank_job(
-    entry: &JobEntry,
-    policy: &QueuePolicy,
-    means: &WorkMeans,
-    capacity: &ResourceAmount,
-    now: Duration,
-) -> f64 {
+fn rank_job(entry: &JobEntry, policy: &QueuePolicy, basis: &RankBasis<'_>) -> f64 {
     let objective = objective(entry, policy);
     let due = entry.accepted + objective;
-    if policy.priority == URGENT {
-        return now.as_secs_f64() - due.as_secs_f64();
+    match basis.order {
+        QueueOrder::Value if policy.priority == URGENT => {
+            basis.now.as_secs_f64() - due.as_secs_f64()
+        }
+        QueueOrder::Value => {
+            let finish = basis.now + remaining_path(entry);
+            density(entry, policy, basis) * timeliness(entry.accepted, objective, finish)
+        }
+        QueueOrder::Arrival => -entry.accepted.as_secs_f64(),
+        QueueOrder::Deadline => -due.as_secs_f64(),
+        QueueOrder::Density => density(entry, policy, basis),
     }
-    let steps = &entry.submission.spec.steps;
-    let work = job_work(steps);
-    let mean = means.mean(&entry.submission.queue).unwrap_or(work).max(f64::MIN_POSITIVE);
+}
+
+/// Returns the value of a job on time for each second of capacity that it still takes.
+fn density(entry: &JobEntry, policy: &QueuePolicy, basis: &RankBasis<'_>) -> f64 {
+    let work = job_work(&entry.submission.spec.steps);
+    let mean = basis.means.mean(&entry.submission.queue).unwrap_or(work).max(f64::MIN_POSITIVE);
     let size = (FIXED_VALUE + (1.0 - FIXED_VALUE) * work / mean).min(LARGEST_VALUE);
     let class = (policy.priority as usize).min(PRIORITY_WEIGHTS.len() - 1);
-    let finish = now + remaining_path(entry);
-    let value = PRIORITY_WEIGHTS[class] * size * timeliness(entry.accepted, objective, finish);
-    value / remaining_capacity(entry, capacity).max(f64::MIN_POSITIVE)
+    let seconds = remaining_capacity(entry, basis.capacity).max(f64::MIN_POSITIVE);
+    PRIORITY_WEIGHTS[class] * size / seconds
 }
 
 /// Returns the share of its value that work keeps when it ends at a time.
