Refuse at once work that would end far too late

Cause: only what no worker could ever run was refused. In an overload that lasts, urgent work beyond its customer's guarantee, and what comes behind urgent work, waited although it would end after three objectives at the earliest, when its customer has given up.

Change: at submission the planner computes the least time until the waiting work is done that comes before the new job all the time, and refuses with the time after which the same job could be served as Retry-After. Work that a guarantee covers, recurring and continuous jobs are not refused.

--- a/crates/experiment/src/lab.rs
+++ b/crates/experiment/src/lab.rs
@@ -21,12 +21,12 @@
 use crate::lab::sheet::LoadSheet;
 use crate::report::{self, PlotLine};
 
-/// Orders that are compared, by name.
-const ORDERS: [(&str, QueueOrder); 4] = [
-    ("value", QueueOrder::Value),
-    ("arrival", QueueOrder::Arrival),
-    ("deadline", QueueOrder::Deadline),
-    ("density", QueueOrder::Density),
+/// Orders that can be compared.
+const ORDERS: [NamedOrder; 4] = [
+    NamedOrder { name: "value", order: QueueOrder::Value },
+    NamedOrder { name: "arrival", order: QueueOrder::Arrival },
+    NamedOrder { name: "deadline", order: QueueOrder::Deadline },
+    NamedOrder { name: "density", order: QueueOrder::Density },
 ];
 /// Figure that the plot shows.
 const PLOTTED: &str = "credit all";
@@ -41,6 +41,8 @@
     pub seeds: u64,
     /// Number of the first seed.
     pub first_seed: u64,
+    /// Names of the orders that are compared.
+    pub orders: Vec<String>,
     /// Seconds of arrivals.
     pub seconds: u64,
     /// Replays at a time.
@@ -49,10 +51,17 @@
     pub out: PathBuf,
 }
 
+/// Names an order of waiting work.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct NamedOrder {
+    name: &'static str,
+    order: QueueOrder,
+}
+
 /// Names one replay.
 #[derive(Clone, Copy, Debug)]
 struct LabCase {
-    order: usize,
+    order: NamedOrder,
     factor: f64,
     seed: u64,
 }
@@ -71,23 +80,29 @@
 pub fn run(options: &LabOptions) -> Result<(), String> {
     let sheet = LoadSheet::read(&options.sheet)?;
     let name = options.sheet.file_stem().map_or("load".into(), |stem| stem.to_string_lossy());
+    let orders = options.orders.iter().map(|name| named_order(name));
+    let orders = orders.collect::<Result<Vec<NamedOrder>, String>>()?;
     let mut cases = Vec::new();
     for factor in &options.factors {
         for seed in options.first_seed..options.first_seed + options.seeds {
-            cases.extend((0..ORDERS.len()).map(|order| LabCase { order, factor: *factor, seed }));
+            cases.extend(orders.iter().map(|order| LabCase {
+                order: *order,
+                factor: *factor,
+                seed,
+            }));
         }
     }
     let measured = replay_all(&sheet, &cases, options);
     let mut results = Vec::new();
     for factor in &options.factors {
-        for (index, (order, _)) in ORDERS.iter().enumerate() {
+        for order in &orders {
             let own = |(case, _): &&(LabCase, CreditFigures)| {
-                case.order == index && case.factor == *factor
+                case.order == *order && case.factor == *factor
             };
             let figures: Vec<&CreditFigures> =
                 measured.iter().filter(own).map(|(_, figures)| figures).collect();
             results.push(LabResult {
-                order: (*order).to_owned(),
+                order: order.name.to_owned(),
                 factor: *factor,
                 seeds: options.seeds,
                 first_seed: options.first_seed,
@@ -100,7 +115,16 @@
     let path = |ending: &str| options.out.join(format!("lab-{name}.{ending}"));
     report::write_json(&path("json"), &results)?;
     report::write_text(&path("md"), &text)?;
-    plot(&path("svg"), &results)
+    plot(&path("svg"), &orders, &results)
+}
+
+/// Returns the order of a name; the error lists the names.
+fn named_order(name: &str) -> Result<NamedOrder, String> {
+    let known = ORDERS.iter().find(|order| order.name == name).copied();
+    known.ok_or_else(|| {
+        let names = ORDERS.map(|order| order.name).join(", ");
+        format!("the order {name:?} is unknown; there are {names}")
+    })
 }
 
 /// Replays all cases on a few threads.
@@ -113,7 +137,7 @@
     let work = || {
         while let Some(case) = cases.get(next.fetch_add(1, Ordering::Relaxed)) {
             let jobs = sheet.draw(case.factor, Duration::from_secs(options.seconds), case.seed);
-            let record = replay::replay(sheet, &jobs, ORDERS[case.order].1);
+            let record = replay::replay(sheet, &jobs, case.order.order);
             let figures = credit::measure(sheet, &jobs, &record);
             measured.lock().unwrap_or_else(PoisonError::into_inner).push((*case, figures));
         }
@@ -157,12 +181,12 @@
     text
 }
 
-fn plot(path: &Path, results: &[LabResult]) -> Result<(), String> {
-    let lines = ORDERS.iter().map(|(name, _)| {
-        let own = results.iter().filter(|result| result.order == *name);
+fn plot(path: &Path, orders: &[NamedOrder], results: &[LabResult]) -> Result<(), String> {
+    let lines = orders.iter().map(|order| {
+        let own = results.iter().filter(|result| result.order == order.name);
         let value = |result: &LabResult| result.figures.get(PLOTTED).copied().unwrap_or_default();
         PlotLine {
-            name: (*name).to_owned(),
+            name: order.name.to_owned(),
             points: own.map(|result| (result.factor, value(result))).collect(),
         }
     });
--- a/crates/experiment/src/lab/credit.rs
+++ b/crates/experiment/src/lab/credit.rs
@@ -75,6 +75,7 @@
     let mut figures: CreditFigures = credit.collect();
     let costs = [
         ("jobs completed, share", record.completed.len() as f64 / jobs.len().max(1) as f64),
+        ("jobs refused, share", record.turned_away as f64 / jobs.len().max(1) as f64),
         ("work lost, core-s", record.lost),
         ("starts", record.starts as f64),
         ("starts refused", record.refused as f64),
--- a/crates/experiment/src/lab/replay.rs
+++ b/crates/experiment/src/lab/replay.rs
@@ -28,6 +28,8 @@
     pub completed: BTreeMap<JobKey, Duration>,
     /// Work that was stopped or broken and not saved, in core-seconds.
     pub lost: f64,
+    /// Jobs refused because they would end far too late.
+    pub turned_away: u64,
     /// Starts ordered.
     pub starts: u64,
     /// Starts refused for want of room.
@@ -81,6 +83,10 @@
     let mut arrivals = jobs.iter().peekable();
     while replay.now < SETTLE + last + FINISH {
         while let Some(job) = arrivals.next_if(|job| job.at + SETTLE <= replay.now) {
+            if replay.planner.check_submission(&job.submission, replay.now).is_err() {
+                replay.record.turned_away += 1;
+                continue;
+            }
             replay.events.push_back(FleetEvent::JobAccepted {
                 submission: job.submission.clone(),
                 progress: None,
--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -28,7 +28,8 @@
              --only TEXT in the name of a configuration, --out DIR (default docs/experiments)
   lab        compare orders of waiting work on the planner, in simulated time
              --sheet FILE (such as examples/loads/om-north.yaml), --factors LIST (default 1,2,3),
-             --seeds N (default 5), --first-seed N (default 1), --parallel N (default 4),
+             --orders LIST (default value,arrival,deadline,density), --seeds N (default 5),
+             --first-seed N (default 1), --parallel N (default 4),
              --seconds N of arrivals (default 40), --out DIR (default docs/experiments)
 
 example:
@@ -93,7 +94,10 @@
             let factors: String =
                 read(&mut arguments, "--factors")?.unwrap_or_else(|| "1,2,3".to_owned());
             let factors = factors.split(',').map(str::parse::<f64>).collect::<Result<_, _>>();
+            let orders: String = read(&mut arguments, "--orders")?
+                .unwrap_or_else(|| "value,arrival,deadline,density".to_owned());
             let options = lab::LabOptions {
+                orders: orders.split(',').map(str::to_owned).collect(),
                 sheet: read(&mut arguments, "--sheet")?.ok_or("--sheet is missing")?,
                 factors: factors.map_err(|error| format!("--factors: {error}\n{USAGE}"))?,
                 seeds: read(&mut arguments, "--seeds")?.unwrap_or(5),
--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -2,9 +2,11 @@
 //!
 //! Answers submissions that no worker of the fleet could ever run: a task larger than every worker,
 //! a label that no worker has, or a gang larger than the fleet. Such a job would wait until its
-//! customer gives up, so it is refused at once.
+//! customer gives up, so it is refused at once. Whether a job could start in time is decided by
+//! [`backlog`](crate::backlog).
 
 use std::fmt;
+use std::time::Duration;
 
 use crate::spec::{JobSpec, StepSpec};
 use crate::worker::WorkerEntry;
@@ -22,6 +24,22 @@
         /// Step.
         step: u32,
     },
+    /// Work that comes first keeps the fleet busy until long after the job's objective.
+    Backlog {
+        /// Time after which the job could still be served.
+        retry: Duration,
+    },
+}
+
+impl AdmissionRefusal {
+    /// Returns when the same job is worth another submission; nothing if only a change of the fleet
+    /// could help.
+    pub fn retry(&self) -> Option<Duration> {
+        match self {
+            Self::Backlog { retry } => Some(*retry),
+            Self::NoSuitableWorker { .. } | Self::GangTooLarge { .. } => None,
+        }
+    }
 }
 
 impl fmt::Display for AdmissionRefusal {
@@ -33,6 +51,13 @@
             Self::GangTooLarge { step } => {
                 write!(formatter, "all workers together are too small for the gang of step {step}")
             }
+            Self::Backlog { retry } => {
+                write!(
+                    formatter,
+                    "waiting work would delay the job by {} ms too long",
+                    retry.as_millis()
+                )
+            }
         }
     }
 }
--- a/crates/fleet/src/guarantee.rs
+++ b/crates/fleet/src/guarantee.rs
@@ -18,27 +18,43 @@
 
 /// Returns the active urgent jobs that are covered.
 pub fn covered_jobs(jobs: &BTreeMap<JobKey, JobEntry>, config: &FleetConfig) -> BTreeSet<JobKey> {
-    let is_urgent = |entry: &JobEntry| {
-        let policy = config.queues.get(&entry.submission.queue);
-        !entry.phase.is_final() && policy.is_some_and(|policy| policy.priority == URGENT)
-    };
     let mut urgent: Vec<(&JobKey, &JobEntry)> =
-        jobs.iter().filter(|(_, entry)| is_urgent(entry)).collect();
+        jobs.iter().filter(|(_, entry)| is_urgent(entry, config)).collect();
     urgent.sort_by_key(|(key, entry)| (entry.accepted, **key));
     let mut claimed: BTreeMap<&CustomerName, i64> = BTreeMap::new();
     let mut covered = BTreeSet::new();
     for (key, entry) in urgent {
         let customer = &entry.submission.customer;
-        let share = config.customers.get(customer).map_or(0, |share| share.guaranteed);
         let total = claimed.entry(customer).or_default();
         *total += widest_step(entry);
-        if *total <= share {
+        if *total <= guaranteed(customer, config) {
             covered.insert(*key);
         }
     }
     covered
 }
 
+/// Returns whether a new urgent job would be covered.
+pub fn covers_next(
+    next: &JobEntry,
+    jobs: &BTreeMap<JobKey, JobEntry>,
+    config: &FleetConfig,
+) -> bool {
+    let customer = &next.submission.customer;
+    let own = jobs.values().filter(|entry| entry.submission.customer == *customer);
+    let claimed: i64 = own.filter(|entry| is_urgent(entry, config)).map(widest_step).sum();
+    claimed + widest_step(next) <= guaranteed(customer, config)
+}
+
+fn is_urgent(entry: &JobEntry, config: &FleetConfig) -> bool {
+    let policy = config.queues.get(&entry.submission.queue);
+    !entry.phase.is_final() && policy.is_some_and(|policy| policy.priority == URGENT)
+}
+
+fn guaranteed(customer: &CustomerName, config: &FleetConfig) -> i64 {
+    config.customers.get(customer).map_or(0, |share| share.guaranteed)
+}
+
 /// Returns the most accelerators that one step of a job holds at a time.
 fn widest_step(entry: &JobEntry) -> i64 {
     let steps = entry.submission.spec.steps.iter();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod admission;
 pub mod advice;
 pub mod amount;
+pub mod backlog;
 pub mod config;
 pub mod event;
 pub mod guarantee;
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -17,6 +17,7 @@
 mod pacing;
 mod reservation;
 mod start;
+mod submission;
 mod upkeep;
 mod urgent;
 
@@ -29,14 +30,13 @@
 pub use notes::{PlannerCounts, PlannerNote};
 
 use self::reservation::Reservation;
-use crate::admission::{self, AdmissionRefusal};
 use crate::config::FleetConfig;
 use crate::event::{FleetEvent, StartOutcome, StartRefusal, WorkerListing};
 use crate::job::{JobEntry, JobPhase, TaskPhase};
 use crate::order::FleetOrder;
 use crate::queue::{QueueOrder, WorkMeans, job_work, objective};
 use crate::record::{JobProgress, WorkerRoster};
-use crate::spec::{JobKey, JobSpec, JobSubmission, RunNumber, StepKey, TaskKey};
+use crate::spec::{JobKey, JobSubmission, RunNumber, StepKey, TaskKey};
 use crate::worker::{RunPhase, WorkerEntry};
 
 /// Runs that one scheduler may give a task before its numbers reach those of the next scheduler.
@@ -174,18 +174,6 @@
         self.jobs.values().filter(waits).count()
     }
 
-    /// Returns why a submission can't be served by the fleet, if so.
-    pub fn check_submission(&self, queue: &str, spec: &JobSpec) -> Result<(), AdmissionRefusal> {
-        let Some(policy) = self.config.queues.get(queue) else {
-            return Ok(());
-        };
-        let serves = |worker: &&WorkerEntry| worker.listing.service == policy.service;
-        if !self.recovered || !self.workers.values().any(|worker| serves(&worker)) {
-            return Ok(());
-        }
-        admission::check_fleet(spec, self.workers.values().filter(serves))
-    }
-
     /// Applies an event.
     pub fn handle(&mut self, now: Duration, event: FleetEvent) {
         match event {
--- a/crates/fleet/src/planner/dispatch.rs
+++ b/crates/fleet/src/planner/dispatch.rs
@@ -24,18 +24,8 @@
         }
         let mut board = PlaceBoard::new(&self.workers, &self.domains_out, now);
         self.use_reservations(&mut board, now);
-        let capacity = board.slots.iter().map(|slot| slot.capacity).max_by_key(|c| c.cpu_milli);
-        let capacity = capacity.unwrap_or_default();
         self.covered = covered_jobs(&self.jobs, &self.config);
-        let basis = RankBasis {
-            order: self.order,
-            config: &self.config,
-            covered: &self.covered,
-            means: &self.means,
-            capacity: &capacity,
-            now,
-        };
-        let items = rank_work(&self.jobs, &basis);
+        let items = rank_work(&self.jobs, &self.rank_basis(now));
         for item in items {
             if self.jobs.get(&item.job).is_none_or(|job| self.awaits_workers(job)) {
                 continue;
@@ -44,6 +34,19 @@
         }
     }
 
+    /// Returns what the order of waiting work depends on.
+    pub(super) fn rank_basis(&self, now: Duration) -> RankBasis<'_> {
+        let capacities = self.workers.values().map(|worker| worker.listing.capacity);
+        RankBasis {
+            order: self.order,
+            config: &self.config,
+            covered: &self.covered,
+            means: &self.means,
+            capacity: capacities.max_by_key(|capacity| capacity.cpu_milli).unwrap_or_default(),
+            now,
+        }
+    }
+
     fn place_item(&mut self, board: &mut PlaceBoard, item: &WorkItem, now: Duration) {
         let key = StepKey { job: item.job, occurrence: item.occurrence, step: item.step };
         if self.reservations.iter().any(|reservation| reservation.key == key) {
--- a/crates/fleet/src/queue.rs
+++ b/crates/fleet/src/queue.rs
@@ -29,7 +29,7 @@
 /// Share of its value that work keeps when it is so late that its customer has likely given up.
 const LAPSED_SHARE: f64 = 0.01;
 /// Multiple of the objective after which work has lapsed.
-const LAPSED_MULTIPLE: f64 = 3.0;
+pub const LAPSED_MULTIPLE: f64 = 3.0;
 /// Cores that an accelerator counts as when work is measured.
 const ACCELERATOR_CORES: f64 = 8.0;
 
@@ -67,7 +67,7 @@
     /// Mean work of the jobs of each queue.
     pub means: &'a WorkMeans,
     /// Capacity of the largest worker.
-    pub capacity: &'a ResourceAmount,
+    pub capacity: ResourceAmount,
     /// Time.
     pub now: Duration,
 }
@@ -177,7 +177,8 @@
     specs.filter(ready).map(|(index, _)| index as u32).collect()
 }
 
-fn rank_job(entry: &JobEntry, policy: &QueuePolicy, basis: &RankBasis<'_>) -> f64 {
+/// Returns the rank of a job's steps, see [`WorkItem::rank`].
+pub fn rank_job(entry: &JobEntry, policy: &QueuePolicy, basis: &RankBasis<'_>) -> f64 {
     let objective = objective(entry, policy);
     let due = entry.accepted + objective;
     match basis.order {
@@ -200,7 +201,7 @@
     let mean = basis.means.mean(&entry.submission.queue).unwrap_or(work).max(f64::MIN_POSITIVE);
     let size = (FIXED_VALUE + (1.0 - FIXED_VALUE) * work / mean).min(LARGEST_VALUE);
     let class = (policy.priority as usize).min(PRIORITY_WEIGHTS.len() - 1);
-    let seconds = remaining_capacity(entry, basis.capacity).max(f64::MIN_POSITIVE);
+    let seconds = remaining_capacity(entry, &basis.capacity).max(f64::MIN_POSITIVE);
     PRIORITY_WEIGHTS[class] * size / seconds
 }
 
--- a/crates/fleet/tests/decisions/main.rs
+++ b/crates/fleet/tests/decisions/main.rs
@@ -1,5 +1,6 @@
 //! Decisions of the planner, driven event by event.
 
+mod admission;
 mod advice;
 mod guarantee;
 mod planner;
--- a/crates/instance/src/front.rs
+++ b/crates/instance/src/front.rs
@@ -243,7 +243,8 @@
             Ok(SubmissionVerdict::Known) => return ClientAnswer::Accepted,
             Ok(SubmissionVerdict::Refused(refusal)) => {
                 let reason = refusal.to_string();
-                return ClientAnswer::NotAccepted { reason, retry: UNFIT_RETRY };
+                let retry = refusal.retry().unwrap_or(UNFIT_RETRY);
+                return ClientAnswer::NotAccepted { reason, retry };
             }
             // A scheduler that has just ended has no opinion; the store decides.
             Ok(SubmissionVerdict::Acceptable) | Err(_) => {}
--- a/crates/instance/src/schedule_controller.rs
+++ b/crates/instance/src/schedule_controller.rs
@@ -72,7 +72,7 @@
     Known,
     /// The job may be stored.
     Acceptable,
-    /// The fleet can't serve the job.
+    /// The fleet can't serve the job, or not in time.
     Refused(AdmissionRefusal),
 }
 
@@ -215,7 +215,7 @@
         if self.planner.job(submission.key).is_some() {
             return SubmissionVerdict::Known;
         }
-        match self.planner.check_submission(&submission.queue, &submission.spec) {
+        match self.planner.check_submission(&submission, clock::now()) {
             Ok(()) => SubmissionVerdict::Acceptable,
             Err(refusal) => SubmissionVerdict::Refused(refusal),
         }
