Try every backend server before an average is known

Cause: since the average of a service is smoothed, it was known from the first answer, the slowest one with its connection, and answered backends looked faster than it at once.

Change: as before, there is no average below 64 answers, so that each backend is tried at first; the first answers weigh the same.

--- a/crates/entry/src/routing/latency.rs
+++ b/crates/entry/src/routing/latency.rs
@@ -14,7 +14,7 @@
 const REFRESH_SAMPLES: u64 = 64;
 /// Answers after which older ones are forgotten.
 const WINDOW_SAMPLES: u64 = 4096;
-/// Answers below which there is no p95.
+/// Answers below which there is no p95 and no average.
 const FEWEST_SAMPLES: u64 = 64;
 /// Share of a new answer in the average: it follows a change within some thirty answers, so that an
 /// unused backend is not measured against a slow time that has passed.
@@ -33,6 +33,10 @@
 #[derive(Debug)]
 struct LatencyWindow {
     histogram: Option<Histogram<u32>>,
+    /// Smoothed average in microseconds.
+    average_us: f64,
+    /// Answers in the average.
+    answers: u64,
 }
 
 impl LatencyTracker {
@@ -41,7 +45,7 @@
         // The bounds are valid constants, so that a histogram is always made.
         let histogram = Histogram::new_with_bounds(1, MAX_US, 2).ok();
         Self {
-            window: Mutex::new(LatencyWindow { histogram }),
+            window: Mutex::new(LatencyWindow { histogram, average_us: 0.0, answers: 0 }),
             p95_us: AtomicU64::new(0),
             mean_us: AtomicU64::new(0),
         }
@@ -51,11 +55,13 @@
     pub fn record(&self, latency: Duration) {
         let micros = u64::try_from(latency.as_micros()).unwrap_or(MAX_US).clamp(1, MAX_US);
         let mut window = lock(&self.window);
+        if let Some(mean) = window.average(micros) {
+            self.mean_us.store(mean, Ordering::Relaxed);
+        }
         let Some(histogram) = window.histogram.as_mut() else {
             return;
         };
         histogram.saturating_record(micros);
-        self.average(micros);
         let count = histogram.len();
         if count >= FEWEST_SAMPLES && count % REFRESH_SAMPLES == 0 {
             let p95 = histogram.value_at_quantile(HEDGE_QUANTILE);
@@ -74,19 +80,20 @@
         }
     }
 
-    /// Returns the smoothed average in microseconds; 0 before the first answer.
+    /// Returns the smoothed average in microseconds; 0 before enough answers, so that every backend
+    /// is tried at first.
     pub fn mean_us(&self) -> u64 {
         self.mean_us.load(Ordering::Relaxed)
     }
+}
 
-    /// Takes an answer into the average. The caller holds the lock of the window.
-    fn average(&self, micros: u64) {
-        let old = match self.mean_us() {
-            0 => micros as f64,
-            mean => mean as f64,
-        };
-        let mean = old + AVERAGE_WEIGHT * (micros as f64 - old);
-        self.mean_us.store(mean.round() as u64, Ordering::Relaxed);
+impl LatencyWindow {
+    /// Takes an answer into the average and returns it once it rests on enough answers.
+    fn average(&mut self, micros: u64) -> Option<u64> {
+        self.answers += 1;
+        let weight = AVERAGE_WEIGHT.max(1.0 / self.answers as f64);
+        self.average_us += weight * (micros as f64 - self.average_us);
+        (self.answers >= FEWEST_SAMPLES).then_some(self.average_us.round() as u64)
     }
 }
 
