--- a/crates/fleet/src/planner/ends.rs
+++ b/crates/fleet/src/planner/ends.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::FleetPlanner;
+use super::{FleetPlanner, PlannerNote};
 use crate::event::{EndReason, EndedRun};
 use crate::job::JobPhase;
 use crate::spec::TaskKey;
@@ -22,6 +22,12 @@
         if !fresh && !held {
             return;
         }
+        self.notes.push(PlannerNote::RunEnded {
+            worker: worker.to_owned(),
+            task: end.task,
+            run: end.run,
+            reason: end.reason,
+        });
         let spec = self.task_spec(end.task);
         // A continuous task may fail at any time through no fault of its worker.
         if held && !spec.is_some_and(|spec| spec.continuous) {
--- a/crates/fleet/src/planner/notes.rs
+++ b/crates/fleet/src/planner/notes.rs
@@ -4,8 +4,9 @@
 
 use lacewingrail_model::WorkerId;
 
+use crate::event::EndReason;
 use crate::job::JobPhase;
-use crate::spec::JobKey;
+use crate::spec::{JobKey, RunNumber, TaskKey};
 
 /// Counts what the planner did, for metrics.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -38,6 +39,17 @@
         /// Time within which it is on time.
         objective: Duration,
     },
+    /// A run has ended, as its worker reports.
+    RunEnded {
+        /// Worker.
+        worker: WorkerId,
+        /// Task.
+        task: TaskKey,
+        /// Run.
+        run: RunNumber,
+        /// Reason.
+        reason: EndReason,
+    },
     /// Borrowers were stopped for an urgent job.
     Reclaimed {
         /// Urgent job.
--- a/crates/fleet/src/planner/submission.rs
+++ b/crates/fleet/src/planner/submission.rs
@@ -37,7 +37,7 @@
     /// Refuses work that ends so late, whatever happens, that its customer has likely given up.
     ///
     /// Work that a guarantee covers takes the room of others, and what has times of its own or no end
-    /// does not wait.
+    /// does not wait. The baselines of the lab accept everything.
     fn check_backlog(
         &self,
         submission: &JobSubmission,
@@ -48,7 +48,8 @@
         let lasts = spec.schedule.is_some() || spec.steps.iter().any(|step| step.continuous);
         let entry = JobEntry::new(Arc::new(submission.clone()), None, now);
         let urgent = policy.priority == URGENT;
-        if lasts || (urgent && covers_next(&entry, &self.jobs, &self.config)) {
+        let covered = urgent && covers_next(&entry, &self.jobs, &self.config);
+        if lasts || covered || !self.order.preempts() {
             return Ok(());
         }
         let limit = objective(&entry, policy).mul_f64(LAPSED_MULTIPLE);
--- a/crates/fleet/tests/decisions/planner.rs
+++ b/crates/fleet/tests/decisions/planner.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::scene::{Scene, listing, step, submission};
-use lacewingrail_fleet::{EndReason, FleetEvent, FleetOrder, JobPhase};
+use lacewingrail_fleet::{EndReason, FleetEvent, FleetOrder, JobPhase, PlannerNote};
 
 fn two_racks() -> Vec<lacewingrail_fleet::WorkerListing> {
     let worker = |index: usize| {
@@ -13,6 +13,26 @@
     (0..6).map(worker).collect()
 }
 
+/// Guards against ends that show in no log: of each run, once, with its reason, also when the worker
+/// lists the end again before it is acknowledged.
+#[test]
+fn each_end_is_noted_once() {
+    let mut scene = Scene::new(1, two_racks());
+    scene.accept(submission(1, "normal", vec![step(2, 4)]));
+    scene.store_down = true;
+    let reasons = [EndReason::Done, EndReason::Failed];
+    for (order, reason) in scene.starts.clone().iter().zip(reasons) {
+        scene.end(order, reason);
+    }
+    scene.pass(Duration::from_millis(600));
+    let ended = scene.planner.take_notes().into_iter().filter_map(|note| match note {
+        PlannerNote::RunEnded { task, run, reason, .. } => Some((task.index, run, reason)),
+        _ => None,
+    });
+    let ended: Vec<_> = ended.collect();
+    assert_eq!(ended, [(0, 1, EndReason::Done), (1, 1, EndReason::Failed)]);
+}
+
 /// A job whose last task is done must be shown as completed only once that is stored.
 #[test]
 fn job_completes_when_its_end_is_stored() {
--- a/crates/instance/src/schedule_controller.rs
+++ b/crates/instance/src/schedule_controller.rs
@@ -268,6 +268,12 @@
             age_ms = millis(age), objective_ms = millis(objective);
             "job ended"
         ),
+        PlannerNote::RunEnded { worker, task, run, reason } => log::info!(
+            epoch = epoch, job = format!("{:016x}", task.job), occurrence = task.occurrence,
+            step = task.step, task = task.index, run = run, worker = worker,
+            reason = format!("{reason:?}");
+            "run ended"
+        ),
         PlannerNote::Reclaimed { job, waited, borrowers, loss } => log::info!(
             epoch = epoch, job = format!("{job:016x}"), waited_ms = millis(waited),
             borrowers = format!("{borrowers:016x?}"), lost_core_seconds = loss.round() as u64;
