Refuse load sheets and factors that can't be replayed

Cause: read as a newcomer, the lab took a negative rate or factor and never ended, and a share above 1 ended in a panic.

Change: sheets and factors are checked before the first replay; the error names the file, the queue and the field. Tests for four wrong sheets and two wrong options; before, -2.0 jobs a second did not end.

--- a/crates/experiment/src/lab.rs
+++ b/crates/experiment/src/lab.rs
@@ -78,6 +78,11 @@
 
 /// Replays the load under every order and writes tables, JSON and a plot.
 pub fn run(options: &LabOptions) -> Result<(), String> {
+    if let Some(factor) =
+        options.factors.iter().find(|factor| !(factor.is_finite() && **factor > 0.0))
+    {
+        return Err(format!("a load of {factor} times the sheet can't be drawn"));
+    }
     let sheet = LoadSheet::read(&options.sheet)?;
     let name = options.sheet.file_stem().map_or("load".into(), |stem| stem.to_string_lossy());
     let orders = options.orders.iter().map(|name| named_order(name));
--- a/crates/experiment/src/lab/sheet.rs
+++ b/crates/experiment/src/lab/sheet.rs
@@ -119,13 +119,27 @@
         let fail = |error: String| format!("cannot read {}: {error}", path.display());
         let text = std::fs::read_to_string(path).map_err(|error| fail(error.to_string()))?;
         let sheet: Self = serde_norway::from_str(&text).map_err(|error| fail(error.to_string()))?;
-        let complete = !sheet.domains.is_empty() && !sheet.speeds.is_empty() && sheet.rack > 0;
-        let filled = sheet.queues.iter().all(|queue| !queue.accelerators.is_empty());
-        if complete && filled && !sheet.customers.is_empty() {
-            Ok(sheet)
-        } else {
-            Err(fail("domains, speeds, rack, customers or accelerators are empty".into()))
+        match sheet.fault() {
+            None => Ok(sheet),
+            Some(fault) => Err(fail(fault)),
+        }
+    }
+
+    /// Returns what keeps the sheet from being replayed, if anything does.
+    fn fault(&self) -> Option<String> {
+        let names_missing = self.domains.is_empty() || self.customers.is_empty();
+        if names_missing || self.workers == 0 || self.rack == 0 {
+            return Some("domains, customers, workers or rack is empty or 0".into());
+        }
+        let factors = [self.away_factor, self.checkpoint_s];
+        let mut rates = self.speeds.iter().copied().chain(factors);
+        if self.speeds.is_empty() || !rates.all(is_positive) {
+            return Some("speeds, away_factor and checkpoint_s must be above 0".into());
         }
+        self.queues.iter().find_map(|queue| {
+            let fault = queue.fault()?;
+            Some(format!("queue {}: {fault}", queue.name))
+        })
     }
 
     /// Returns the settings that the planner works under.
@@ -245,6 +259,22 @@
     }
 }
 
+impl QueueSheet {
+    fn fault(&self) -> Option<&'static str> {
+        let positive = [self.per_second, self.run_s.mean, self.tasks.mean, self.worth];
+        let shares = [self.gang, self.one_rack, self.data_rack, self.checkpoints, self.late_share];
+        if !positive.into_iter().all(is_positive) {
+            Some("per_second, worth and the means of run_s and tasks must be above 0")
+        } else if !shares.iter().all(|share| (0.0..=1.0).contains(share)) {
+            Some("shares must be between 0 and 1")
+        } else if self.accelerators.is_empty() {
+            Some("accelerators are empty")
+        } else {
+            None
+        }
+    }
+}
+
 impl SheetAmount {
     fn amount(self) -> ResourceAmount {
         ResourceAmount {
@@ -261,6 +291,10 @@
     }
 }
 
+fn is_positive(value: f64) -> bool {
+    value.is_finite() && value > 0.0
+}
+
 /// Returns a factor of mean 1 whose logarithm is normal.
 fn scatter(spread: f64, random: &mut ChaCha8Rng) -> f64 {
     let sum: f64 = (0..NORMAL_TERMS).map(|_| random.random::<f64>()).sum();
--- a/crates/experiment/tests/lab.rs
+++ b/crates/experiment/tests/lab.rs
@@ -43,19 +43,36 @@
     }
 }
 
-/// Guards against a wrong sheet or order that ends in figures or in a panic.
+/// Returns the error of a run that must fail without a panic.
+fn error_of(sheet: &Path, more: &[&str]) -> String {
+    let output = lab(sheet, &folder("wrong"), more);
+    assert_eq!(output.status.code(), Some(1));
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+/// Guards against a wrong sheet that ends in figures, in a panic or never.
 #[test]
-fn wrong_input_is_named() {
-    let out = folder("wrong");
-    let sheet = out.join("sheet.yaml");
+fn wrong_sheets_are_named() {
+    let sheet = folder("wrong").join("sheet.yaml");
     let text = std::fs::read_to_string(SHEET).unwrap();
-    std::fs::write(&sheet, text.replace("away_factor", "far_factor")).unwrap();
-    let output = lab(&sheet, &out, &[]);
-    assert!(!output.status.success());
-    let error = String::from_utf8_lossy(&output.stderr).into_owned();
-    assert!(error.contains("sheet.yaml") && error.contains("far_factor"), "{error}");
-    let output = lab(Path::new(SHEET), &out, &["--orders", "value,luck"]);
-    assert!(!output.status.success());
-    let error = String::from_utf8_lossy(&output.stderr).into_owned();
+    let cases = [
+        ("away_factor", "far_factor", "far_factor"),
+        ("per_second: 2.0", "per_second: -2.0", "queue urgent: per_second"),
+        ("one_rack: 0.8", "one_rack: 1.8", "queue urgent: shares"),
+        ("rack: 6", "rack: 0", "rack is empty or 0"),
+    ];
+    for (from, to, named) in cases {
+        std::fs::write(&sheet, text.replace(from, to)).unwrap();
+        let error = error_of(&sheet, &[]);
+        assert!(error.contains("sheet.yaml") && error.contains(named), "{error}");
+    }
+}
+
+/// Guards against wrong options that end in figures, in a panic or never.
+#[test]
+fn wrong_options_are_named() {
+    let error = error_of(Path::new(SHEET), &["--orders", "value,luck"]);
     assert!(error.contains("luck") && error.contains("arrival"), "{error}");
+    let error = error_of(Path::new(SHEET), &["--factors", "1,-2"]);
+    assert!(error.contains("-2"), "{error}");
 }
