--- /dev/null
+++ b/review/standin/src/cases.rs
@@ -0,0 +1,26 @@
+//! The cases, by name.
+
+mod ends_over_page;
+mod overlapping_occurrences;
+mod pending_refused;
+mod recurring_handover;
+mod removed_route;
+
+use std::path::Path;
+
+use crate::record::Record;
+
+/// Record of a case and the breaks of the rule that it found.
+pub type Outcome = Result<(Record, Vec<String>), String>;
+
+/// Runs a case, with or without its disruption.
+pub async fn run(name: &str, folder: &Path, trouble: bool) -> Outcome {
+    match name {
+        "recurring-handover" => recurring_handover::run(folder, trouble).await,
+        "overlapping-occurrences" => overlapping_occurrences::run(folder, trouble).await,
+        "ends-over-page" => ends_over_page::run(folder, trouble).await,
+        "pending-refused" => pending_refused::run(folder, trouble).await,
+        "removed-route" => removed_route::run(folder, trouble).await,
+        _ => Err(format!("no case {name:?}")),
+    }
+}
