--- a/review/standin/src/bed.rs
+++ b/review/standin/src/bed.rs
@@ -22,6 +22,8 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 /// Bound on the duration of a worker's lease, in milliseconds.
 const HOLD_MAX_MS: u64 = 6000;
+/// Time for which clients may ask for a job after its end, in seconds.
+const STATUS_S: u64 = 120;
 /// Time from SIGTERM until the platform kills a process.
 const GRACE: Duration = Duration::from_secs(6);
 
@@ -54,6 +56,16 @@
 impl Bed {
     /// Starts workers and instances and waits until all instances serve.
     pub async fn start(folder: &Path, workers: usize, instances: usize) -> Result<Self, String> {
+        Self::start_with(folder, workers, instances, STATUS_S).await
+    }
+
+    /// Starts a test bed whose jobs may be asked for until `status_s` seconds after their end.
+    pub async fn start_with(
+        folder: &Path,
+        workers: usize,
+        instances: usize,
+        status_s: u64,
+    ) -> Result<Self, String> {
         let record = Record::new();
         let store = Store::start();
         store.put("op/config", &config(1, true));
@@ -74,7 +86,7 @@
         }
         for index in 0..instances {
             let address = bed.store.listen(index).await.map_err(|error| error.to_string())?;
-            let instance = write_settings(folder, index, &address.to_string())?;
+            let instance = write_settings(folder, index, &address.to_string(), status_s)?;
             bed.instances.push(instance);
             bed.spawn(index)?;
         }
@@ -167,6 +179,25 @@
         Err(format!("{path} was not accepted"))
     }
 
+    /// Hands many jobs in at the same time, at instances in turn; each has to be accepted at once.
+    pub async fn submit_together(&self, jobs: &[(String, Value)]) -> Result<(), String> {
+        let mut calls = tokio::task::JoinSet::new();
+        for (index, (path, job)) in jobs.iter().enumerate() {
+            self.declare(job);
+            let (record, path, job) = (self.record.clone(), path.clone(), job.clone());
+            let front = self.front(index % self.instances.len()).to_owned();
+            calls.spawn(async move {
+                let answer = client::call(&record, &front, "POST", &path, Some(&job)).await;
+                answer.is_some_and(|answer| (200..300).contains(&answer.status))
+            });
+        }
+        let accepted = calls.join_all().await.into_iter().filter(|accepted| *accepted).count();
+        if accepted < jobs.len() {
+            return Err(format!("only {accepted} of {} jobs were accepted", jobs.len()));
+        }
+        Ok(())
+    }
+
     /// Returns the state of a job as the first instance that answers shows it.
     pub async fn state(&self, path: &str) -> String {
         for index in 0..self.instances.len() {
@@ -270,7 +301,12 @@
 }
 
 /// Writes the settings file of an instance, with the bounds of the first sheet.
-fn write_settings(folder: &Path, index: usize, store: &str) -> Result<Instance, String> {
+fn write_settings(
+    folder: &Path,
+    index: usize,
+    store: &str,
+    status_s: u64,
+) -> Result<Instance, String> {
     // Each instance has an address of its own, since the port of its metrics is fixed.
     let process = std::process::id();
     let ip = format!("127.{}.{}.{}", 20 + process % 200, process / 200 % 250, index + 1);
@@ -293,7 +329,7 @@
          revert_ms = 250\nmax_stretch_ms = 5000\nstrict_revoke = false\nrevoke_ms = 5000\n\
          cold_excess = 1.5\ncold_slack = 5\nevacuate_ms = 5000\nrecovery_s = 12\n\
          hold_max_ms = {HOLD_MAX_MS}\nstop_ms = 400\ngang_wait_ms = 3000\ncancel_ms = 3000\n\
-         visible_ms = 3000\nearly_ms = 250\nfinish_s = 14\nstatus_s = 120\nfar_x = 3\n\
+         visible_ms = 3000\nearly_ms = 250\nfinish_s = 14\nstatus_s = {status_s}\nfar_x = 3\n\
          checkpoint_s = 2\nrestore_ms = 600\nnotice_ms = 4500\nmigrate_s = 1.5\n\
          maintenance_s = 2\nfencing = false\nlease_ms = 3000\nthaw_ms = 300\npace_ms = 100\n\
          harm_ms = 4000\nreclaim_ms = 2900\n\
--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -1,8 +1,8 @@
 //! The cases, by name.
 
+mod compacted_history;
 mod ends_over_page;
 mod overlapping_occurrences;
-mod pending_refused;
 mod recurring_handover;
 mod removed_route;
 
@@ -17,9 +17,9 @@
 pub async fn run(name: &str, folder: &Path, trouble: bool) -> Outcome {
     match name {
         "recurring-handover" => recurring_handover::run(folder, trouble).await,
+        "compacted-history" => compacted_history::run(folder, trouble).await,
         "overlapping-occurrences" => overlapping_occurrences::run(folder, trouble).await,
         "ends-over-page" => ends_over_page::run(folder, trouble).await,
-        "pending-refused" => pending_refused::run(folder, trouble).await,
         "removed-route" => removed_route::run(folder, trouble).await,
         _ => Err(format!("no case {name:?}")),
     }
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -8,8 +8,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use axum::extract::{Path, Query, State};
+use axum::extract::{Path, Query, Request, State};
 use axum::http::StatusCode;
+use axum::middleware::{self, Next};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{delete, get, post};
 use axum::{Json, Router};
@@ -64,6 +65,8 @@
     newest_lease: u64,
     /// Number of the instance that last wrote under a condition.
     last_writer: Option<usize>,
+    /// Since when the store is down, or `None` while it answers.
+    down_since: Option<Instant>,
 }
 
 /// Store of the platform; clones share the state.
@@ -107,6 +110,7 @@
             .route("/-/kv-lease", post(grant_lease))
             .route("/-/kv-keep/{lease}", post(renew_lease))
             .route("/-/kv-lease-end/{lease}", delete(end_lease))
+            .layer(middleware::from_fn_with_state(state.clone(), keep_silent_while_down))
             .with_state(state);
         tokio::spawn(async move { axum::serve(listener, router).await });
         Ok(address)
@@ -120,15 +124,50 @@
     /// Writes a JSON value unconditionally, as operators and workers do.
     pub fn put(&self, key: &str, value: &Value) {
         let mut state = self.lock();
+        if state.down_since.is_some() {
+            return;
+        }
         state.revision += 1;
         state.write(key, STANDARD.encode(value.to_string()), 0);
         drop(state);
         self.changed.notify_waiters();
     }
 
+    /// Begins an outage: no call is answered, waiting watches neither, and leases pause.
+    pub fn go_down(&self) {
+        self.lock().down_since = Some(Instant::now());
+        self.changed.notify_waiters();
+    }
+
+    /// Ends the outage.
+    pub fn come_back(&self) {
+        let mut state = self.lock();
+        let Some(since) = state.down_since.take() else {
+            return;
+        };
+        let paused = since.elapsed();
+        state.leases.values_mut().for_each(|lease| lease.ends += paused);
+    }
+
+    fn is_down(&self) -> bool {
+        self.lock().down_since.is_some()
+    }
+
+    /// Discards the history; a watch that needs it is answered with 410.
+    pub fn compact(&self) {
+        let mut state = self.lock();
+        state.discarded = state.revision;
+        state.history.clear();
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     fn end_leases(&self) {
         let now = Instant::now();
         let mut state = self.lock();
+        if state.down_since.is_some() {
+            return;
+        }
         let ended: Vec<u64> =
             state.leases.iter().filter(|(_, lease)| lease.ends <= now).map(|(id, _)| *id).collect();
         for lease in &ended {
@@ -210,6 +249,22 @@
             "created": item.created, "lease": item.lease })
 }
 
+/// Serves a request, or never answers it if the store is down when it arrives or would be answered.
+async fn keep_silent_while_down(
+    State(listener): State<Listener>,
+    request: Request,
+    next: Next,
+) -> Response {
+    if listener.store.is_down() {
+        return std::future::pending().await;
+    }
+    let response = next.run(request).await;
+    if listener.store.is_down() {
+        return std::future::pending().await;
+    }
+    response
+}
+
 #[derive(Deserialize)]
 struct KeyQuery {
     key: String,
@@ -260,6 +315,9 @@
         let changed = listener.store.changed.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
+        if listener.store.is_down() {
+            return std::future::pending().await;
+        }
         {
             let state = listener.store.lock();
             let Some(events) = state.changes(&query.prefix, query.after) else {
@@ -346,6 +404,7 @@
     if duration < MIN_LEASE {
         return StatusCode::BAD_REQUEST.into_response();
     }
+    tokio::time::sleep(ANSWER_TIME).await;
     let lease = {
         let mut state = listener.store.lock();
         state.newest_lease += 1;
@@ -353,11 +412,11 @@
         state.leases.insert(id, Lease { duration, ends: Instant::now() + duration });
         id
     };
-    tokio::time::sleep(ANSWER_TIME).await;
     Json(json!({ "lease": lease, "ttl_ms": body.ttl_ms })).into_response()
 }
 
 async fn renew_lease(State(listener): State<Listener>, Path(id): Path<u64>) -> Response {
+    tokio::time::sleep(ANSWER_TIME).await;
     let answer = {
         let mut state = listener.store.lock();
         state.leases.get_mut(&id).map(|lease| {
@@ -365,7 +424,6 @@
             lease.duration.as_millis() as u64
         })
     };
-    tokio::time::sleep(ANSWER_TIME).await;
     match answer {
         Some(ttl_ms) => Json(json!({ "ttl_ms": ttl_ms })).into_response(),
         None => StatusCode::NOT_FOUND.into_response(),
--- a/review/standin/src/worker.rs
+++ b/review/standin/src/worker.rs
@@ -4,7 +4,7 @@
 //! A task runs for the time that its job's text names, as `work-ms=N`, and ends as done.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -102,8 +102,6 @@
     started: Instant,
     born: u64,
     sequence: AtomicU64,
-    /// While set, starts are refused with 503 and nothing is done.
-    refuses_starts: AtomicBool,
     state: Mutex<WorkerState>,
     ended: Notify,
     record: Record,
@@ -133,7 +131,6 @@
             started: Instant::now(),
             born: born.as_millis() as u64,
             sequence: AtomicU64::new(0),
-            refuses_starts: AtomicBool::new(false),
             state: Mutex::default(),
             ended: Notify::new(),
             record: record.clone(),
@@ -163,10 +160,6 @@
         Ok(worker)
     }
 
-    /// Sets whether the worker refuses starts with 503, as an unhealthy one does.
-    pub fn set_refuses_starts(&self, refuses: bool) {
-        self.0.refuses_starts.store(refuses, Ordering::Relaxed);
-    }
 
     /// Returns all runs in the order of their starts.
     pub fn traces(&self) -> Vec<RunTrace> {
@@ -313,10 +306,6 @@
         worker.0.record.line(format!("{name} token {}: 409 {reason}", body.fence_token));
         worker.refusal(reason)
     };
-    if worker.0.refuses_starts.load(Ordering::Relaxed) {
-        worker.0.record.line(format!("{name} token {}: 503", body.fence_token));
-        return StatusCode::SERVICE_UNAVAILABLE.into_response();
-    }
     let mut state = worker.lock();
     if state.is_stale(body.fence_token) {
         return refuse("fence");
