--- a/review/standin/src/bed.rs
+++ b/review/standin/src/bed.rs
@@ -148,8 +148,13 @@
         let Some(child) = &mut self.instances[index].child else {
             return Err(format!("instance {index} has no process"));
         };
-        let sent = Command::new("kill").arg("-TERM").arg(child.id().to_string()).status();
-        sent.map_err(|error| error.to_string())?;
+        // The shell's own command needs no package.
+        let pid = child.id().to_string();
+        let status = Command::new("sh").args(["-c", "kill -TERM $0", &pid]).status();
+        let status = status.map_err(|error| error.to_string())?;
+        if !status.success() {
+            return Err(format!("instance {index} could not be sent SIGTERM"));
+        }
         self.record.line(format!("instance {index} was sent SIGTERM"));
         let sent_at = Instant::now();
         while child.try_wait().map_err(|error| error.to_string())?.is_none() {
--- a/review/standin/src/worker.rs
+++ b/review/standin/src/worker.rs
@@ -160,7 +160,6 @@
         Ok(worker)
     }
 
-
     /// Returns all runs in the order of their starts.
     pub fn traces(&self) -> Vec<RunTrace> {
         self.lock().traces.clone()
