Review case 6: a done task runs again when its end is forgotten by mistake

Shows entry 11 of KNOWN-RED.txt with the real program: an acknowledgement for the former life of a runner reaches the next life and makes it forget a new end.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-in that the scripts of cases 7 to 10 start; it needs only the Rust compiler.
+# Builds the stand-in that the scripts of cases 6 to 10 start; it needs only the Rust compiler.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -1,7 +1,7 @@
 //! The cases: what happens in each, and whether the rule held.
 
 use std::io;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use crate::deployment::{Deployment, Queue, runner_spec};
 use crate::json::Json;
@@ -31,6 +31,7 @@
 pub fn play(case: &str, record: &Record, trouble: bool) -> io::Result<Verdict> {
     match case {
         "late-submission" => late_submission(record, trouble),
+        "lost-end" => lost_end(record, trouble),
         "late-start" => late_start(record, trouble),
         "full-rack" => full_rack(record, trouble),
         "refused-start" => refused_start(record, trouble),
@@ -198,6 +199,106 @@
     Ok(overlap.map_or(Verdict::Held, Verdict::Broken))
 }
 
+/// Returns the job with a schedule added.
+fn recurring(job: Json, first_ms: u64, period: Duration, times: u64) -> Json {
+    let Json::Table(mut fields) = job else {
+        return job;
+    };
+    fields.insert("repeats".to_owned(), Json::number(times));
+    fields.insert("first_ms".to_owned(), Json::number(first_ms));
+    fields.insert("period_ms".to_owned(), Json::number(period.as_millis() as u64));
+    Json::Table(fields)
+}
+
+/// TWICE: an acknowledgement for the former life of a runner reaches its next life.
+fn lost_end(record: &Record, trouble: bool) -> io::Result<Verdict> {
+    const FIRST: &str = "1111111111111111";
+    const SECOND: &str = "2222222222222222";
+    const PERIOD: Duration = Duration::from_secs(2);
+    const WORK: Duration = Duration::from_millis(200);
+    /// From an end of the first job until the second one is due.
+    const GAP: Duration = Duration::from_millis(720);
+    const CRASH_AFTER: Duration = Duration::from_millis(400);
+    const PAUSE: Duration = Duration::from_millis(200);
+    /// Interval at which the list of runners is read, as seen at the store.
+    const LIST_INTERVAL: Duration = Duration::from_millis(700);
+    const TIMES: u64 = 30;
+    let deployment = Deployment::start(record, &queues(), racks("b"), INSTANCES)?;
+    let leader = find_leader(&deployment)?;
+    warm_up(&deployment, leader)?;
+    let runner = deployment.runners.last().cloned();
+    let Some(runner) = runner else {
+        return Err(io::Error::other("no runners"));
+    };
+
+    let kind = [("requires", Json::text("b"))];
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let first_ms = since_epoch.as_millis() as u64 + 1000;
+    let second_ms = first_ms + (WORK + GAP).as_millis() as u64;
+    let first = recurring(job(1, 1, 200, &kind), first_ms, PERIOD, TIMES);
+    let second = recurring(job(1, 1, 100, &kind), second_ms, PERIOD, TIMES);
+    deployment.submit(leader, &format!("/render/{FIRST}"), &first);
+    deployment.submit(leader, &format!("/render/{SECOND}"), &second);
+
+    // The next list of runners is to be read shortly before the runner is back.
+    let list_comes_in = |end: Duration| {
+        let Some(mut at) = deployment.store.list_read() else {
+            return false;
+        };
+        while at < end + Duration::from_millis(370) {
+            at += LIST_INTERVAL;
+        }
+        at < end + CRASH_AFTER + PAUSE - Duration::from_millis(40)
+    };
+    let mut end = None;
+    for occurrence in 3..TIMES as usize - 3 {
+        let has_begun = |deployment: &Deployment| deployment.runs(FIRST).len() > occurrence;
+        if !deployment.wait_briefly(PERIOD * 6, has_begun) {
+            return Err(io::Error::other("an occurrence does not start"));
+        }
+        let ends_at = deployment.runs(FIRST)[occurrence].from + WORK;
+        if list_comes_in(ends_at) || (!trouble && occurrence == 6) {
+            end = Some(ends_at);
+            break;
+        }
+    }
+    let Some(end) = end else {
+        return Err(io::Error::other("the list of runners is never read at the right time"));
+    };
+    let counts = deployment.store.write_counts();
+    if trouble {
+        deployment.store.lose_next_write(FIRST, Duration::ZERO);
+    }
+    let elsewhere = job(1, 1, 300, &[("requires", Json::text("a"))]);
+    for number in 1..=4 {
+        deployment.submit(leader, &format!("/recon/{number:016x}"), &elsewhere);
+    }
+    if trouble {
+        deployment.wait_until(end + CRASH_AFTER);
+        runner.restart(PAUSE);
+    }
+    deployment.wait_until(end + Duration::from_secs(5));
+    let after = deployment.store.write_counts();
+    record.note(format!("store: {} of {} writes lost", after.1 - counts.1, after.0 - counts.0));
+    let runs = deployment.runs(SECOND);
+    let repeated = runs.iter().enumerate().find_map(|(index, done)| {
+        let (at, how) = done.end.as_ref()?;
+        let noted = done.noted.filter(|_| how == "done")?;
+        let again =
+            runs[index + 1..].iter().find(|run| run.task == done.task && run.from > *at)?;
+        Some(format!(
+            "TWICE: {} run {} ended done at {:.3} s, taken note of at {:.3} s; run {} starts at {:.3} s",
+            done.task,
+            done.attempt,
+            at.as_secs_f64(),
+            noted.as_secs_f64(),
+            again.attempt,
+            again.from.as_secs_f64()
+        ))
+    });
+    Ok(repeated.map_or(Verdict::Held, Verdict::Broken))
+}
+
 /// LOST: a lasting task whose runner was taken away waits for its full rack.
 fn full_rack(record: &Record, trouble: bool) -> io::Result<Verdict> {
     const LASTING: &str = "36f85c0e7a21d94b";
--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -110,6 +110,21 @@
         condition(self)
     }
 
+    /// Waits until a condition holds, checking it often; returns whether it does.
+    pub fn wait_briefly<F>(&self, limit: Duration, condition: F) -> bool
+    where
+        F: Fn(&Self) -> bool,
+    {
+        let ends_at = self.record.now() + limit;
+        while self.record.now() < ends_at {
+            if condition(self) {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        condition(self)
+    }
+
     /// Waits until a time of the record.
     pub fn wait_until(&self, time: Duration) {
         std::thread::sleep(time.saturating_sub(self.record.now()));
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -91,6 +91,8 @@
     pub from: Duration,
     /// When the run ended, and how; `None` while it runs.
     pub end: Option<(Duration, String)>,
+    /// When `last_seen` reached the end.
+    pub noted: Option<Duration>,
 }
 
 /// All runs of all runners.
@@ -235,6 +237,22 @@
         }
     }
 
+    fn log_noted(&self, end: &End, seen: u64) {
+        let End { number, task, attempt, .. } = end;
+        self.record.note(format!(
+            "runner {}: end {number} ({task} run {attempt}) is taken note of, last_seen {seen}",
+            self.spec.id
+        ));
+        let mut log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        let found = log
+            .iter_mut()
+            .rev()
+            .find(|run| run.task == *task && run.attempt == *attempt && run.runner == self.spec.id);
+        if let Some(run) = found {
+            run.noted = Some(self.record.now());
+        }
+    }
+
     fn write_entry(&self) {
         let mut state = self.lock();
         if !state.is_up {
@@ -404,6 +422,7 @@
             runner: self.spec.id.clone(),
             from: self.record.now(),
             end: None,
+            noted: None,
         };
         self.log.lock().unwrap_or_else(PoisonError::into_inner).push(started);
         (200, "")
@@ -439,7 +458,9 @@
         }
         state.life.fence = order.get_number("fence_token");
         let seen = order.get_number("last_seen");
-        state.life.ends.retain(|end| end.number > seen);
+        for end in state.life.ends.extract_if(.., |end| end.number <= seen) {
+            self.log_noted(&end, seen);
+        }
         if order.get("expires_ms").is_some() {
             state.life.extend_lease(order.get_number("expires_ms"));
         }
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -53,6 +53,8 @@
     changes: Vec<Change>,
     leases: BTreeMap<u64, Lease>,
     late_write: Option<LateWrite>,
+    /// When the list of runners was last read.
+    list_read: Option<Duration>,
     /// Number of writes, and of writes without an answer.
     writes: u64,
     lost: u64,
@@ -113,6 +115,11 @@
         self.lock().late_write = Some(LateWrite { key_end: key_end.to_owned(), delay });
     }
 
+    /// Returns when the list of runners was last read.
+    pub fn list_read(&self) -> Option<Duration> {
+        self.lock().list_read
+    }
+
     /// Returns the number of writes so far, and of those without an answer.
     pub fn write_counts(&self) -> (u64, u64) {
         let state = self.lock();
@@ -176,7 +183,10 @@
     }
 
     fn read_range(&self, prefix: &str, after: &str) -> Reply {
-        let state = self.lock();
+        let mut state = self.lock();
+        if prefix == "servers/" {
+            state.list_read = Some(self.record.now());
+        }
         let matching =
             state.items.iter().filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
         let all: Vec<Json> = matching.map(|(key, item)| item_json(key, item)).collect();
