Acknowledge ends only where no later incarnation can have ended a run

Cause: an acknowledgement names ends by their numbers in one incarnation of a worker, and was sent without knowing that no later incarnation had ended a run. While an end waited for its job's progress to be stored, its worker crashed, started again and ended a task; the acknowledgement for the former incarnation then took that end with it. A look before the acknowledgement alone does not suffice, since a start may be under way during the look, and an acknowledgement without an answer may be carried out late, after newer starts.

Change: an acknowledgement is sent only while every start on its worker is located, by a report that lists its run or that was asked for after the start was answered; else the worker is asked first. Each worker has fencing tokens of its own within the epoch, which rise for a start that follows an acknowledgement that is not confirmed, when a call stays unanswered, and when the incarnation changes. So an incarnation that has carried out a later start refuses the acknowledgement. A refused token that this scheduler has raised since does not end the leadership. A restart of a worker is logged.

The property test no longer leaves out restarts with ends unacknowledged or renewals under way, and has late calls of the present scheduler.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -9,6 +9,7 @@
 use crate::advice::WorkerTicket;
 use crate::amount::ResourceAmount;
 use crate::config::FleetConfig;
+use crate::fencing::FencingToken;
 use crate::order::{AdviceRequest, TaskRun};
 use crate::record::{JobProgress, WorkerRoster};
 use crate::spec::{CheckpointName, JobKey, JobSubmission, RunNumber, TaskKey};
@@ -40,9 +41,9 @@
 }
 
 impl WorkerListing {
-    /// Identifies a run on the worker, with the address that an order for it is sent to.
-    pub fn task_run(&self, task: TaskKey, run: RunNumber) -> TaskRun {
-        TaskRun { worker: self.id.clone(), address: self.address.clone(), task, run }
+    /// Identifies a run on the worker, for an order with a fencing token.
+    pub fn task_run(&self, task: TaskKey, run: RunNumber, token: FencingToken) -> TaskRun {
+        TaskRun { worker: self.id.clone(), address: self.address.clone(), task, run, token }
     }
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,7 +17,7 @@
 //! workers a queue's adviser lets a step run, [`cpu_limit`] how much processor time best-effort
 //! tasks get on the same worker as others, [`placement`] on which workers tasks start, and
 //! [`preemption`] which runs are stopped for more urgent work. [`recovery`] holds what a new scheduler
-//! has not been told yet.
+//! has not been told yet, and [`fencing`] makes late copies of calls harmless.
 
 pub mod admission;
 pub mod advice;
@@ -26,6 +26,7 @@
 pub mod config;
 pub mod cpu_limit;
 pub mod event;
+pub mod fencing;
 pub mod guarantee;
 pub mod job;
 pub mod order;
@@ -46,6 +47,7 @@
     ActiveRun, EndReason, EndedRun, FleetEvent, LeaseReport, StartOutcome, StartRefusal,
     WorkerListing,
 };
+pub use fencing::FencingToken;
 pub use job::JobPhase;
 pub use order::{AdviceRequest, FleetOrder, StartOrder, TaskRun};
 pub use planner::{FleetPlanner, PlannerLogEvent, PlannerSettings};
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -6,10 +6,11 @@
 use lacewingrail_model::{RackName, WorkerId};
 
 use crate::advice::{AdviceCandidate, TicketName};
+use crate::fencing::FencingToken;
 use crate::record::{JobProgress, WorkerRoster};
 use crate::spec::{CheckpointName, JobKey, JobSubmission, RunNumber, StepKey, TaskKey};
 
-/// One run of a task, and the worker that it is on.
+/// One run of a task, and the worker that an order for it is sent to.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TaskRun {
     /// Worker that the run is on.
@@ -20,6 +21,8 @@
     pub task: TaskKey,
     /// Number of the run.
     pub run: RunNumber,
+    /// Fencing token of the order.
+    pub token: FencingToken,
 }
 
 /// Orders a worker to start a task.
@@ -78,6 +81,8 @@
     pub acknowledge: u64,
     /// Time for which the worker may hold the answer back until it has an end to report.
     pub poll_timeout: Duration,
+    /// Fencing token of the order.
+    pub token: FencingToken,
 }
 
 /// Orders an action. Its result comes back as a [`FleetEvent`](crate::event::FleetEvent).
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -32,6 +32,7 @@
 use self::reservation::Reservation;
 use crate::config::FleetConfig;
 use crate::event::{FleetEvent, WorkerListing};
+use crate::fencing::FencingState;
 use crate::job::{JobEntry, JobPhase};
 use crate::order::FleetOrder;
 use crate::queue::{MeanWork, QueueOrder, job_work, objective};
@@ -75,6 +76,8 @@
     /// Jobs whose cancellation was read before their submission.
     early_cancellations: BTreeSet<JobKey>,
     workers: BTreeMap<WorkerId, WorkerEntry>,
+    /// Highest number of raises of the fencing token among the workers that were removed.
+    removed_raises: u64,
     /// What earlier schedulers may have left on the workers.
     recovery: RecoveryState,
     /// Whether tasks may be started, see [`Self::set_leadership_overdue`].
@@ -116,6 +119,7 @@
             jobs: BTreeMap::new(),
             early_cancellations: BTreeSet::new(),
             workers: BTreeMap::new(),
+            removed_raises: 0,
             recovery,
             starts_allowed: true,
             stored_roster: WorkerRoster::new(),
@@ -339,7 +343,8 @@
         for listing in listings {
             match self.workers.get_mut(&listing.id) {
                 None => {
-                    let mut worker = WorkerEntry::new(listing);
+                    let fencing = FencingState::new(self.removed_raises);
+                    let mut worker = WorkerEntry::new(listing, fencing);
                     worker.restore_speed(&self.stored_roster);
                     self.workers.insert(worker.listing.id.clone(), worker);
                 }
@@ -347,6 +352,7 @@
                     worker.listing = listing;
                     if worker.incarnation < worker.listing.incarnation {
                         worker.report = ReportState::Awaited;
+                        worker.fencing.raise();
                     }
                 }
                 // The list may lag behind the worker's own reports.
--- a/crates/fleet/src/planner/cpu_limits.rs
+++ b/crates/fleet/src/planner/cpu_limits.rs
@@ -60,6 +60,7 @@
             return;
         };
         entry.cpu_limits_adjusted_at = Some(now);
+        let token = entry.fencing.token(self.settings.epoch);
         for (task, run) in &adjustment.best_effort_runs {
             let Some(run_entry) = entry.runs.get_mut(&(*task, *run)) else {
                 continue;
@@ -73,16 +74,19 @@
                 continue;
             }
             run_entry.cpu_limit = Some(limit);
-            let target = entry.listing.task_run(*task, *run);
+            let target = entry.listing.task_run(*task, *run, token);
             self.orders.push(FleetOrder::LimitCpu { target, percent: limit });
         }
     }
 
     /// Clears the CPU limit of a run, because the worker did not confirm it.
     pub(super) fn clear_cpu_limit(&mut self, worker: &str, task: TaskKey, run: RunNumber) {
-        let entry = self.workers.get_mut(worker).and_then(|entry| entry.runs.get_mut(&(task, run)));
-        if let Some(entry) = entry {
-            entry.cpu_limit = None;
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        entry.fencing.raise();
+        if let Some(run_entry) = entry.runs.get_mut(&(task, run)) {
+            run_entry.cpu_limit = None;
         }
     }
 
--- a/crates/fleet/src/planner/maintenance.rs
+++ b/crates/fleet/src/planner/maintenance.rs
@@ -68,13 +68,19 @@
             self.release_run(&worker, task, run);
         }
         let recovered = self.is_recovered();
+        let removed_raises = &mut self.removed_raises;
         self.workers.retain(|_, worker| {
             let unknown = match worker.report {
                 ReportState::Awaited => !recovered,
                 ReportState::Partial => true,
                 ReportState::Complete => false,
             };
-            worker.listed || worker.renewal_in_flight || unknown || !worker.runs.is_empty()
+            let is_needed =
+                worker.listed || worker.renewal_in_flight || unknown || !worker.runs.is_empty();
+            if !is_needed {
+                *removed_raises = worker.fencing.raises().max(*removed_raises);
+            }
+            is_needed
         });
         if recovered {
             self.store_roster(now);
@@ -101,12 +107,13 @@
     /// Repeats stop orders that were not confirmed in time.
     fn retry_stops(&mut self, now: Duration) {
         for worker in self.workers.values_mut() {
+            let token = worker.fencing.token(self.settings.epoch);
             for ((task, run), entry) in &mut worker.runs {
                 if let RunPhase::Stopping { ordered, confirmed: None } = &mut entry.phase
                     && now.saturating_sub(*ordered) >= STOP_RETRY_DELAY
                 {
                     *ordered = now;
-                    let target = worker.listing.task_run(*task, *run);
+                    let target = worker.listing.task_run(*task, *run, token);
                     self.orders.push(FleetOrder::Stop(target));
                 }
             }
@@ -261,6 +268,7 @@
             return;
         }
         let (lease, poll_timeout) = (self.settings.lease_duration, self.report_poll_timeout());
+        let epoch = self.settings.epoch;
         let mut first_reports =
             MAX_FIRST_REPORTS_IN_FLIGHT.saturating_sub(self.first_reports_in_flight(now));
         for (id, worker) in &mut self.workers {
@@ -276,9 +284,10 @@
             let lease_end = worker.next_lease_end(now, lease);
             let may_wait = worker.report == ReportState::Complete
                 && !worker.has_pending_ends()
+                && !worker.withholds_acknowledgement()
                 && worker.unanswered_renewals == 0;
             let acknowledge = worker.next_acknowledgement();
-            worker.record_renewal_sent(acknowledge, now);
+            worker.record_renewal_sent(acknowledge, epoch, now);
             self.orders.push(FleetOrder::Renew(RenewOrder {
                 worker: id.clone(),
                 address: worker.listing.address.clone(),
@@ -289,6 +298,7 @@
                 } else {
                     Duration::ZERO
                 },
+                token: worker.renewal_token,
             }));
         }
     }
@@ -341,6 +351,9 @@
     if worker.has_pending_ends() {
         return !worker.runs.is_empty() && elapsed >= lease / RENEWALS_PER_LEASE;
     }
+    if worker.withholds_acknowledgement() {
+        return worker.can_locate_runs() || elapsed >= lease / RENEWALS_PER_LEASE;
+    }
     worker.report == ReportState::Partial
         || worker.has_unconfirmed_acknowledgement()
         || !worker.runs.is_empty()
--- a/crates/fleet/src/planner/order_answer.rs
+++ b/crates/fleet/src/planner/order_answer.rs
@@ -54,7 +54,10 @@
                 return;
             }
             StartOutcome::Refused(StartRefusal::StaleToken) => {
-                self.orders.push(FleetOrder::StepDown);
+                // Otherwise, a newer call of this scheduler has overtaken the start.
+                if run_entry.token == entry.fencing.token(self.settings.epoch) {
+                    self.orders.push(FleetOrder::StepDown);
+                }
             }
             StartOutcome::Refused(StartRefusal::NoTicket) => {
                 let step = self.jobs.get_mut(&task.job);
@@ -63,7 +66,11 @@
                     step.advice.remove(worker);
                 }
             }
-            StartOutcome::Refused(_) | StartOutcome::Unclear => entry.back_off(now),
+            StartOutcome::Refused(_) => entry.back_off(now),
+            StartOutcome::Unclear => {
+                entry.fencing.raise();
+                entry.back_off(now);
+            }
         }
         self.counts.failed_starts += 1;
         if outcome == StartOutcome::Unclear {
@@ -83,10 +90,15 @@
         is_confirmed: bool,
         now: Duration,
     ) {
-        let entry = self.workers.get_mut(worker).and_then(|entry| entry.runs.get_mut(&(task, run)));
-        if let Some(run_entry) = entry
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if !is_confirmed {
+            entry.fencing.raise();
+            return;
+        }
+        if let Some(run_entry) = entry.runs.get_mut(&(task, run))
             && let RunPhase::Stopping { confirmed, .. } = &mut run_entry.phase
-            && is_confirmed
         {
             confirmed.get_or_insert(now);
         }
@@ -117,6 +129,7 @@
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
+        let token = entry.fencing.token(self.settings.epoch);
         let Some(run_entry) = entry.runs.get_mut(&(task, run)) else {
             return;
         };
@@ -124,7 +137,7 @@
             return;
         }
         run_entry.phase = RunPhase::Stopping { ordered: now, confirmed: None };
-        let target = entry.listing.task_run(task, run);
+        let target = entry.listing.task_run(task, run, token);
         self.orders.push(FleetOrder::Stop(target));
     }
 }
--- a/crates/fleet/src/planner/start.rs
+++ b/crates/fleet/src/planner/start.rs
@@ -7,6 +7,7 @@
 use super::FleetPlanner;
 use super::reservation::TaskPlacement;
 use crate::cpu_limit::FULL_CPU_LIMIT_PERCENT;
+use crate::fencing::FencingToken;
 use crate::job::{JobEntry, TaskPhase};
 use crate::order::{FleetOrder, StartBasis, StartOrder};
 use crate::spec::{CheckpointName, RunNumber, StepSpec, TaskKey};
@@ -49,7 +50,7 @@
         spec: &StepSpec,
         now: Duration,
     ) {
-        let lease = self.settings.lease_duration;
+        let (lease, epoch) = (self.settings.lease_duration, self.settings.epoch);
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
@@ -67,7 +68,10 @@
         }
         let lease_end = entry.clock_at(now).unwrap_or_default() + lease;
         entry.extend_lease(lease_end);
-        entry.add_run(task, run, new_run(spec, checkpoint.clone(), now));
+        entry.fencing.raise_for_start();
+        let token = entry.fencing.token(epoch);
+        let target = entry.listing.task_run(task, run, token);
+        entry.add_run(task, run, new_run(spec, token, checkpoint.clone(), now));
         self.counts.starts += 1;
         let basis = StartBasis {
             rack: entry.listing.rack.clone(),
@@ -75,7 +79,6 @@
             report_age: entry.report_age(now),
             waited: now.saturating_sub(waiting_since),
         };
-        let target = entry.listing.task_run(task, run);
         let submission = job.submission.clone();
         let order = StartOrder { target, submission, checkpoint, ticket, lease_end, basis };
         self.orders.push(FleetOrder::Start(order));
@@ -103,11 +106,18 @@
 }
 
 /// Returns the entry of a run whose start was just ordered.
-fn new_run(spec: &StepSpec, checkpoint: Option<CheckpointName>, now: Duration) -> RunEntry {
+fn new_run(
+    spec: &StepSpec,
+    token: FencingToken,
+    checkpoint: Option<CheckpointName>,
+    now: Duration,
+) -> RunEntry {
     RunEntry {
         phase: RunPhase::Starting,
         since: now,
         confirmed: None,
+        located: false,
+        token,
         demand: spec.demand,
         checkpoint,
         percent: 0,
--- a/crates/fleet/src/planner/telemetry.rs
+++ b/crates/fleet/src/planner/telemetry.rs
@@ -75,6 +75,15 @@
         /// Number of runs that were on the worker.
         runs: usize,
     },
+    /// A worker has started again. What its former incarnation ran has ended.
+    WorkerRestarted {
+        /// Worker that has started again.
+        worker: WorkerId,
+        /// Present incarnation.
+        incarnation: u64,
+        /// Number of runs that were, or may have been, on the worker.
+        runs: usize,
+    },
     /// A worker has ended more runs than its report names. Runs that the report leaves out are kept
     /// until all ends are reported.
     EndsOmitted {
--- a/crates/fleet/src/planner/worker_report.rs
+++ b/crates/fleet/src/planner/worker_report.rs
@@ -30,6 +30,13 @@
             return;
         }
         if report.incarnation > entry.incarnation {
+            if entry.incarnation > 0 {
+                self.log_events.push(PlannerLogEvent::WorkerRestarted {
+                    worker: worker.to_owned(),
+                    incarnation: report.incarnation,
+                    runs: entry.runs.len(),
+                });
+            }
             entry.begin_incarnation(report.incarnation);
         } else {
             entry.confirm_acknowledgement();
@@ -45,6 +52,7 @@
             self.log_events.push(PlannerLogEvent::EndsOmitted { worker, reported });
         }
         entry.report = ReportState::after(&report, entry.listing.incarnation);
+        entry.locate_runs(sent);
         self.recovery.record_report(worker, entry.report);
         let mut reported: BTreeSet<(TaskKey, RunNumber)> = BTreeSet::new();
         reported.extend(report.running.iter().map(|run| (run.task, run.run)));
@@ -71,24 +79,31 @@
     }
 
     /// Records that a worker did not answer a renewal; steps down if the worker has seen a higher
-    /// fencing token.
+    /// fencing token than this scheduler has used.
     pub(super) fn record_unanswered_renewal(
         &mut self,
         worker: &str,
         stale_token: bool,
         now: Duration,
     ) {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        entry.renewal_in_flight = false;
+        let is_superseded = entry.renewal_token < entry.fencing.token(self.settings.epoch);
+        if stale_token && is_superseded {
+            // A newer call of this scheduler has overtaken the renewal; the next one follows.
+            return;
+        }
         if stale_token {
             self.orders.push(FleetOrder::StepDown);
         }
-        if let Some(entry) = self.workers.get_mut(worker) {
-            entry.renewal_in_flight = false;
-            entry.unanswered_renewals += 1;
-            if entry.report == ReportState::Partial {
-                entry.report = ReportState::Awaited;
-            }
-            entry.back_off(now);
+        entry.fencing.raise();
+        entry.unanswered_renewals += 1;
+        if entry.report == ReportState::Partial {
+            entry.report = ReportState::Awaited;
         }
+        entry.back_off(now);
     }
 
     /// Updates a known run from a worker's report, or adopts an unknown one.
@@ -134,6 +149,8 @@
             phase: RunPhase::Running,
             since: now,
             confirmed: Some(now),
+            located: true,
+            token: 0,
             demand: demand.unwrap_or_default(),
             checkpoint: running.checkpoint.clone(),
             percent: running.percent,
@@ -167,7 +184,7 @@
         let missing: Vec<(TaskKey, RunNumber)> = entry
             .runs
             .iter()
-            .filter(|(key, run)| !reported.contains(key) && was_confirmed_before(run, sent))
+            .filter(|(key, run)| !reported.contains(key) && run.was_answered_before(sent))
             .map(|(key, _)| *key)
             .collect();
         for (task, run) in missing {
@@ -259,6 +276,7 @@
 /// Updates a known run from a report.
 fn update_run(run: &mut RunEntry, running: &ActiveRun, now: Duration) {
     run.confirmed.get_or_insert(now);
+    run.located = true;
     if run.phase == RunPhase::Starting {
         run.phase = RunPhase::Running;
     }
@@ -269,12 +287,3 @@
     run.checkpoint.clone_from(&running.checkpoint);
     run.usage = f64::from(running.usage);
 }
-
-/// Returns whether the worker had confirmed the run, or its stop, before a renewal was sent.
-fn was_confirmed_before(run: &RunEntry, sent: Duration) -> bool {
-    match run.phase {
-        RunPhase::Starting => false,
-        RunPhase::Running => run.confirmed.is_some_and(|confirmed| confirmed < sent),
-        RunPhase::Stopping { confirmed, .. } => confirmed.is_some_and(|confirmed| confirmed < sent),
-    }
-}
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -8,8 +8,11 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use lacewingrail_model::Epoch;
+
 use crate::amount::ResourceAmount;
 use crate::event::WorkerListing;
+use crate::fencing::{FencingState, FencingToken};
 use crate::record::WorkerRoster;
 use crate::recovery::ReportState;
 use crate::spec::{CheckpointName, JobKey, RunNumber, TaskKey};
@@ -54,6 +57,11 @@
     pub since: Duration,
     /// When the worker confirmed the start, or `None` before.
     pub confirmed: Option<Duration>,
+    /// Whether a report has shown that the start, or the stop after a start without an answer, was
+    /// carried out by no later incarnation than the present one.
+    pub located: bool,
+    /// Fencing token of the start order; 0 if an earlier scheduler sent it.
+    pub token: FencingToken,
     /// Resources that the run takes on the worker.
     pub demand: ResourceAmount,
     /// Newest checkpoint, if the worker has reported any.
@@ -70,6 +78,22 @@
     pub usage: f64,
 }
 
+impl RunEntry {
+    /// Returns when the worker answered the newest order for the run; `None` before.
+    pub fn answered_at(&self) -> Option<Duration> {
+        match self.phase {
+            RunPhase::Starting => None,
+            RunPhase::Running => self.confirmed,
+            RunPhase::Stopping { confirmed, .. } => confirmed,
+        }
+    }
+
+    /// Returns whether the worker had answered the newest order for the run before a time.
+    pub fn was_answered_before(&self, time: Duration) -> bool {
+        self.answered_at().is_some_and(|at| at < time)
+    }
+}
+
 /// End that is acknowledged once its job's progress is stored.
 #[derive(Clone, Copy, Debug)]
 struct PendingEnd {
@@ -107,6 +131,10 @@
     pub renewal_sent_at: Option<Duration>,
     /// What the listed incarnation, or a later one, has told this scheduler.
     pub report: ReportState,
+    /// Token of the next call to the worker.
+    pub fencing: FencingState,
+    /// Fencing token of the newest lease renewal.
+    pub renewal_token: FencingToken,
     /// Number of lease renewals in a row that were not answered.
     pub unanswered_renewals: u32,
     /// Estimated speed of the present incarnation.
@@ -136,8 +164,8 @@
 }
 
 impl WorkerEntry {
-    /// Creates the entry of a worker that is listed for the first time.
-    pub fn new(listing: WorkerListing) -> Self {
+    /// Creates the entry of a worker that is listed and not known.
+    pub fn new(listing: WorkerListing, fencing: FencingState) -> Self {
         Self {
             listing,
             listed: true,
@@ -146,6 +174,8 @@
             renewal_in_flight: false,
             renewal_sent_at: None,
             report: ReportState::default(),
+            fencing,
+            renewal_token: 0,
             unanswered_renewals: 0,
             speed: WorkerSpeed::default(),
             cpu_limits_adjusted_at: None,
@@ -215,18 +245,28 @@
         if first {
             return;
         }
+        self.fencing.raise();
         self.speed = WorkerSpeed::default();
         self.clock = None;
         self.lease_end = Duration::ZERO;
         self.failure_streak = 0;
         self.pending_ends.clear();
         (self.last_applied_end, self.acknowledgeable, self.acknowledged) = (0, 0, 0);
-        let unanswered = self.runs.values_mut().filter(|run| run.confirmed.is_none());
-        for run in unanswered {
-            run.phase = RunPhase::Stopping { ordered: Duration::ZERO, confirmed: None };
+        for run in self.runs.values_mut() {
+            run.located = false;
+            if run.confirmed.is_none() {
+                run.phase = RunPhase::Stopping { ordered: Duration::ZERO, confirmed: None };
+            }
         }
     }
 
+    /// Records which runs the present incarnation or a former one has started, given that it has
+    /// answered a renewal that was sent at a time.
+    pub fn locate_runs(&mut self, sent: Duration) {
+        let answered = self.runs.values_mut().filter(|run| run.was_answered_before(sent));
+        answered.for_each(|run| run.located = true);
+    }
+
     /// Records the worker's clock from an answer that was received `now`.
     pub fn record_clock(&mut self, clock: Duration, now: Duration) {
         self.clock = Some(ClockReading { worker_time: clock, received_at: now });
@@ -338,11 +378,28 @@
     /// Returns the number of the newest end that the next renewal acknowledges; 0 for none.
     ///
     /// A new incarnation numbers its ends from 1 again and would forget those up to the number. So
-    /// an acknowledgement is not repeated once it is confirmed, and after a renewal without an
-    /// answer, a report has to show the incarnation first.
+    /// an acknowledgement is sent only while no later incarnation than the present one can have
+    /// ended a run: every start must be located. Later starts carry a higher fencing token. After a
+    /// renewal without an answer, a report has to show the incarnation first.
     pub fn next_acknowledgement(&self) -> u64 {
         let is_due = self.has_unconfirmed_acknowledgement() && self.unanswered_renewals == 0;
-        if is_due { self.acknowledgeable } else { 0 }
+        if is_due && self.unlocated_runs().next().is_none() { self.acknowledgeable } else { 0 }
+    }
+
+    /// Returns the runs that a later incarnation than the present one may have started.
+    fn unlocated_runs(&self) -> impl Iterator<Item = &RunEntry> {
+        self.runs.values().filter(|run| !run.located)
+    }
+
+    /// Returns whether an acknowledgement waits for runs to be located.
+    pub fn withholds_acknowledgement(&self) -> bool {
+        self.has_unconfirmed_acknowledgement() && self.unlocated_runs().next().is_some()
+    }
+
+    /// Returns whether a report would locate a run that the newest one could not.
+    pub fn can_locate_runs(&self) -> bool {
+        let sent_at = self.renewal_sent_at.unwrap_or_default();
+        self.unlocated_runs().any(|run| run.answered_at().is_some_and(|at| at >= sent_at))
     }
 
     /// Returns whether an end may be acknowledged whose acknowledgement is not confirmed yet.
@@ -355,15 +412,22 @@
         !self.pending_ends.is_empty()
     }
 
-    /// Records that a renewal is sent that acknowledges ends up to a number.
-    pub fn record_renewal_sent(&mut self, acknowledgement: u64, now: Duration) {
+    /// Records that a renewal is sent under an epoch that acknowledges ends up to a number.
+    pub fn record_renewal_sent(&mut self, acknowledgement: u64, epoch: Epoch, now: Duration) {
         self.renewal_in_flight = true;
         self.renewal_sent_at = Some(now);
+        self.renewal_token = self.fencing.token(epoch);
         self.acknowledgement_in_flight = acknowledgement;
+        if acknowledgement > 0 {
+            self.fencing.record_acknowledgement_sent();
+        }
     }
 
     /// Records that the incarnation to which the renewal in flight was sent has answered it.
     pub fn confirm_acknowledgement(&mut self) {
         self.acknowledged = self.acknowledged.max(self.acknowledgement_in_flight);
+        if self.acknowledgement_in_flight > 0 {
+            self.fencing.record_acknowledgement_confirmed();
+        }
     }
 }
--- /dev/null
+++ b/crates/fleet/tests/decisions/late_calls.rs
@@ -0,0 +1,102 @@
+//! Calls that take effect late, or in another incarnation of their worker than was meant.
+
+use std::time::Duration;
+
+use lacewingrail_fleet::order::RenewOrder;
+use lacewingrail_fleet::spec::JobSchedule;
+use lacewingrail_fleet::{EndReason, FleetEvent, FleetOrder, JobSubmission};
+
+use crate::harness::{PlannerHarness, SimulatedWorker, listing, settings, step, submission};
+
+/// Time between the occurrences of the recurring job.
+const PERIOD: Duration = Duration::from_secs(2);
+
+/// Returns a job of two occurrences, of which the first is due now.
+fn two_occurrences(harness: &PlannerHarness) -> JobSubmission {
+    let first_unix_ms = settings(1).unix_origin_ms + harness.now.as_millis() as u64;
+    let mut submission = submission(1, "normal", vec![step(1, 1)]);
+    submission.spec.schedule = Some(JobSchedule { first_unix_ms, period: PERIOD, times: 2 });
+    submission
+}
+
+/// Restarts the only worker; the list of workers does not show it yet.
+fn restart_worker(harness: &mut PlannerHarness) {
+    let incarnation = harness.workers["w0"].incarnation + 1;
+    let reborn = SimulatedWorker { incarnation, ..SimulatedWorker::default() };
+    harness.workers.insert("w0".to_owned(), reborn);
+}
+
+/// Guards against an acknowledgement of a former incarnation's end that makes the present one
+/// forget an end that no report has named: its task was once done twice (review case 6).
+#[test]
+fn acknowledgement_meets_no_end_of_the_next_incarnation() {
+    let mut harness = PlannerHarness::new(1, vec![listing("w0", "north", "r1")]);
+    harness.submit(two_occurrences(&harness));
+    harness.submit(submission(2, "normal", vec![step(1, 1)]));
+    let (first, other) = (harness.starts[0].clone(), harness.starts[1].clone());
+    harness.end_task(&first, EndReason::Done);
+    harness.advance(PERIOD - Duration::from_millis(400));
+    harness.store_unavailable = true;
+    harness.end_task(&other, EndReason::Done);
+    harness.advance(Duration::from_millis(100));
+    restart_worker(&mut harness);
+    harness.advance(Duration::from_millis(400));
+    let second = harness.starts[2].clone();
+    assert_eq!(second.target.task.occurrence, 1);
+    harness.end_task(&second, EndReason::Done);
+    harness.store_unavailable = false;
+    harness.advance(Duration::from_secs(3));
+    assert_eq!(harness.starts.len(), 3, "no task is started again");
+}
+
+/// Runs the planner for a time without delivering acknowledgements; returns the first of them.
+fn hold_acknowledgements(harness: &mut PlannerHarness, duration: Duration) -> Option<RenewOrder> {
+    let end = harness.now + duration;
+    let mut held = None;
+    while harness.now < end {
+        harness.now += Duration::from_millis(10);
+        for order in harness.planner.plan(harness.now) {
+            match order {
+                FleetOrder::Renew(order) if order.acknowledge > 0 => held = held.or(Some(order)),
+                order => harness.execute(order),
+            }
+        }
+    }
+    held
+}
+
+/// Returns a harness in which a start has followed an acknowledgement that is still under way.
+fn start_after_acknowledgement() -> (PlannerHarness, RenewOrder) {
+    let mut harness = PlannerHarness::new(1, vec![listing("w0", "north", "r1")]);
+    harness.submit(two_occurrences(&harness));
+    let first = harness.starts[0].clone();
+    harness.end_task(&first, EndReason::Done);
+    let acknowledgement = hold_acknowledgements(&mut harness, PERIOD + Duration::from_millis(200));
+    assert_eq!(harness.starts.len(), 2, "the second occurrence has started");
+    (harness, acknowledgement.expect("the first end is acknowledged"))
+}
+
+/// Guards against an acknowledgement that is carried out late, by an incarnation that has ended a
+/// later run: it would forget that end.
+#[test]
+fn start_outranks_an_acknowledgement_under_way() {
+    let (harness, acknowledgement) = start_after_acknowledgement();
+    assert!(harness.starts[1].target.token > acknowledgement.token);
+}
+
+/// Guards against a scheduler that gives up the leadership because a call of its own has overtaken
+/// another one, and against one that keeps it although another scheduler has led since.
+#[test]
+fn only_a_higher_token_of_another_scheduler_ends_the_leadership() {
+    let (mut harness, acknowledgement) = start_after_acknowledgement();
+    let refusal =
+        FleetEvent::RenewalUnanswered { worker: acknowledgement.worker, stale_token: true };
+    harness.apply_event(refusal.clone());
+    harness.run_until_idle();
+    assert!(!harness.stepped_down, "the start has overtaken the acknowledgement");
+    harness.advance(Duration::from_secs(1));
+    assert!(harness.workers["w0"].ended.is_empty(), "the end is acknowledged again");
+    harness.apply_event(refusal);
+    harness.run_until_idle();
+    assert!(harness.stepped_down, "no call of this scheduler has a higher token");
+}
--- a/crates/fleet/tests/decisions/main.rs
+++ b/crates/fleet/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod advice;
 mod guarantee;
 mod harness;
+mod late_calls;
 mod planner;
 mod preemption;
 mod sharing;
--- a/crates/fleet/tests/decisions/takeover_properties.rs
+++ b/crates/fleet/tests/decisions/takeover_properties.rs
@@ -18,6 +18,9 @@
 /// Maximum number of events in a sequence.
 const MAX_EVENTS: usize = 60;
 
+/// Maximum number of events in a sequence with restarts.
+const MAX_RESTART_EVENTS: usize = 120;
+
 /// Job that is submitted.
 #[derive(Clone, Copy, Debug)]
 enum JobKind {
@@ -62,11 +65,23 @@
     ]
 }
 
+/// Returns a kind of job that one worker can run.
+fn any_small_kind() -> impl Strategy<Value = JobKind> {
+    prop_oneof![
+        2 => (1..4_u32).prop_map(|tasks| JobKind::Plain { tasks }),
+        1 => Just(JobKind::Gang { tasks: 2 }),
+        3 => (1..6_u32, 0..2000_u64).prop_map(|(times, due_ms)| {
+            JobKind::Recurring { times, due: Duration::from_millis(due_ms) }
+        }),
+    ]
+}
+
 fn any_fate() -> impl Strategy<Value = OrderFate> {
     prop_oneof![
         6 => Just(OrderFate::Answered),
         1 => Just(OrderFate::AnswerLost),
         1 => Just(OrderFate::Lost),
+        1 => Just(OrderFate::Late),
     ]
 }
 
@@ -96,6 +111,25 @@
     ]
 }
 
+/// Returns an event of a sequence in which one worker restarts often while calls to it are under way,
+/// and the list of workers, which would show the restart, is rarely read.
+fn any_event_of_restarts() -> impl Strategy<Value = WorldEvent> {
+    let reason = prop_oneof![3 => Just(EndReason::Done), 1 => Just(EndReason::Failed)];
+    let orders = prop::collection::vec((any::<usize>(), any_fate()), 1..5);
+    prop_oneof![
+        3 => any_small_kind().prop_map(WorldEvent::Submit),
+        1 => (1..3_u32).prop_map(WorldEvent::Run),
+        8 => (1..60_u64).prop_map(|ms| WorldEvent::Plan(Duration::from_millis(ms))),
+        10 => orders.prop_map(WorldEvent::ExecuteOrders),
+        5 => Just(WorldEvent::Write),
+        2 => Just(WorldEvent::TellChanges),
+        5 => (1..3_usize, reason)
+            .prop_map(|(count, reason)| WorldEvent::EndRuns { worker: 0, count, reason }),
+        2 => Just(WorldEvent::ExecuteLateOrders),
+        2 => Just(WorldEvent::Restart { worker: 0 }),
+    ]
+}
+
 fn job(key: JobKey, kind: JobKind, now: Duration) -> JobSubmission {
     match kind {
         JobKind::Plain { tasks } => submission(key, "normal", vec![step(tasks, 1)]),
@@ -164,4 +198,19 @@
         }
         world.settle_and_check();
     }
+
+    /// A call that takes effect late, or in another incarnation than was meant, must neither run a
+    /// task twice nor lose a job (review case 6).
+    #[test]
+    fn restarts_amid_calls_lose_and_repeat_nothing(
+        events in prop::collection::vec(any_event_of_restarts(), 1..MAX_RESTART_EVENTS)
+    ) {
+        let mut world = World::new(1);
+        world.elect();
+        world.run(2);
+        for (index, event) in events.into_iter().enumerate() {
+            apply_event(&mut world, index as JobKey + 1, event);
+        }
+        world.settle_and_check();
+    }
 }
--- a/crates/fleet/tests/decisions/world.rs
+++ b/crates/fleet/tests/decisions/world.rs
@@ -13,13 +13,14 @@
 
 use lacewingrail_fleet::order::RenewOrder;
 use lacewingrail_fleet::record::WorkerRoster;
+use lacewingrail_fleet::worker::RunPhase;
 use lacewingrail_fleet::{
     EndReason, FleetEvent, FleetOrder, FleetPlanner, JobKey, JobPhase, JobProgress, JobSubmission,
-    PlannerSettings, StartOrder, StartOutcome, TaskRun,
+    PlannerSettings, RunNumber, StartOrder, StartOutcome, TaskKey, TaskRun,
 };
 
 use self::record::{MAX_FAILURES, check_records};
-use self::workers::WorldWorkers;
+use self::workers::{StaleToken, WorldWorkers};
 use crate::harness::{config, settings};
 
 /// Time for which a scheduler may start tasks after the store has stopped answering.
@@ -43,6 +44,15 @@
     AnswerLost,
     /// It is lost.
     Lost,
+    /// It is not answered, and takes effect with the late orders.
+    Late,
+}
+
+impl OrderFate {
+    /// Returns whether the order reaches its worker at once.
+    fn is_sent(self) -> bool {
+        matches!(self, Self::Answered | Self::AnswerLost)
+    }
 }
 
 /// Change of the stored inputs that the present scheduler has not been told yet.
@@ -64,7 +74,6 @@
 /// Scheduler in office, with what it has ordered and not heard of.
 struct WorldScheduler {
     planner: FleetPlanner,
-    epoch: u64,
     orders: VecDeque<FleetOrder>,
     unwritten: BTreeMap<JobKey, JobProgress>,
     unwritten_roster: Option<WorkerRoster>,
@@ -80,8 +89,8 @@
     workers: WorldWorkers,
     store: WorldStore,
     scheduler: Option<WorldScheduler>,
-    /// Orders of earlier schedulers that may still be carried out, with their epochs.
-    late_orders: Vec<(u64, FleetOrder)>,
+    /// Orders that nobody waits for and that may still be carried out.
+    late_orders: Vec<FleetOrder>,
     epoch: u64,
     accepted: BTreeMap<JobKey, JobSubmission>,
     /// Final phases of the jobs whose end was stored.
@@ -137,7 +146,6 @@
         }
         self.scheduler = Some(WorldScheduler {
             planner,
-            epoch: self.epoch,
             orders: VecDeque::new(),
             unwritten: BTreeMap::new(),
             unwritten_roster: None,
@@ -149,18 +157,17 @@
     /// Ends the scheduler. Its orders may be carried out late; its writes are lost.
     pub fn kill_scheduler(&mut self) {
         if let Some(scheduler) = self.scheduler.take() {
-            let epoch = scheduler.epoch;
-            self.late_orders.extend(scheduler.orders.into_iter().map(|order| (epoch, order)));
+            self.late_orders.extend(scheduler.orders);
         }
     }
 
-    /// Carries out all orders of earlier schedulers that are left.
+    /// Carries out all orders that are late, and those that earlier schedulers have left.
     pub fn execute_late_orders(&mut self) {
-        for (epoch, order) in std::mem::take(&mut self.late_orders) {
+        for order in std::mem::take(&mut self.late_orders) {
             match order {
-                FleetOrder::Start(order) => drop(self.workers.start(&order, epoch, self.now)),
-                FleetOrder::Stop(target) => drop(self.workers.stop(&target, epoch, self.now)),
-                FleetOrder::Renew(order) => drop(self.workers.renew(&order, epoch, self.now)),
+                FleetOrder::Start(order) => drop(self.workers.start(&order, self.now)),
+                FleetOrder::Stop(target) => drop(self.workers.stop(&target, self.now)),
+                FleetOrder::Renew(order) => drop(self.workers.renew(&order, self.now)),
                 _ => {}
             }
         }
@@ -198,11 +205,13 @@
         let Some(order) = scheduler.orders.remove(index % count.max(1)) else {
             return;
         };
-        let epoch = scheduler.epoch;
+        if fate == OrderFate::Late {
+            self.late_orders.push(order.clone());
+        }
         let event = match order {
-            FleetOrder::Start(order) => self.execute_start(&order, epoch, fate),
-            FleetOrder::Stop(target) => self.execute_stop(target, epoch, fate),
-            FleetOrder::Renew(order) => self.execute_renewal(&order, epoch, fate),
+            FleetOrder::Start(order) => self.execute_start(&order, fate),
+            FleetOrder::Stop(target) => self.execute_stop(target, fate),
+            FleetOrder::Renew(order) => self.execute_renewal(&order, fate),
             _ => return,
         };
         self.tell(event);
@@ -298,20 +307,32 @@
 
     /// Crashes the worker at an index and starts it again under its id.
     ///
-    /// Orders of earlier schedulers to it are lost, and so are renewals on their way: a worker that
-    /// has lost its fencing token would carry the former out, and the latter acknowledge ends by the
-    /// numbers of the former incarnation. No scheduler could know of either. For the same reason a
-    /// worker restarts only while none of its ends waits to be acknowledged.
+    /// Late starts on it are lost, and so are starts on their way whose runs were stopped meanwhile:
+    /// a worker that has lost its fencing token would carry them out, and no scheduler could know
+    /// (review case 7).
     pub fn restart(&mut self, index: usize) {
         let id = self.workers.id_at(index);
-        if self.workers.has_ends(&id) {
-            return;
+        self.late_orders.retain(|order| started_run(order, &id).is_none());
+        while let Some(index) = self.find_stopped_start(&id) {
+            self.execute_order(index, OrderFate::Lost);
         }
-        self.late_orders.retain(|(_, order)| order_worker(order) != Some(&id));
-        self.lose_renewals(&id);
         self.workers.restart(&id, self.now);
     }
 
+    /// Returns the index of a start order on a worker whose run the scheduler has stopped meanwhile.
+    fn find_stopped_start(&self, id: &str) -> Option<usize> {
+        let scheduler = self.scheduler.as_ref()?;
+        let is_starting = |key: (TaskKey, RunNumber)| {
+            let worker = scheduler.planner.workers().find(|worker| worker.listing.id == id);
+            let run = worker.and_then(|worker| worker.runs.get(&key));
+            run.is_some_and(|run| run.phase == RunPhase::Starting)
+        };
+        scheduler
+            .orders
+            .iter()
+            .position(|order| started_run(order, id).is_some_and(|key| !is_starting(key)))
+    }
+
     /// Ends all faults, runs until every accepted job has ended, or for [`SETTLE_TIMEOUT`], and
     /// checks all that the region has done.
     ///
@@ -350,42 +371,40 @@
         }
     }
 
-    fn execute_start(&mut self, order: &StartOrder, epoch: u64, fate: OrderFate) -> FleetEvent {
-        let is_sent = fate != OrderFate::Lost;
-        let answer = if is_sent { self.workers.start(order, epoch, self.now) } else { None };
+    fn execute_start(&mut self, order: &StartOrder, fate: OrderFate) -> FleetEvent {
+        let answer = if fate.is_sent() { self.workers.start(order, self.now) } else { None };
         let TaskRun { worker, task, run, .. } = order.target.clone();
         let answer = answer.filter(|_| fate == OrderFate::Answered);
         let outcome = answer.unwrap_or(StartOutcome::Unclear);
         FleetEvent::StartAnswered { worker, task, run, outcome }
     }
 
-    fn execute_stop(&mut self, target: TaskRun, epoch: u64, fate: OrderFate) -> FleetEvent {
-        let is_stopped = fate != OrderFate::Lost && self.workers.stop(&target, epoch, self.now);
+    fn execute_stop(&mut self, target: TaskRun, fate: OrderFate) -> FleetEvent {
+        let is_stopped = fate.is_sent() && self.workers.stop(&target, self.now);
         let TaskRun { worker, task, run, .. } = target;
         let confirmed = is_stopped && fate == OrderFate::Answered;
         FleetEvent::StopAnswered { worker, task, run, confirmed }
     }
 
-    fn execute_renewal(&mut self, order: &RenewOrder, epoch: u64, fate: OrderFate) -> FleetEvent {
+    fn execute_renewal(&mut self, order: &RenewOrder, fate: OrderFate) -> FleetEvent {
         let sent = self.now;
-        let is_sent = fate != OrderFate::Lost;
-        let report = if is_sent { self.workers.renew(order, epoch, self.now) } else { None };
+        let answer = if fate.is_sent() { self.workers.renew(order, self.now) } else { None };
         let worker = order.worker.clone();
-        match report.filter(|_| fate == OrderFate::Answered) {
-            Some(report) => FleetEvent::RenewalAnswered { worker, sent, report },
+        match answer.filter(|_| fate == OrderFate::Answered) {
+            Some(Ok(report)) => FleetEvent::RenewalAnswered { worker, sent, report },
+            Some(Err(StaleToken)) => FleetEvent::RenewalUnanswered { worker, stale_token: true },
             None => FleetEvent::RenewalUnanswered { worker, stale_token: false },
         }
     }
+}
 
-    /// Loses the renewals of a worker's lease that are on their way.
-    fn lose_renewals(&mut self, id: &str) {
-        let is_renewal =
-            |order: &FleetOrder| matches!(order, FleetOrder::Renew(order) if order.worker == id);
-        while let Some(scheduler) = &self.scheduler
-            && let Some(index) = scheduler.orders.iter().position(is_renewal)
-        {
-            self.execute_order(index, OrderFate::Lost);
+/// Returns the run that an order starts on a worker; `None` for any other order.
+fn started_run(order: &FleetOrder, id: &str) -> Option<(TaskKey, RunNumber)> {
+    match order {
+        FleetOrder::Start(order) if order.target.worker == id => {
+            Some((order.target.task, order.target.run))
         }
+        _ => None,
     }
 }
 
@@ -393,13 +412,3 @@
     let submission = Arc::new(submission.clone());
     FleetEvent::JobAccepted { submission, progress, age: Duration::ZERO }
 }
-
-/// Returns the worker that an order is sent to.
-fn order_worker(order: &FleetOrder) -> Option<&String> {
-    match order {
-        FleetOrder::Start(order) => Some(&order.target.worker),
-        FleetOrder::Stop(target) => Some(&target.worker),
-        FleetOrder::Renew(order) => Some(&order.worker),
-        _ => None,
-    }
-}
--- a/crates/fleet/tests/decisions/world/workers.rs
+++ b/crates/fleet/tests/decisions/world/workers.rs
@@ -6,8 +6,8 @@
 
 use lacewingrail_fleet::order::RenewOrder;
 use lacewingrail_fleet::{
-    ActiveRun, EndReason, EndedRun, LeaseReport, RunNumber, StartOrder, StartOutcome, StartRefusal,
-    TaskKey, TaskRun, WorkerListing,
+    ActiveRun, EndReason, EndedRun, FencingToken, LeaseReport, RunNumber, StartOrder, StartOutcome,
+    StartRefusal, TaskKey, TaskRun, WorkerListing,
 };
 
 use super::record::RunRecord;
@@ -23,13 +23,16 @@
 /// Task and number of a run.
 type RunKey = (TaskKey, RunNumber);
 
+/// Refusal of an order, because the worker has seen a higher fencing token.
+pub struct StaleToken;
+
 /// Worker that runs tasks under a lease.
 struct WorldWorker {
     incarnation: u64,
     born_at: Duration,
     clock_rate: f64,
     /// Highest fencing token seen.
-    token: u64,
+    token: FencingToken,
     /// End of the lease on the worker's clock.
     lease_end: Duration,
     /// Runs in progress, each with the index of its record.
@@ -138,11 +141,6 @@
         self.workers.entry(id.to_owned()).and_modify(|worker| worker.hidden = hidden);
     }
 
-    /// Returns whether ends of a worker wait to be acknowledged.
-    pub fn has_ends(&self, id: &str) -> bool {
-        !self.workers[id].ended.is_empty()
-    }
-
     /// Crashes a worker and starts it again under its id.
     pub fn restart(&mut self, id: &str, now: Duration) {
         let Some(worker) = self.workers.get_mut(id) else {
@@ -195,10 +193,12 @@
     }
 
     /// Starts a run; `None` without an answer.
-    pub fn start(&mut self, order: &StartOrder, token: u64, now: Duration) -> Option<StartOutcome> {
+    pub fn start(&mut self, order: &StartOrder, now: Duration) -> Option<StartOutcome> {
         let (task, run) = (order.target.task, order.target.run);
         let record = self.records.len();
-        let worker = self.answering_worker(&order.target.worker, token)?;
+        let Ok(worker) = self.answering_worker(&order.target.worker, order.target.token)? else {
+            return Some(StartOutcome::Refused(StartRefusal::StaleToken));
+        };
         if order.lease_end <= worker.clock(now) {
             return Some(StartOutcome::Refused(StartRefusal::LeaseOver));
         }
@@ -226,9 +226,9 @@
     }
 
     /// Stops a run, or rejects it if it arrives later; returns whether the worker answers.
-    pub fn stop(&mut self, target: &TaskRun, token: u64, now: Duration) -> bool {
+    pub fn stop(&mut self, target: &TaskRun, now: Duration) -> bool {
         let (task, run) = (target.task, target.run);
-        let Some(worker) = self.answering_worker(&target.worker, token) else {
+        let Some(Ok(worker)) = self.answering_worker(&target.worker, target.token) else {
             return false;
         };
         let highest = worker.highest_runs.entry(task).or_default();
@@ -238,8 +238,14 @@
     }
 
     /// Renews a worker's lease and returns its report, or `None` without an answer.
-    pub fn renew(&mut self, order: &RenewOrder, token: u64, now: Duration) -> Option<LeaseReport> {
-        let worker = self.answering_worker(&order.worker, token)?;
+    pub fn renew(
+        &mut self,
+        order: &RenewOrder,
+        now: Duration,
+    ) -> Option<Result<LeaseReport, StaleToken>> {
+        let Ok(worker) = self.answering_worker(&order.worker, order.token)? else {
+            return Some(Err(StaleToken));
+        };
         if let Some(lease_end) = order.lease_end {
             worker.extend_lease(lease_end, now);
         }
@@ -250,17 +256,21 @@
         for record in noted {
             self.records[record].noted = !self.records[record].expired;
         }
-        Some(report)
+        Some(Ok(report))
     }
 
-    /// Returns a worker if it answers and has seen no higher token.
-    fn answering_worker(&mut self, id: &str, token: u64) -> Option<&mut WorldWorker> {
-        let worker = self.workers.get_mut(id)?;
-        if worker.silent || worker.token > token {
-            return None;
+    /// Returns a worker if it answers, unless it has seen a higher token.
+    fn answering_worker(
+        &mut self,
+        id: &str,
+        token: FencingToken,
+    ) -> Option<Result<&mut WorldWorker, StaleToken>> {
+        let worker = self.workers.get_mut(id).filter(|worker| !worker.silent)?;
+        if worker.token > token {
+            return Some(Err(StaleToken));
         }
         worker.token = token;
-        Some(worker)
+        Some(Ok(worker))
     }
 
     /// Ends a run, if it is in progress, and what ends with it.
--- a/crates/instance/src/executor.rs
+++ b/crates/instance/src/executor.rs
@@ -20,7 +20,7 @@
 /// Epoch under which orders are sent, and the time until which starts are allowed.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct LeadershipPermit {
-    /// Epoch of the leadership; sent to workers as the fencing token.
+    /// Epoch of the leadership, for logs.
     pub epoch: Epoch,
     /// Time on [`clock`] until which no other process can have acquired the leadership.
     pub valid_until: Duration,
@@ -90,18 +90,18 @@
         let permit = *self.permit.borrow();
         let sent = clock::now();
         let outcome = if permit.is_valid() {
-            self.workers.start(&order, permit.epoch).await
+            self.workers.start(&order).await
         } else {
             StartOutcome::Refused(StartRefusal::LeaseOver)
         };
         self.metrics.order_seconds.observe((clock::now() - sent).as_secs_f64());
-        let (TaskRun { worker, task, run, .. }, basis) = (order.target, order.basis);
+        let (TaskRun { worker, task, run, token, .. }, basis) = (order.target, order.basis);
         self.metrics.start_wait_seconds.observe(basis.waited.as_secs_f64());
         log::info!(
             job = format!("{:016x}", task.job), step = task.step, task = task.index, run = run,
             worker = worker, rack = basis.rack.unwrap_or_default(),
             speed = format!("{:.2}", basis.speed), report_age_ms = millis(basis.report_age),
-            waited_ms = millis(basis.waited), epoch = permit.epoch,
+            waited_ms = millis(basis.waited), token = token,
             outcome = format!("{outcome:?}");
             "start ordered"
         );
@@ -109,26 +109,24 @@
     }
 
     async fn stop(self, run: TaskRun) {
-        let epoch = self.permit.borrow().epoch;
         let sent = clock::now();
-        let confirmed = self.workers.stop(&run, epoch).await;
+        let confirmed = self.workers.stop(&run).await;
         self.metrics.order_seconds.observe((clock::now() - sent).as_secs_f64());
-        let TaskRun { worker, task, run, .. } = run;
+        let TaskRun { worker, task, run, token, .. } = run;
         log::info!(
             job = format!("{:016x}", task.job), step = task.step, task = task.index, run = run,
-            worker = worker, epoch = epoch, confirmed = confirmed;
+            worker = worker, token = token, confirmed = confirmed;
             "stop ordered"
         );
         self.scheduler.tell(FleetEvent::StopAnswered { worker, task, run, confirmed }).await;
     }
 
     async fn limit_cpu(self, run: TaskRun, percent: u32) {
-        let epoch = self.permit.borrow().epoch;
-        let confirmed = self.workers.limit_cpu(&run, percent, epoch).await;
-        let TaskRun { worker, task, run, .. } = run;
+        let confirmed = self.workers.limit_cpu(&run, percent).await;
+        let TaskRun { worker, task, run, token, .. } = run;
         log::info!(
             job = format!("{:016x}", task.job), step = task.step, task = task.index, run = run,
-            worker = worker, epoch = epoch, percent = percent, confirmed = confirmed;
+            worker = worker, token = token, percent = percent, confirmed = confirmed;
             "pace ordered"
         );
         if !confirmed {
@@ -151,16 +149,15 @@
     }
 
     async fn renew(self, order: RenewOrder) {
-        let epoch = self.permit.borrow().epoch;
         let sent = clock::now();
-        let answer = self.workers.renew(&order, epoch).await;
-        let worker = order.worker;
+        let answer = self.workers.renew(&order).await;
+        let (worker, token) = (order.worker, order.token);
         let event = match answer {
             Ok(report) => FleetEvent::RenewalAnswered { worker, sent, report },
             Err(error) => {
                 let stale_token = error == RenewError::StaleToken;
                 log::warn!(
-                    worker = worker, epoch = epoch, error = format!("{error:?}");
+                    worker = worker, token = token, error = format!("{error:?}");
                     "renewal failed"
                 );
                 FleetEvent::RenewalUnanswered { worker, stale_token }
--- a/crates/instance/src/platform.rs
+++ b/crates/instance/src/platform.rs
@@ -11,15 +11,15 @@
 use lacewingrail_fleet::{
     AdviceRequest, LeaseReport, StartOrder, StartOutcome, TaskRun, WorkerListing, WorkerTicket,
 };
+use lacewingrail_model::DomainName;
 use lacewingrail_model::store::{Revision, StoreError};
-use lacewingrail_model::{DomainName, Epoch};
 
 use crate::routes::ConfigTree;
 
 /// Reason why the renewal of a worker's lease failed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum RenewError {
-    /// The worker has seen a higher fencing token, so another scheduler has been elected since.
+    /// The worker has seen a higher fencing token, of a newer call or of another scheduler.
     StaleToken,
     /// No answer, an error status or a malformed report, with the cause for logs.
     NoAnswer(String),
@@ -31,24 +31,24 @@
 
 /// Sends orders to workers and queries the adviser, which decides which workers may run a step.
 ///
-/// `token` is the fencing token: a worker refuses orders with a lower one than it has seen.
+/// Every order carries its fencing token: a worker refuses one that is lower than it has seen.
 #[async_trait]
 pub trait WorkerService: Send + Sync {
     /// Starts a task; an unanswered call ends in [`StartOutcome::Unclear`].
-    async fn start(&self, order: &StartOrder, token: Epoch) -> StartOutcome;
+    async fn start(&self, order: &StartOrder) -> StartOutcome;
 
     /// Stops a run; returns whether the worker confirmed the stop.
-    async fn stop(&self, run: &TaskRun, token: Epoch) -> bool;
+    async fn stop(&self, run: &TaskRun) -> bool;
 
     /// Limits the CPU share of a filling task to `percent`, 0 to 100; returns whether the worker
     /// confirmed the limit.
-    async fn limit_cpu(&self, run: &TaskRun, percent: u32, token: Epoch) -> bool;
+    async fn limit_cpu(&self, run: &TaskRun, percent: u32) -> bool;
 
     /// Renews the lease of a worker and returns its report.
     ///
     /// # Errors
     /// Reports a stale fencing token, or that no valid report was received.
-    async fn renew(&self, order: &RenewOrder, token: Epoch) -> Result<LeaseReport, RenewError>;
+    async fn renew(&self, order: &RenewOrder) -> Result<LeaseReport, RenewError>;
 
     /// Returns the workers that the adviser allows to run a step, each with its ticket.
     ///
--- a/crates/instance/src/schedule_controller.rs
+++ b/crates/instance/src/schedule_controller.rs
@@ -294,6 +294,10 @@
             epoch = epoch, worker = worker, runs = runs;
             "lease lapsed"
         ),
+        PlannerLogEvent::WorkerRestarted { worker, incarnation, runs } => log::info!(
+            epoch = epoch, worker = worker, incarnation = incarnation, runs = runs;
+            "worker restarted"
+        ),
         PlannerLogEvent::EndsOmitted { worker, reported } => log::info!(
             epoch = epoch, worker = worker, reported = reported;
             "report without all ends"
