Store a cancellation in any case, and accept no submission after it

Cause: the store may carry out a write seconds after the call. A cancellation was stored only for a job that was stored, and a submission required nothing but the absence of its own key. So a submission that was on its way when its job was cancelled took effect as if it had not been.

Change: a cancellation is stored before it is acknowledged, whether or not its job is, and a submission requires that neither is stored. The scheduler deletes such a cancellation when it is as old as an ended job may get. Both writes, and the reads of a job's status, move from client_api.rs to input_store.rs, so that they can be tested without a process.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -73,8 +73,9 @@
     /// Failure domains that operators have disabled.
     disabled_domains: BTreeSet<DomainName>,
     jobs: BTreeMap<JobKey, JobEntry>,
-    /// Jobs whose cancellation was read before their submission.
-    early_cancellations: BTreeSet<JobKey>,
+    /// Jobs whose cancellation is known and whose submission is not, with the time at which each
+    /// cancellation became known.
+    early_cancellations: BTreeMap<JobKey, Duration>,
     workers: BTreeMap<WorkerId, WorkerEntry>,
     /// Highest number of raises of the fencing token among the workers that were removed.
     removed_raises: u64,
@@ -117,7 +118,7 @@
             order: QueueOrder::default(),
             disabled_domains: BTreeSet::new(),
             jobs: BTreeMap::new(),
-            early_cancellations: BTreeSet::new(),
+            early_cancellations: BTreeMap::new(),
             workers: BTreeMap::new(),
             removed_raises: 0,
             recovery,
@@ -263,15 +264,15 @@
             entry.ended_at = Some(now);
         }
         self.jobs.insert(key, entry);
-        if self.early_cancellations.remove(&key) {
+        if self.early_cancellations.remove(&key).is_some() {
             self.cancel_job(key, now);
         }
     }
 
-    /// Cancels a job, or records the cancellation until its submission is read.
+    /// Cancels a job, or records the cancellation in case its submission is read later.
     fn cancel_job(&mut self, job: JobKey, now: Duration) {
         if !self.jobs.contains_key(&job) {
-            self.early_cancellations.insert(job);
+            self.early_cancellations.entry(job).or_insert(now);
         }
         self.end_job(job, JobPhase::Cancelled, now);
     }
--- a/crates/fleet/src/planner/maintenance.rs
+++ b/crates/fleet/src/planner/maintenance.rs
@@ -50,6 +50,7 @@
         self.stop_stalled_runs(now);
         self.add_due_occurrences(now);
         self.remove_ended_jobs(now);
+        self.remove_early_cancellations(now);
     }
 
     /// Releases the runs on workers whose lease has certainly expired, and removes workers that are
@@ -262,6 +263,20 @@
         }
     }
 
+    /// Orders the deletion of cancellations whose submission has not come in the time for which an
+    /// ended job is stored. It can't be under way any longer.
+    fn remove_early_cancellations(&mut self, now: Duration) {
+        let retention = self.settings.ended_job_retention;
+        let orders = &mut self.orders;
+        self.early_cancellations.retain(|job, known_at| {
+            let is_recent = now.saturating_sub(*known_at) < retention;
+            if !is_recent {
+                orders.push(FleetOrder::RemoveJob(*job));
+            }
+            is_recent
+        });
+    }
+
     /// Asks workers for reports and extends their leases, unless renewals are not allowed.
     pub(super) fn renew_leases(&mut self, now: Duration) {
         if !self.renewals_allowed {
--- a/crates/fleet/tests/decisions/late_calls.rs
+++ b/crates/fleet/tests/decisions/late_calls.rs
@@ -4,7 +4,7 @@
 
 use lacewingrail_fleet::order::RenewOrder;
 use lacewingrail_fleet::spec::JobSchedule;
-use lacewingrail_fleet::{EndReason, FleetEvent, FleetOrder, JobSubmission};
+use lacewingrail_fleet::{EndReason, FleetEvent, FleetOrder, JobPhase, JobSubmission};
 
 use crate::harness::{PlannerHarness, SimulatedWorker, listing, settings, step, submission};
 
@@ -49,6 +49,25 @@
     assert_eq!(harness.starts.len(), 3, "no task is started again");
 }
 
+/// Guards against a job that runs although it was cancelled before its submission was read, and
+/// against cancellations without a job that stay in the store for good.
+#[test]
+fn cancellation_waits_for_its_job_and_is_then_deleted() {
+    let mut harness = PlannerHarness::new(1, vec![listing("w0", "north", "r1")]);
+    let retention = settings(1).ended_job_retention;
+    harness.apply_event(FleetEvent::JobCancelled(1));
+    harness.apply_event(FleetEvent::JobCancelled(2));
+    harness.now += retention - Duration::from_secs(1);
+    harness.store_unavailable = true;
+    harness.submit(submission(1, "normal", vec![step(1, 1)]));
+    assert!(harness.starts.is_empty());
+    assert_eq!(harness.planner.job(1).map(|job| job.phase), Some(JobPhase::Cancelled));
+    assert!(harness.removals.is_empty());
+    harness.now += Duration::from_secs(1);
+    harness.run_until_idle();
+    assert_eq!(harness.removals, [2]);
+}
+
 /// Runs the planner for a time without delivering acknowledgements; returns the first of them.
 fn hold_acknowledgements(harness: &mut PlannerHarness, duration: Duration) -> Option<RenewOrder> {
     let end = harness.now + duration;
--- a/crates/instance/src/client_api.rs
+++ b/crates/instance/src/client_api.rs
@@ -8,19 +8,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lacewingrail_fleet::{JobKey, JobPhase, JobProgress, JobSpec, JobSubmission};
+use lacewingrail_fleet::{FleetEvent, JobKey, JobSpec, JobSubmission};
 use lacewingrail_model::clock::{millis, unix_millis};
 use lacewingrail_model::message::{FleetCall, FleetReply, JobStatus};
-use lacewingrail_model::store::{KeyExpectation, KeyWrite, StoreBatch, StoreError};
+use lacewingrail_model::store::StoreError;
 use tokio::sync::watch;
 
 use crate::clock;
 use crate::event_sources;
+use crate::input_store::{InputStore, SubmissionOutcome};
 use crate::leader_client::{LeaderAnswer, LeaderClient};
 use crate::leadership::LeadershipView;
 use crate::metrics::CallLabels;
 use crate::process::InstanceContext;
-use crate::records::{cancel_key, job_key, progress_key};
 use crate::schedule_controller::{
     AdmissionReply, CheckAdmission, CountPending, GetStatus, SchedulerHandle, StatusReply,
 };
@@ -29,8 +29,6 @@
 /// Retry delay sent to clients during an outage or without a scheduler: about half the time of a
 /// change of leadership, and the shortest delay that the header can express.
 const OUTAGE_RETRY_DELAY: Duration = Duration::from_secs(1);
-/// Maximum number of repetitions of a write whose answer was lost.
-const MAX_SUBMISSION_RETRIES: u32 = 3;
 /// Retry delay sent with the refusal of a job that no worker could run until the fleet changes.
 const UNSCHEDULABLE_RETRY_DELAY: Duration = Duration::from_secs(30);
 
@@ -74,6 +72,11 @@
         /// Delay after which the client should retry.
         retry: Duration,
     },
+    /// The job was cancelled before it was stored, and never runs.
+    CancelledBefore {
+        /// Delay after which the cancellation is removed and the job's id can be used again.
+        retry: Duration,
+    },
     /// The call can't be served now and had no effect.
     Unavailable {
         /// Reason, shown to the client.
@@ -104,6 +107,7 @@
             Self::Standing(_) => "standing",
             Self::Pending(_) => "pending",
             Self::NotAccepted { .. } => "not-accepted",
+            Self::CancelledBefore { .. } => "cancelled-before",
             Self::Unavailable { .. } => "unavailable",
             Self::NoConfig => "no-config",
             Self::UnknownRoute => "unknown-route",
@@ -115,21 +119,13 @@
     }
 }
 
-/// Result of storing a submission.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum SubmissionWrite {
-    /// The job was not stored before.
-    Created,
-    /// The job was stored already.
-    Existing,
-}
-
 /// Handles client calls and those forwarded by peers.
 #[derive(Clone)]
 pub struct ClientApi {
     context: Arc<InstanceContext>,
     leadership: watch::Receiver<LeadershipView>,
     leader: LeaderClient,
+    inputs: InputStore,
     unclear: Arc<UnclearJobs>,
 }
 
@@ -141,7 +137,8 @@
         leadership: watch::Receiver<LeadershipView>,
         leader: LeaderClient,
     ) -> Self {
-        Self { context, leadership, leader, unclear: Arc::default() }
+        let inputs = InputStore::new(context.health.clone());
+        Self { context, leadership, leader, inputs, unclear: Arc::default() }
     }
 
     /// Handles a client call, logs it and counts it.
@@ -221,6 +218,9 @@
         let answer = self.leader.call(call).await;
         match answer {
             LeaderAnswer::Answered(FleetReply::Accepted) => return ClientAnswer::Accepted,
+            LeaderAnswer::Answered(FleetReply::CancelledBefore { retry_ms }) => {
+                return ClientAnswer::CancelledBefore { retry: Duration::from_millis(retry_ms) };
+            }
             LeaderAnswer::Answered(FleetReply::NotAccepted { reason, retry_ms }) => {
                 let retry = Duration::from_millis(retry_ms);
                 return ClientAnswer::NotAccepted { reason, retry };
@@ -231,12 +231,11 @@
             answer,
             LeaderAnswer::NotReached | LeaderAnswer::Answered(FleetReply::NotActive)
         );
-        match self.store_submission(&submission).await {
-            Ok(_) => ClientAnswer::Accepted,
+        match self.inputs.submit(&submission).await {
             // The scheduler may have stored the job, so a failed write of this instance does not
             // prove that the job is not stored.
-            Err(ClientAnswer::NotAccepted { .. }) if !not_executed => ClientAnswer::Unclear,
-            Err(answer) => answer,
+            SubmissionOutcome::NotStored(_) if !not_executed => ClientAnswer::Unclear,
+            outcome => self.submission_answer(outcome),
         }
     }
 
@@ -257,109 +256,62 @@
             // its check, as on an instance without a scheduler.
             Ok(AdmissionReply::Acceptable) | Err(_) => {}
         }
-        match self.store_submission(&submission).await {
-            Ok(SubmissionWrite::Created) => {
-                scheduler.tell(event_sources::job_accepted(submission, None)).await;
-                ClientAnswer::Accepted
-            }
-            // The scheduler loads an earlier submission from the store, together with its progress.
-            Ok(SubmissionWrite::Existing) => ClientAnswer::Accepted,
-            Err(answer) => answer,
-        }
-    }
-
-    /// Stores a submission unless the job is stored already; the error is the answer to the client.
-    async fn store_submission(
-        &self,
-        submission: &JobSubmission,
-    ) -> Result<SubmissionWrite, ClientAnswer> {
-        let value = serde_json::to_string(submission)
-            .map_err(|error| ClientAnswer::Malformed(error.to_string()))?;
-        if self.context.health.outage().is_some() {
-            return Err(ClientAnswer::NotAccepted {
-                reason: "the key-value service is out of reach".to_owned(),
-                retry: OUTAGE_RETRY_DELAY,
-            });
-        }
-        let key = job_key(submission.key);
-        let batch = StoreBatch {
-            expected: vec![KeyExpectation { key: key.clone(), revision: 0 }],
-            writes: vec![KeyWrite { key: key.clone(), value, lease: None }],
-            deletes: Vec::new(),
-        };
-        match self.context.store.commit(batch.clone()).await {
-            Ok(_) => Ok(SubmissionWrite::Created),
-            Err(StoreError::Conflict { .. }) => Ok(SubmissionWrite::Existing),
-            Err(StoreError::Unclear(_)) => self.retry_submission(&key, batch).await,
-            Err(error) => Err(ClientAnswer::NotAccepted {
-                reason: error.to_string(),
-                retry: OUTAGE_RETRY_DELAY,
-            }),
+        let outcome = self.inputs.submit(&submission).await;
+        // The scheduler loads an earlier submission from the store, together with its progress.
+        if outcome == SubmissionOutcome::Created {
+            scheduler.tell(event_sources::job_accepted(submission, None)).await;
         }
+        self.submission_answer(outcome)
     }
 
-    /// Repeats the write of a submission after its answer was lost, until an answer shows that the
-    /// submission is stored.
-    ///
-    /// Without such an answer, the outcome stays unknown, since a write may take effect later.
-    async fn retry_submission(
-        &self,
-        key: &str,
-        batch: StoreBatch,
-    ) -> Result<SubmissionWrite, ClientAnswer> {
-        for _ in 0..MAX_SUBMISSION_RETRIES {
-            if self.context.health.outage().is_some() {
-                break;
+    /// Returns the answer to a submission whose write had an outcome.
+    fn submission_answer(&self, outcome: SubmissionOutcome) -> ClientAnswer {
+        match outcome {
+            SubmissionOutcome::Created | SubmissionOutcome::Existing => ClientAnswer::Accepted,
+            SubmissionOutcome::Cancelled => {
+                let retry = self.context.settings.stored_retention();
+                ClientAnswer::CancelledBefore { retry }
             }
-            match self.context.store.commit(batch.clone()).await {
-                // The first write may have taken effect, so the job may already have progress.
-                Ok(_) | Err(StoreError::Conflict { .. }) => return Ok(SubmissionWrite::Existing),
-                Err(error) => {
-                    log::warn!(key = key, error = error.to_string(); "cannot confirm submission");
-                }
+            SubmissionOutcome::NotStored(reason) => {
+                ClientAnswer::NotAccepted { reason, retry: OUTAGE_RETRY_DELAY }
             }
+            SubmissionOutcome::Unclear => ClientAnswer::Unclear,
         }
-        Err(ClientAnswer::Unclear)
     }
 
     async fn cancel(&self, job: JobKey) -> ClientAnswer {
         let local_scheduler = self.leadership.borrow().local_scheduler.clone();
-        if local_scheduler.is_none() {
-            match self.leader.call(FleetCall::Cancel { job }).await {
-                LeaderAnswer::Answered(FleetReply::Cancelled) => return ClientAnswer::Cancelled,
-                LeaderAnswer::Answered(FleetReply::Unknown) => return ClientAnswer::UnknownJob,
-                _ => {}
-            }
+        match local_scheduler {
+            Some(scheduler) => self.cancel_at_scheduler(&scheduler, job).await,
+            None => match self.leader.call(FleetCall::Cancel { job }).await {
+                LeaderAnswer::Answered(FleetReply::Cancelled) => ClientAnswer::Cancelled,
+                LeaderAnswer::Answered(FleetReply::Unknown) => ClientAnswer::UnknownJob,
+                _ => self.store_cancellation(job, false).await,
+            },
         }
-        let answer = self.store_cancellation(job, local_scheduler.as_ref()).await;
-        if let (Some(scheduler), ClientAnswer::Cancelled) = (local_scheduler, &answer) {
-            scheduler.tell(lacewingrail_fleet::FleetEvent::JobCancelled(job)).await;
+    }
+
+    /// Cancels a job at the active scheduler of this process.
+    async fn cancel_at_scheduler(&self, scheduler: &SchedulerHandle, job: JobKey) -> ClientAnswer {
+        let status = scheduler.0.ask(GetStatus(job)).await;
+        let is_known = matches!(status, Ok(StatusReply::Known(_)));
+        let answer = self.store_cancellation(job, is_known).await;
+        if answer == ClientAnswer::Cancelled {
+            scheduler.tell(FleetEvent::JobCancelled(job)).await;
         }
         answer
     }
 
-    async fn store_cancellation(
-        &self,
-        job: JobKey,
-        scheduler: Option<&SchedulerHandle>,
-    ) -> ClientAnswer {
-        let known = match scheduler {
-            Some(scheduler) => {
-                matches!(scheduler.0.ask(GetStatus(job)).await, Ok(StatusReply::Known(_)))
-            }
-            None => false,
-        };
-        if !known {
-            match self.context.store.get(&job_key(job)).await {
-                Ok(Some(_)) => {}
-                Ok(None) => return ClientAnswer::UnknownJob,
-                Err(error) => return unavailable(&error),
-            }
-        }
-        let write = KeyWrite { key: cancel_key(job), value: String::new(), lease: None };
-        let batch = StoreBatch { writes: vec![write], ..StoreBatch::default() };
-        match self.context.store.commit(batch).await {
-            Ok(_) => ClientAnswer::Cancelled,
+    /// Stores a cancellation, and reads whether its job is stored unless that is known.
+    ///
+    /// The cancellation is stored in any case, since the submission may be on its way.
+    async fn store_cancellation(&self, job: JobKey, is_known: bool) -> ClientAnswer {
+        match self.inputs.cancel(job).await {
+            Ok(()) if is_known => ClientAnswer::Cancelled,
+            Ok(()) => match self.inputs.contains(job).await {
+                Ok(false) => ClientAnswer::UnknownJob,
+                Ok(true) | Err(_) => ClientAnswer::Cancelled,
+            },
             Err(StoreError::Unclear(_)) => ClientAnswer::Unclear,
             Err(error) => unavailable(&error),
         }
@@ -381,40 +333,13 @@
                 _ => {}
             },
         }
-        match self.read_stored_status(job).await {
+        match self.inputs.job_status(job).await {
             Ok(Some(status)) => ClientAnswer::Standing(status),
             Ok(None) => ClientAnswer::UnknownJob,
             Err(error) => unavailable(&error),
         }
     }
 
-    /// Derives a job's status from the key-value service; `None` if the job is not stored.
-    async fn read_stored_status(&self, job: JobKey) -> Result<Option<JobStatus>, StoreError> {
-        let store = &self.context.store;
-        if store.get(&job_key(job)).await?.is_none() {
-            return Ok(None);
-        }
-        let progress = match store.get(&progress_key(job)).await? {
-            Some(entry) => Some(
-                serde_json::from_str::<JobProgress>(&entry.value)
-                    .map_err(|error| StoreError::Malformed(error.to_string()))?,
-            ),
-            None => None,
-        };
-        let phase = progress.as_ref().map_or(JobPhase::Active, |progress| progress.phase);
-        if phase == JobPhase::Active && store.get(&cancel_key(job)).await?.is_some() {
-            return Ok(Some(JobStatus::Cancelled));
-        }
-        let begun = progress.is_some_and(|progress| progress.begun);
-        Ok(Some(match phase {
-            JobPhase::Completed => JobStatus::Completed,
-            JobPhase::Failed => JobStatus::Failed,
-            JobPhase::Cancelled => JobStatus::Cancelled,
-            JobPhase::Active if begun => JobStatus::Running,
-            JobPhase::Active => JobStatus::Queued,
-        }))
-    }
-
     async fn count_pending(&self, queue: &str) -> ClientAnswer {
         let local_scheduler = self.leadership.borrow().local_scheduler.clone();
         let count = match local_scheduler {
@@ -459,6 +384,9 @@
                     ClientAnswer::NotAccepted { reason, retry } => {
                         FleetReply::NotAccepted { reason, retry_ms: millis(retry) }
                     }
+                    ClientAnswer::CancelledBefore { retry } => {
+                        FleetReply::CancelledBefore { retry_ms: millis(retry) }
+                    }
                     _ => FleetReply::Unclear,
                 }
             }
--- a/crates/instance/src/leadership.rs
+++ b/crates/instance/src/leadership.rs
@@ -51,8 +51,6 @@
 /// Maximum election delay before jitter; the delay falls linearly to zero as the core share grows
 /// to [`SUFFICIENT_CORE_SHARE`].
 const MAX_ELECTION_DELAY: Duration = Duration::from_millis(600);
-/// Time for which an ended job is retained beyond the time in which clients may query it.
-const ENDED_RETENTION_MARGIN: Duration = Duration::from_secs(10);
 
 /// Active scheduler, as this process knows it.
 #[derive(Clone, Default)]
@@ -344,7 +342,7 @@
         lease_duration: context.settings.max_worker_lease,
         renewal_grace: OUTAGE_GRACE_PERIOD,
         report_poll_timeout: context.settings.report_poll_timeout,
-        ended_job_retention: context.settings.ended_retention + ENDED_RETENTION_MARGIN,
+        ended_job_retention: context.settings.stored_retention(),
         unix_origin_ms: origin,
     }
 }
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod client_api;
 pub mod clock;
+pub mod input_store;
 pub mod metrics;
 pub mod peer;
 pub mod platform;
--- a/crates/instance/src/process.rs
+++ b/crates/instance/src/process.rs
@@ -21,6 +21,8 @@
 
 /// Delay before reading the operators' settings again after an error.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Time for which an ended job is stored beyond the time in which clients may query it.
+const ENDED_RETENTION_MARGIN: Duration = Duration::from_secs(10);
 
 /// Settings of one process, fixed at its start.
 #[derive(Clone, Debug)]
@@ -41,6 +43,13 @@
     pub ended_retention: Duration,
 }
 
+impl InstanceSettings {
+    /// Returns the time for which ended jobs, and cancellations without a job, are stored.
+    pub fn stored_retention(&self) -> Duration {
+        self.ended_retention + ENDED_RETENTION_MARGIN
+    }
+}
+
 /// State that all tasks of the process share.
 pub struct InstanceContext {
     /// Settings of this process.
--- a/crates/model/src/message.rs
+++ b/crates/model/src/message.rs
@@ -142,6 +142,11 @@
         /// Time after which the client should retry, in milliseconds.
         retry_ms: u64,
     },
+    /// The job was cancelled before it was stored: it has not run and will not run.
+    CancelledBefore {
+        /// Time after which the job's id can be used again, in milliseconds.
+        retry_ms: u64,
+    },
     /// The cancellation is stored.
     Cancelled,
     /// State of the job.
