Remember a submission whose client left as one of unknown outcome

What callers saw: a client that left before the answer and came back to the same instance during an outage of the store was told that its job never runs (429), although the first write took effect later.

Cause: the outcome was recorded after the answer; the handler of a client that leaves is dropped before.

Change: a submission that is dropped before it is finished is recorded as one of unknown outcome.

Evidence: job_whose_client_left_is_not_refused failed before (429, 504 expected) and passes; the job then runs to its end.

--- a/crates/instance/src/client_api.rs
+++ b/crates/instance/src/client_api.rs
@@ -198,8 +198,9 @@
                     spec,
                     accepted_unix_ms: unix_millis(),
                 };
+                let attempt = self.unclear.begin(job);
                 let answer = self.submit(submission).await;
-                self.unclear.reconcile(job, answer)
+                attempt.finish(answer)
             }
             ClientOperation::Cancel => self.cancel(job).await,
             ClientOperation::Query => self.job_status(job).await,
--- a/crates/instance/src/unclear_jobs.rs
+++ b/crates/instance/src/unclear_jobs.rs
@@ -2,10 +2,11 @@
 //!
 //! A write whose answer was lost may take effect later. If the client submits the job again while
 //! the key-value service is unreachable, a refusal would be wrong, since it promises that the job
-//! never runs; the answer is again that the outcome is unknown.
+//! never runs; the answer is again that the outcome is unknown. The outcome of a submission is also
+//! unknown when its client leaves before the answer.
 
 use std::collections::BTreeMap;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use lacewingrail_fleet::JobKey;
@@ -26,10 +27,15 @@
 }
 
 impl UnclearJobs {
+    /// Begins a submission; its outcome is unknown if it is dropped before it is finished.
+    pub fn begin(self: &Arc<Self>, job: JobKey) -> SubmissionAttempt {
+        SubmissionAttempt { unclear: self.clone(), job, is_finished: false }
+    }
+
     /// Corrects the answer to a submission in view of earlier ones of the same job, and records it.
     ///
     /// A refusal becomes [`ClientAnswer::Unclear`] while an earlier outcome is unknown.
-    pub fn reconcile(&self, job: JobKey, answer: ClientAnswer) -> ClientAnswer {
+    fn reconcile(&self, job: JobKey, answer: ClientAnswer) -> ClientAnswer {
         let now = clock::now();
         let mut jobs = self.jobs.lock().unwrap_or_else(PoisonError::into_inner);
         jobs.retain(|_, recorded_at| now.saturating_sub(*recorded_at) < OUTCOME_RETENTION);
@@ -49,3 +55,27 @@
         }
     }
 }
+
+/// Submission in progress.
+#[derive(Debug)]
+pub struct SubmissionAttempt {
+    unclear: Arc<UnclearJobs>,
+    job: JobKey,
+    is_finished: bool,
+}
+
+impl SubmissionAttempt {
+    /// Returns the answer for the client, in view of earlier submissions of the same job.
+    pub fn finish(mut self, answer: ClientAnswer) -> ClientAnswer {
+        self.is_finished = true;
+        self.unclear.reconcile(self.job, answer)
+    }
+}
+
+impl Drop for SubmissionAttempt {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            self.unclear.reconcile(self.job, ClientAnswer::Unclear);
+        }
+    }
+}
