Bound leases in worker incarnations that the scheduler does not know yet

What callers would see: a task starts elsewhere while it still runs (TWICE).

Cause: a start or renewal names the end of the lease on the worker's clock. The scheduler counts that time from the sending, which holds for the incarnation that is meant. A later one, whose clock has started anew, grants the longest lease from the arrival of the call, and so keeps its runs for longer by the call's delay.

Change: a renewal names a lease only while every start is located, as for an acknowledgement; until then the lease in the start suffices. A start that follows an unanswered renewal with a lease carries a higher token. The lease in a start counts from its answer. A start counts as located once the worker has answered a renewal sent after the start was answered or given up; an acknowledgement also waits for the answer to the stop of a start that was given up. While one is withheld, the worker is asked each 0.3 s instead of 1.5 s.

Evidence: renewal_extends_no_lease_until_all_starts_are_located and lease_counts_from_the_answer_to_a_start failed before (a lease in the first renewal; the task started elsewhere before 6 s had passed).

--- a/crates/fleet/src/fencing.rs
+++ b/crates/fleet/src/fencing.rs
@@ -7,9 +7,10 @@
 //!
 //! - when a call to the worker stays unanswered, and when its incarnation changes: whatever was sent
 //!   before is refused from the next call on that the worker receives;
-//! - when a start follows an acknowledgement that may still take effect. An acknowledgement names
-//!   ends by their numbers in one incarnation. An incarnation that has carried out a later start
-//!   refuses it, so it can't take the end of that run for one of the former incarnation.
+//! - when a start follows a renewal that may still take effect. A renewal holds for one incarnation:
+//!   it names ends by their numbers there, and the end of the lease by the clock there. A later
+//!   incarnation that has carried out the start refuses it, so the renewal neither takes the end of
+//!   that run for an earlier one nor keeps the run alive for longer than the scheduler counts.
 
 use lacewingrail_model::Epoch;
 
@@ -25,15 +26,16 @@
 pub struct FencingState {
     /// How often the token was raised under this scheduler.
     raises: u64,
-    /// Value of `raises` when the newest acknowledgement was sent, unless it is confirmed.
-    unconfirmed_acknowledgement: Option<u64>,
+    /// Value of `raises` when the newest renewal with a lease or an acknowledgement was sent, unless
+    /// it was answered.
+    unanswered_renewal: Option<u64>,
 }
 
 impl FencingState {
     /// Creates the state of a worker that is listed anew, whose token was raised at most a number of
     /// times when it was listed before.
     pub fn new(raises: u64) -> Self {
-        Self { raises, unconfirmed_acknowledgement: None }
+        Self { raises, unanswered_renewal: None }
     }
 
     /// Returns how often the token was raised under this scheduler.
@@ -51,20 +53,20 @@
         self.raises += 1;
     }
 
-    /// Raises the token for a start if an acknowledgement with the present one may still take effect.
+    /// Raises the token for a start if a renewal with the present one may still take effect.
     pub fn raise_for_start(&mut self) {
-        if self.unconfirmed_acknowledgement == Some(self.raises) {
+        if self.unanswered_renewal == Some(self.raises) {
             self.raise();
         }
     }
 
-    /// Records that an acknowledgement is sent with the present token.
-    pub fn record_acknowledgement_sent(&mut self) {
-        self.unconfirmed_acknowledgement = Some(self.raises);
+    /// Records that a renewal with a lease or an acknowledgement is sent with the present token.
+    pub fn record_renewal_sent(&mut self) {
+        self.unanswered_renewal = Some(self.raises);
     }
 
-    /// Records that the newest acknowledgement has taken effect.
-    pub fn record_acknowledgement_confirmed(&mut self) {
-        self.unconfirmed_acknowledgement = None;
+    /// Records that the newest renewal was answered by the incarnation that it was sent to.
+    pub fn record_renewal_answered(&mut self) {
+        self.unanswered_renewal = None;
     }
 }
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -113,7 +113,8 @@
     /// Write the list of workers that may hold runs to the store.
     StoreRoster(WorkerRoster),
     /// Delete everything that the store holds of a job that ended, or was cancelled without being
-    /// accepted, long ago. The deletion of a submission comes back as [`FleetEvent::JobDeleted`](crate::event::FleetEvent::JobDeleted).
+    /// accepted, long ago. The deletion of a submission comes back as
+    /// [`FleetEvent::JobDeleted`](crate::event::FleetEvent::JobDeleted).
     RemoveJob(JobKey),
     /// Give up the leadership, because a worker has seen a higher fencing token.
     StepDown,
--- a/crates/fleet/src/planner/maintenance.rs
+++ b/crates/fleet/src/planner/maintenance.rs
@@ -16,7 +16,7 @@
 /// Time between writes of the roster. A new scheduler takes as long to learn again what was not
 /// written.
 const ROSTER_INTERVAL: Duration = Duration::from_secs(2);
-/// Time between calls to a worker that does not answer.
+/// Time between calls to a worker that does not answer, or has left a start or stop unanswered.
 const UNANSWERED_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Time for which the ends of all members of a gang are awaited before the remaining runs are
 /// stopped.
@@ -302,7 +302,8 @@
                 && !worker.withholds_acknowledgement()
                 && worker.unanswered_renewals == 0;
             let acknowledge = worker.next_acknowledgement();
-            worker.record_renewal_sent(acknowledge, epoch, now);
+            let has_lease = lease_end.is_some();
+            let token = worker.record_renewal_sent(acknowledge, has_lease, epoch, now);
             self.orders.push(FleetOrder::Renew(RenewOrder {
                 worker: id.clone(),
                 address: worker.listing.address.clone(),
@@ -313,7 +314,7 @@
                 } else {
                     Duration::ZERO
                 },
-                token: worker.renewal_token,
+                token,
             }));
         }
     }
@@ -367,7 +368,7 @@
         return !worker.runs.is_empty() && elapsed >= lease / RENEWALS_PER_LEASE;
     }
     if worker.withholds_acknowledgement() {
-        return worker.can_locate_runs() || elapsed >= lease / RENEWALS_PER_LEASE;
+        return worker.can_locate_runs() || elapsed >= UNANSWERED_RETRY_DELAY;
     }
     worker.report == ReportState::Partial
         || worker.has_unconfirmed_acknowledgement()
--- a/crates/fleet/src/planner/order_answer.rs
+++ b/crates/fleet/src/planner/order_answer.rs
@@ -31,6 +31,9 @@
     /// Handles the answer to a start order. The task of a refused start returns to the queue; a
     /// start without an answer is stopped first. In both cases the other members of a gang are
     /// stopped.
+    ///
+    /// A later incarnation than the present one counts the lease from the arrival of the order, which
+    /// may have been just before the answer.
     pub(super) fn handle_start_answer(
         &mut self,
         worker: &str,
@@ -39,18 +42,21 @@
         outcome: StartOutcome,
         now: Duration,
     ) {
+        let lease = self.settings.lease_duration;
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
         let Some(run_entry) = entry.runs.get_mut(&(task, run)) else {
             return;
         };
+        run_entry.start_settled = Some(now);
         match outcome {
             StartOutcome::Started => {
                 run_entry.confirmed.get_or_insert(now);
                 if run_entry.phase == RunPhase::Starting {
                     run_entry.phase = RunPhase::Running;
                 }
+                entry.assume_lease(now, lease);
                 return;
             }
             StartOutcome::Refused(StartRefusal::StaleToken) => {
@@ -69,6 +75,7 @@
             StartOutcome::Refused(_) => entry.back_off(now),
             StartOutcome::Unclear => {
                 entry.fencing.raise();
+                entry.assume_lease(now, lease);
                 entry.back_off(now);
             }
         }
--- a/crates/fleet/src/planner/worker_report.rs
+++ b/crates/fleet/src/planner/worker_report.rs
@@ -39,7 +39,7 @@
             }
             entry.begin_incarnation(report.incarnation);
         } else {
-            entry.confirm_acknowledgement();
+            entry.confirm_renewal();
         }
         let lease = self.settings.lease_duration;
         entry.record_clock(report.clock, now);
@@ -52,7 +52,7 @@
             self.log_events.push(PlannerLogEvent::EndsOmitted { worker, reported });
         }
         entry.report = ReportState::after(&report, entry.listing.incarnation);
-        entry.locate_runs(sent);
+        entry.record_report(sent);
         self.recovery.record_report(worker, entry.report);
         let mut reported: BTreeSet<(TaskKey, RunNumber)> = BTreeSet::new();
         reported.extend(report.running.iter().map(|run| (run.task, run.run)));
@@ -149,7 +149,8 @@
             phase: RunPhase::Running,
             since: now,
             confirmed: Some(now),
-            located: true,
+            start_settled: Some(now),
+            reported: true,
             token: 0,
             demand: demand.unwrap_or_default(),
             checkpoint: running.checkpoint.clone(),
@@ -276,7 +277,7 @@
 /// Updates a known run from a report.
 fn update_run(run: &mut RunEntry, running: &ActiveRun, now: Duration) {
     run.confirmed.get_or_insert(now);
-    run.located = true;
+    run.reported = true;
     if run.phase == RunPhase::Starting {
         run.phase = RunPhase::Running;
     }
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -57,9 +57,10 @@
     pub since: Duration,
     /// When the worker confirmed the start, or `None` before.
     pub confirmed: Option<Duration>,
-    /// Whether a report has shown that the start, or the stop after a start without an answer, was
-    /// carried out by no later incarnation than the present one.
-    pub located: bool,
+    /// When the start was answered, or its answer no longer awaited; `None` before.
+    pub start_settled: Option<Duration>,
+    /// Whether a report of the present incarnation has named the run.
+    pub reported: bool,
     /// Fencing token of the start order; 0 if an earlier scheduler sent it.
     pub token: FencingToken,
     /// Resources that the run takes on the worker.
@@ -88,6 +89,11 @@
         }
     }
 
+    /// Returns when the newest order for the run was answered, or its answer no longer awaited.
+    fn settled_at(&self) -> Option<Duration> {
+        self.start_settled.max(self.answered_at())
+    }
+
     /// Returns whether the worker had answered the newest order for the run before a time.
     pub fn was_answered_before(&self, time: Duration) -> bool {
         self.answered_at().is_some_and(|at| at < time)
@@ -131,6 +137,8 @@
     pub renewal_sent_at: Option<Duration>,
     /// What the listed incarnation, or a later one, has told this scheduler.
     pub report: ReportState,
+    /// When the renewal was sent that the newest report of the present incarnation answers.
+    report_sent_at: Option<Duration>,
     /// Token of the next call to the worker.
     pub fencing: FencingState,
     /// Fencing token of the newest lease renewal.
@@ -174,6 +182,7 @@
             renewal_in_flight: false,
             renewal_sent_at: None,
             report: ReportState::default(),
+            report_sent_at: None,
             fencing,
             renewal_token: 0,
             unanswered_renewals: 0,
@@ -247,24 +256,29 @@
         }
         self.fencing.raise();
         self.speed = WorkerSpeed::default();
+        self.report_sent_at = None;
         self.clock = None;
         self.lease_end = Duration::ZERO;
         self.failure_streak = 0;
         self.pending_ends.clear();
         (self.last_applied_end, self.acknowledgeable, self.acknowledged) = (0, 0, 0);
         for run in self.runs.values_mut() {
-            run.located = false;
+            run.reported = false;
             if run.confirmed.is_none() {
                 run.phase = RunPhase::Stopping { ordered: Duration::ZERO, confirmed: None };
             }
         }
     }
 
-    /// Records which runs the present incarnation or a former one has started, given that it has
-    /// answered a renewal that was sent at a time.
-    pub fn locate_runs(&mut self, sent: Duration) {
-        let answered = self.runs.values_mut().filter(|run| run.was_answered_before(sent));
-        answered.for_each(|run| run.located = true);
+    /// Records that the present incarnation has answered a renewal that was sent at a time.
+    pub fn record_report(&mut self, sent: Duration) {
+        self.report_sent_at = self.report_sent_at.max(Some(sent));
+    }
+
+    /// Returns whether only the present incarnation or a former one can have carried out an order
+    /// that was settled at a time: it has answered a renewal that was sent later.
+    fn is_located(&self, settled: Option<Duration>) -> bool {
+        settled.is_some_and(|at| self.report_sent_at.is_some_and(|sent| at < sent))
     }
 
     /// Records the worker's clock from an answer that was received `now`.
@@ -302,12 +316,14 @@
     }
 
     /// Returns the lease end for the next renewal, or `None` if the worker has no runs to keep
-    /// alive.
+    /// alive, or if a start is not located. A later incarnation would take the time for one on its
+    /// own clock, and keep the run alive for longer than this scheduler counts; until then, the
+    /// lease in the start suffices.
     ///
     /// A renewal without an answer may still be carried out late, so the lease of a worker that
     /// does not answer is not extended any further.
     pub fn next_lease_end(&mut self, now: Duration, lease: Duration) -> Option<Duration> {
-        if self.runs.is_empty() {
+        if self.runs.is_empty() || self.has_unlocated_starts() {
             return None;
         }
         if self.unanswered_renewals == 0 {
@@ -383,23 +399,26 @@
     /// renewal without an answer, a report has to show the incarnation first.
     pub fn next_acknowledgement(&self) -> u64 {
         let is_due = self.has_unconfirmed_acknowledgement() && self.unanswered_renewals == 0;
-        if is_due && self.unlocated_runs().next().is_none() { self.acknowledgeable } else { 0 }
+        if is_due && !self.withholds_acknowledgement() { self.acknowledgeable } else { 0 }
     }
 
-    /// Returns the runs that a later incarnation than the present one may have started.
-    fn unlocated_runs(&self) -> impl Iterator<Item = &RunEntry> {
-        self.runs.values().filter(|run| !run.located)
+    /// Returns whether an acknowledgement waits because a later incarnation than the present one may
+    /// have ended a run. After a start without an answer, the answer to its stop is awaited.
+    pub fn withholds_acknowledgement(&self) -> bool {
+        let is_located = |run: &RunEntry| run.reported || self.is_located(run.answered_at());
+        self.has_unconfirmed_acknowledgement() && !self.runs.values().all(is_located)
     }
 
-    /// Returns whether an acknowledgement waits for runs to be located.
-    pub fn withholds_acknowledgement(&self) -> bool {
-        self.has_unconfirmed_acknowledgement() && self.unlocated_runs().next().is_some()
+    /// Returns whether a later incarnation than the present one may have carried out a start.
+    fn has_unlocated_starts(&self) -> bool {
+        let is_located = |run: &RunEntry| run.reported || self.is_located(run.start_settled);
+        !self.runs.values().all(is_located)
     }
 
-    /// Returns whether a report would locate a run that the newest one could not.
+    /// Returns whether a report would tell of a run what the newest one could not.
     pub fn can_locate_runs(&self) -> bool {
-        let sent_at = self.renewal_sent_at.unwrap_or_default();
-        self.unlocated_runs().any(|run| run.answered_at().is_some_and(|at| at >= sent_at))
+        let is_open = |run: &RunEntry| !run.reported && run.settled_at() >= self.renewal_sent_at;
+        self.runs.values().any(is_open)
     }
 
     /// Returns whether an end may be acknowledged whose acknowledgement is not confirmed yet.
@@ -412,22 +431,29 @@
         !self.pending_ends.is_empty()
     }
 
-    /// Records that a renewal is sent under an epoch that acknowledges ends up to a number.
-    pub fn record_renewal_sent(&mut self, acknowledgement: u64, epoch: Epoch, now: Duration) {
+    /// Records that a renewal is sent that acknowledges ends up to a number, with or without a lease.
+    ///
+    /// Returns its fencing token under an epoch.
+    pub fn record_renewal_sent(
+        &mut self,
+        acknowledgement: u64,
+        has_lease: bool,
+        epoch: Epoch,
+        now: Duration,
+    ) -> FencingToken {
         self.renewal_in_flight = true;
         self.renewal_sent_at = Some(now);
         self.renewal_token = self.fencing.token(epoch);
         self.acknowledgement_in_flight = acknowledgement;
-        if acknowledgement > 0 {
-            self.fencing.record_acknowledgement_sent();
+        if acknowledgement > 0 || has_lease {
+            self.fencing.record_renewal_sent();
         }
+        self.renewal_token
     }
 
     /// Records that the incarnation to which the renewal in flight was sent has answered it.
-    pub fn confirm_acknowledgement(&mut self) {
+    pub fn confirm_renewal(&mut self) {
         self.acknowledged = self.acknowledged.max(self.acknowledgement_in_flight);
-        if self.acknowledgement_in_flight > 0 {
-            self.fencing.record_acknowledgement_confirmed();
-        }
+        self.fencing.record_renewal_answered();
     }
 }
--- a/crates/fleet/tests/decisions/late_calls.rs
+++ b/crates/fleet/tests/decisions/late_calls.rs
@@ -1,10 +1,13 @@
 //! Calls that take effect late, or in another incarnation of their worker than was meant.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use lacewingrail_fleet::order::RenewOrder;
 use lacewingrail_fleet::spec::JobSchedule;
-use lacewingrail_fleet::{EndReason, FleetEvent, FleetOrder, JobPhase, JobSubmission};
+use lacewingrail_fleet::{
+    EndReason, FleetEvent, FleetOrder, JobPhase, JobSubmission, StartOrder, StartOutcome, TaskRun,
+};
 
 use crate::harness::{PlannerHarness, SimulatedWorker, listing, settings, step, submission};
 
@@ -119,3 +122,102 @@
     harness.run_until_idle();
     assert!(harness.stepped_down, "no call of this scheduler has a higher token");
 }
+
+/// Submits a job and returns its start order, which is under way for a time. Meanwhile no renewal is
+/// answered.
+fn delay_start(harness: &mut PlannerHarness, job: JobSubmission, delay: Duration) -> StartOrder {
+    let submission = Arc::new(job);
+    let event = FleetEvent::JobAccepted { submission, progress: None, age: Duration::ZERO };
+    harness.apply_event(event);
+    let end = harness.now + delay;
+    let mut delayed = None;
+    while harness.now < end {
+        harness.now += Duration::from_millis(10);
+        for order in harness.planner.plan(harness.now) {
+            match order {
+                FleetOrder::Start(order) => delayed = Some(order),
+                FleetOrder::Renew(_) => {}
+                order => harness.execute(order),
+            }
+        }
+    }
+    delayed.expect("the job starts")
+}
+
+/// Guards against a task that starts elsewhere while it still runs: a worker that has started again
+/// counts the lease in a start from the arrival of the order, not from its sending.
+#[test]
+fn lease_counts_from_the_answer_to_a_start() {
+    let workers = ["w0", "w1"].map(|id| listing(id, "north", "r1"));
+    let mut harness = PlannerHarness::new(1, workers.to_vec());
+    let job = submission(1, "normal", vec![step(1, 1)]);
+    let order = delay_start(&mut harness, job, Duration::from_millis(600));
+    let worker = order.target.worker.clone();
+    harness.execute(FleetOrder::Start(order));
+    let answered = harness.now;
+    harness.workers.entry(worker).and_modify(|worker| worker.unresponsive = true);
+    while harness.starts.len() < 2 {
+        harness.advance(Duration::from_millis(100));
+    }
+    assert!(harness.now - answered > settings(1).lease_duration);
+}
+
+/// Guards against a renewal that keeps runs of a later incarnation alive for longer than the
+/// scheduler counts, since it is carried out late there.
+#[test]
+fn renewal_extends_no_lease_until_all_starts_are_located() {
+    let mut harness = PlannerHarness::new(1, vec![listing("w0", "north", "r1")]);
+    harness.apply_event(FleetEvent::JobAccepted {
+        submission: Arc::new(submission(1, "normal", vec![step(1, 1)])),
+        progress: None,
+        age: Duration::ZERO,
+    });
+    let mut leases = Vec::new();
+    while leases.len() < 3 {
+        harness.now += Duration::from_millis(10);
+        for order in harness.planner.plan(harness.now) {
+            if let FleetOrder::Renew(order) = &order
+                && !harness.starts.is_empty()
+            {
+                leases.push(order.lease_end.is_some());
+            }
+            harness.execute(order);
+        }
+    }
+    assert_eq!(leases, [false, true, true], "the first report names the run");
+}
+
+/// Guards against an acknowledgement that meets the end of a start without an answer, which a later
+/// incarnation may have carried out.
+#[test]
+fn acknowledgement_waits_for_the_stop_after_a_start_without_an_answer() {
+    let mut harness = PlannerHarness::new(1, vec![listing("w0", "north", "r1")]);
+    harness.submit(submission(1, "normal", vec![step(1, 1)]));
+    let running = harness.starts[0].clone();
+    let job = submission(2, "normal", vec![step(1, 1)]);
+    let TaskRun { worker, task, run, .. } =
+        delay_start(&mut harness, job, Duration::from_millis(20)).target;
+    let outcome = StartOutcome::Unclear;
+    let renewal = FleetEvent::RenewalUnanswered { worker: worker.clone(), stale_token: false };
+    harness.apply_event(renewal);
+    harness.apply_event(FleetEvent::StartAnswered { worker, task, run, outcome });
+    harness.end_task(&running, EndReason::Done);
+    let mut stop = None;
+    for _ in 0..100 {
+        harness.now += Duration::from_millis(10);
+        for order in harness.planner.plan(harness.now) {
+            match order {
+                FleetOrder::Stop(target) => stop = Some(target),
+                FleetOrder::Renew(order) => {
+                    assert_eq!(order.acknowledge, 0, "the stop is not answered");
+                    harness.execute(FleetOrder::Renew(order));
+                }
+                order => harness.execute(order),
+            }
+        }
+    }
+    assert_eq!(harness.stored[&1].phase, JobPhase::Completed, "an acknowledgement is due");
+    harness.execute(FleetOrder::Stop(stop.expect("the start is stopped")));
+    harness.advance(Duration::from_millis(500));
+    assert!(harness.workers["w0"].ended.is_empty(), "all ends are acknowledged");
+}
--- a/crates/fleet/tests/decisions/takeover_properties.rs
+++ b/crates/fleet/tests/decisions/takeover_properties.rs
@@ -65,7 +65,7 @@
     ]
 }
 
-/// Returns a kind of job that one worker can run.
+/// Returns a kind of job that a single worker can run.
 fn any_small_kind() -> impl Strategy<Value = JobKind> {
     prop_oneof![
         2 => (1..4_u32).prop_map(|tasks| JobKind::Plain { tasks }),
@@ -111,8 +111,8 @@
     ]
 }
 
-/// Returns an event of a sequence in which one worker restarts often while calls to it are under way,
-/// and the list of workers, which would show the restart, is rarely read.
+/// Returns an event of a sequence in which one of two workers restarts often while calls to it are under
+/// way, and the list of workers, which would show the restart, is rarely read.
 fn any_event_of_restarts() -> impl Strategy<Value = WorldEvent> {
     let reason = prop_oneof![3 => Just(EndReason::Done), 1 => Just(EndReason::Failed)];
     let orders = prop::collection::vec((any::<usize>(), any_fate()), 1..5);
@@ -127,6 +127,8 @@
             .prop_map(|(count, reason)| WorldEvent::EndRuns { worker: 0, count, reason }),
         2 => Just(WorldEvent::ExecuteLateOrders),
         2 => Just(WorldEvent::Restart { worker: 0 }),
+        1 => any::<bool>().prop_map(|silent| WorldEvent::SetSilent { worker: 0, silent }),
+        1 => (700..9000_u64).prop_map(|ms| WorldEvent::Plan(Duration::from_millis(ms))),
     ]
 }
 
@@ -205,7 +207,7 @@
     fn restarts_amid_calls_lose_and_repeat_nothing(
         events in prop::collection::vec(any_event_of_restarts(), 1..MAX_RESTART_EVENTS)
     ) {
-        let mut world = World::new(1);
+        let mut world = World::new(2);
         world.elect();
         world.run(2);
         for (index, event) in events.into_iter().enumerate() {
--- a/crates/fleet/tests/decisions/world.rs
+++ b/crates/fleet/tests/decisions/world.rs
@@ -4,6 +4,7 @@
 //! without an answer. A scheduler may end at any moment; its orders may then be carried out late.
 //! The world records every run and judges at the end whether a task ran twice or too often.
 
+mod calls;
 mod record;
 mod workers;
 
@@ -11,16 +12,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lacewingrail_fleet::order::RenewOrder;
 use lacewingrail_fleet::record::WorkerRoster;
-use lacewingrail_fleet::worker::RunPhase;
 use lacewingrail_fleet::{
     EndReason, FleetEvent, FleetOrder, FleetPlanner, JobKey, JobPhase, JobProgress, JobSubmission,
-    PlannerSettings, RunNumber, StartOrder, StartOutcome, TaskKey, TaskRun,
+    PlannerSettings,
 };
 
+pub use self::calls::OrderFate;
+use self::calls::SentOrder;
 use self::record::{MAX_FAILURES, check_records};
-use self::workers::{StaleToken, WorldWorkers};
+use self::workers::WorldWorkers;
 use crate::harness::{config, settings};
 
 /// Time for which a scheduler may start tasks after the store has stopped answering.
@@ -35,26 +36,6 @@
 /// Time between planning passes.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 
-/// What becomes of an order that is carried out.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum OrderFate {
-    /// It takes effect and is answered.
-    Answered,
-    /// It takes effect, and its answer is lost.
-    AnswerLost,
-    /// It is lost.
-    Lost,
-    /// It is not answered, and takes effect with the late orders.
-    Late,
-}
-
-impl OrderFate {
-    /// Returns whether the order reaches its worker at once.
-    fn is_sent(self) -> bool {
-        matches!(self, Self::Answered | Self::AnswerLost)
-    }
-}
-
 /// Change of the stored inputs that the present scheduler has not been told yet.
 enum InputChange {
     Submitted(JobSubmission),
@@ -74,7 +55,7 @@
 /// Scheduler in office, with what it has ordered and not heard of.
 struct WorldScheduler {
     planner: FleetPlanner,
-    orders: VecDeque<FleetOrder>,
+    orders: VecDeque<SentOrder>,
     unwritten: BTreeMap<JobKey, JobProgress>,
     unwritten_roster: Option<WorkerRoster>,
     deletions: BTreeSet<JobKey>,
@@ -90,7 +71,7 @@
     store: WorldStore,
     scheduler: Option<WorldScheduler>,
     /// Orders that nobody waits for and that may still be carried out.
-    late_orders: Vec<FleetOrder>,
+    late_orders: Vec<SentOrder>,
     epoch: u64,
     accepted: BTreeMap<JobKey, JobSubmission>,
     /// Final phases of the jobs whose end was stored.
@@ -161,22 +142,11 @@
         }
     }
 
-    /// Carries out all orders that are late, and those that earlier schedulers have left.
-    pub fn execute_late_orders(&mut self) {
-        for order in std::mem::take(&mut self.late_orders) {
-            match order {
-                FleetOrder::Start(order) => drop(self.workers.start(&order, self.now)),
-                FleetOrder::Stop(target) => drop(self.workers.stop(&target, self.now)),
-                FleetOrder::Renew(order) => drop(self.workers.renew(&order, self.now)),
-                _ => {}
-            }
-        }
-    }
-
     /// Runs a planning pass after some time.
     pub fn plan(&mut self, elapsed: Duration) {
         self.now += elapsed;
         self.workers.pass_time(self.now);
+        self.time_out_orders();
         let down_since = self.store.down_since;
         let overdue = down_since.and_then(|since| (self.now - since).checked_sub(LEADERSHIP_TTL));
         let Some(scheduler) = &mut self.scheduler else {
@@ -191,32 +161,14 @@
                 FleetOrder::StoreRoster(roster) => scheduler.unwritten_roster = Some(roster),
                 FleetOrder::RemoveJob(job) => drop(scheduler.deletions.insert(job)),
                 FleetOrder::StepDown => panic!("no worker has seen a higher epoch"),
-                order => scheduler.orders.push_back(order),
+                order => {
+                    let sent = SentOrder::new(order, &scheduler.planner, self.now);
+                    scheduler.orders.push_back(sent);
+                }
             }
         }
     }
 
-    /// Carries out the order at an index, modulo their number.
-    pub fn execute_order(&mut self, index: usize, fate: OrderFate) {
-        let Some(scheduler) = &mut self.scheduler else {
-            return;
-        };
-        let count = scheduler.orders.len();
-        let Some(order) = scheduler.orders.remove(index % count.max(1)) else {
-            return;
-        };
-        if fate == OrderFate::Late {
-            self.late_orders.push(order.clone());
-        }
-        let event = match order {
-            FleetOrder::Start(order) => self.execute_start(&order, fate),
-            FleetOrder::Stop(target) => self.execute_stop(target, fate),
-            FleetOrder::Renew(order) => self.execute_renewal(&order, fate),
-            _ => return,
-        };
-        self.tell(event);
-    }
-
     /// Writes what the scheduler has ordered to write, unless the store is away.
     pub fn write(&mut self) {
         let Some(scheduler) = &mut self.scheduler else {
@@ -306,33 +258,11 @@
     }
 
     /// Crashes the worker at an index and starts it again under its id.
-    ///
-    /// Late starts on it are lost, and so are starts on their way whose runs were stopped meanwhile:
-    /// a worker that has lost its fencing token would carry them out, and no scheduler could know
-    /// (review case 7).
     pub fn restart(&mut self, index: usize) {
         let id = self.workers.id_at(index);
-        self.late_orders.retain(|order| started_run(order, &id).is_none());
-        while let Some(index) = self.find_stopped_start(&id) {
-            self.execute_order(index, OrderFate::Lost);
-        }
         self.workers.restart(&id, self.now);
     }
 
-    /// Returns the index of a start order on a worker whose run the scheduler has stopped meanwhile.
-    fn find_stopped_start(&self, id: &str) -> Option<usize> {
-        let scheduler = self.scheduler.as_ref()?;
-        let is_starting = |key: (TaskKey, RunNumber)| {
-            let worker = scheduler.planner.workers().find(|worker| worker.listing.id == id);
-            let run = worker.and_then(|worker| worker.runs.get(&key));
-            run.is_some_and(|run| run.phase == RunPhase::Starting)
-        };
-        scheduler
-            .orders
-            .iter()
-            .position(|order| started_run(order, id).is_some_and(|key| !is_starting(key)))
-    }
-
     /// Ends all faults, runs until every accepted job has ended, or for [`SETTLE_TIMEOUT`], and
     /// checks all that the region has done.
     ///
@@ -370,42 +300,6 @@
             scheduler.planner.apply_event(self.now, event);
         }
     }
-
-    fn execute_start(&mut self, order: &StartOrder, fate: OrderFate) -> FleetEvent {
-        let answer = if fate.is_sent() { self.workers.start(order, self.now) } else { None };
-        let TaskRun { worker, task, run, .. } = order.target.clone();
-        let answer = answer.filter(|_| fate == OrderFate::Answered);
-        let outcome = answer.unwrap_or(StartOutcome::Unclear);
-        FleetEvent::StartAnswered { worker, task, run, outcome }
-    }
-
-    fn execute_stop(&mut self, target: TaskRun, fate: OrderFate) -> FleetEvent {
-        let is_stopped = fate.is_sent() && self.workers.stop(&target, self.now);
-        let TaskRun { worker, task, run, .. } = target;
-        let confirmed = is_stopped && fate == OrderFate::Answered;
-        FleetEvent::StopAnswered { worker, task, run, confirmed }
-    }
-
-    fn execute_renewal(&mut self, order: &RenewOrder, fate: OrderFate) -> FleetEvent {
-        let sent = self.now;
-        let answer = if fate.is_sent() { self.workers.renew(order, self.now) } else { None };
-        let worker = order.worker.clone();
-        match answer.filter(|_| fate == OrderFate::Answered) {
-            Some(Ok(report)) => FleetEvent::RenewalAnswered { worker, sent, report },
-            Some(Err(StaleToken)) => FleetEvent::RenewalUnanswered { worker, stale_token: true },
-            None => FleetEvent::RenewalUnanswered { worker, stale_token: false },
-        }
-    }
-}
-
-/// Returns the run that an order starts on a worker; `None` for any other order.
-fn started_run(order: &FleetOrder, id: &str) -> Option<(TaskKey, RunNumber)> {
-    match order {
-        FleetOrder::Start(order) if order.target.worker == id => {
-            Some((order.target.task, order.target.run))
-        }
-        _ => None,
-    }
 }
 
 fn job_accepted(submission: &JobSubmission, progress: Option<JobProgress>) -> FleetEvent {
--- a/crates/fleet/tests/decisions/world/workers.rs
+++ b/crates/fleet/tests/decisions/world/workers.rs
@@ -136,6 +136,21 @@
         self.workers.entry(id.to_owned()).and_modify(|worker| worker.silent = silent);
     }
 
+    /// Makes all workers answer; returns those that did not.
+    pub fn take_silent(&mut self) -> Vec<String> {
+        let silent = self.workers.iter_mut().filter(|(_, worker)| worker.silent);
+        let answer = |(id, worker): (&String, &mut WorldWorker)| {
+            worker.silent = false;
+            id.clone()
+        };
+        silent.map(answer).collect()
+    }
+
+    /// Returns the present incarnation of a worker.
+    pub fn incarnation(&self, id: &str) -> Option<u64> {
+        self.workers.get(id).map(|worker| worker.incarnation)
+    }
+
     /// Makes the list of workers omit a worker, or contain it again.
     pub fn set_hidden(&mut self, id: &str, hidden: bool) {
         self.workers.entry(id.to_owned()).and_modify(|worker| worker.hidden = hidden);
