--- a/crates/fleet/tests/decisions/takeover_properties.rs
+++ b/crates/fleet/tests/decisions/takeover_properties.rs
@@ -17,7 +17,6 @@
 const WORKERS: usize = 3;
 /// Maximum number of events in a sequence.
 const MAX_EVENTS: usize = 60;
-
 /// Maximum number of events in a sequence with restarts.
 const MAX_RESTART_EVENTS: usize = 120;
 
