Share the recurring job and the acceptance of jobs among the planner's tests

Cause: the tests of late calls wrote again what the takeover tests and the harness had: a recurring job with its period, and the event of an accepted job.

Change: both are in the harness; no assertion, bound or expectation changes.

--- a/crates/fleet/tests/decisions/harness.rs
+++ b/crates/fleet/tests/decisions/harness.rs
@@ -6,6 +6,7 @@
 
 use lacewingrail_fleet::order::RenewOrder;
 use lacewingrail_fleet::record::WorkerRoster;
+use lacewingrail_fleet::spec::JobSchedule;
 use lacewingrail_fleet::{
     ActiveRun, AdvicePolicy, AdviceRequest, CustomerGuarantee, EndReason, EndedRun, FleetConfig,
     FleetEvent, FleetOrder, FleetPlanner, JobKey, JobProgress, JobSpec, JobSubmission, LeaseReport,
@@ -20,6 +21,9 @@
 /// Accelerators that each customer is guaranteed: those of two workers.
 pub const GUARANTEED_ACCELERATORS: i64 = 16;
 
+/// Time between the occurrences of the recurring jobs.
+pub const PERIOD: Duration = Duration::from_secs(2);
+
 /// Declared run time of every task.
 pub const ESTIMATE: Duration = Duration::from_secs(4);
 
@@ -149,6 +153,14 @@
     }
 }
 
+/// Returns a recurring job whose first occurrence is due at a time on the scheduler's clock.
+pub fn recurring(first_due: Duration, times: u32, accelerators: i64) -> JobSubmission {
+    let first_unix_ms = settings(1).unix_origin_ms + first_due.as_millis() as u64;
+    let mut submission = submission(1, "normal", vec![step(1, accelerators)]);
+    submission.spec.schedule = Some(JobSchedule { first_unix_ms, period: PERIOD, times });
+    submission
+}
+
 /// Policy of the adviser of the queue `advised`.
 pub const ADVISER: AdvicePolicy = AdvicePolicy {
     decision_time: Duration::from_millis(20),
@@ -239,13 +251,18 @@
         self.planner.apply_event(self.now, event);
     }
 
-    /// Accepts a job and runs the planner until it is idle.
-    pub fn submit(&mut self, submission: JobSubmission) {
+    /// Accepts a job.
+    pub fn accept(&mut self, submission: JobSubmission) {
         self.apply_event(FleetEvent::JobAccepted {
             submission: Arc::new(submission),
             progress: None,
             age: Duration::ZERO,
         });
+    }
+
+    /// Accepts a job and runs the planner until it is idle.
+    pub fn submit(&mut self, submission: JobSubmission) {
+        self.accept(submission);
         self.run_until_idle();
     }
 
--- a/crates/fleet/tests/decisions/late_calls.rs
+++ b/crates/fleet/tests/decisions/late_calls.rs
@@ -1,26 +1,15 @@
 //! Calls that take effect late, or in another incarnation of their worker than was meant.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use lacewingrail_fleet::order::RenewOrder;
-use lacewingrail_fleet::spec::JobSchedule;
 use lacewingrail_fleet::{
     EndReason, FleetEvent, FleetOrder, JobPhase, JobSubmission, StartOrder, StartOutcome, TaskRun,
 };
 
-use crate::harness::{PlannerHarness, SimulatedWorker, listing, settings, step, submission};
-
-/// Time between the occurrences of the recurring job.
-const PERIOD: Duration = Duration::from_secs(2);
-
-/// Returns a job of two occurrences, of which the first is due now.
-fn two_occurrences(harness: &PlannerHarness) -> JobSubmission {
-    let first_unix_ms = settings(1).unix_origin_ms + harness.now.as_millis() as u64;
-    let mut submission = submission(1, "normal", vec![step(1, 1)]);
-    submission.spec.schedule = Some(JobSchedule { first_unix_ms, period: PERIOD, times: 2 });
-    submission
-}
+use crate::harness::{
+    PERIOD, PlannerHarness, SimulatedWorker, listing, recurring, settings, step, submission,
+};
 
 /// Restarts the only worker; the list of workers does not show it yet.
 fn restart_worker(harness: &mut PlannerHarness) {
@@ -34,7 +23,7 @@
 #[test]
 fn acknowledgement_meets_no_end_of_the_next_incarnation() {
     let mut harness = PlannerHarness::new(1, vec![listing("w0", "north", "r1")]);
-    harness.submit(two_occurrences(&harness));
+    harness.submit(recurring(harness.now, 2, 1));
     harness.submit(submission(2, "normal", vec![step(1, 1)]));
     let (first, other) = (harness.starts[0].clone(), harness.starts[1].clone());
     harness.end_task(&first, EndReason::Done);
@@ -90,7 +79,7 @@
 /// Returns a harness in which a start has followed an acknowledgement that is still under way.
 fn start_after_acknowledgement() -> (PlannerHarness, RenewOrder) {
     let mut harness = PlannerHarness::new(1, vec![listing("w0", "north", "r1")]);
-    harness.submit(two_occurrences(&harness));
+    harness.submit(recurring(harness.now, 2, 1));
     let first = harness.starts[0].clone();
     harness.end_task(&first, EndReason::Done);
     let acknowledgement = hold_acknowledgements(&mut harness, PERIOD + Duration::from_millis(200));
@@ -126,9 +115,7 @@
 /// Submits a job and returns its start order, which is under way for a time. Meanwhile no renewal is
 /// answered.
 fn delay_start(harness: &mut PlannerHarness, job: JobSubmission, delay: Duration) -> StartOrder {
-    let submission = Arc::new(job);
-    let event = FleetEvent::JobAccepted { submission, progress: None, age: Duration::ZERO };
-    harness.apply_event(event);
+    harness.accept(job);
     let end = harness.now + delay;
     let mut delayed = None;
     while harness.now < end {
@@ -167,11 +154,7 @@
 #[test]
 fn renewal_extends_no_lease_until_all_starts_are_located() {
     let mut harness = PlannerHarness::new(1, vec![listing("w0", "north", "r1")]);
-    harness.apply_event(FleetEvent::JobAccepted {
-        submission: Arc::new(submission(1, "normal", vec![step(1, 1)])),
-        progress: None,
-        age: Duration::ZERO,
-    });
+    harness.accept(submission(1, "normal", vec![step(1, 1)]));
     let mut leases = Vec::new();
     while leases.len() < 3 {
         harness.now += Duration::from_millis(10);
--- a/crates/fleet/tests/decisions/takeover.rs
+++ b/crates/fleet/tests/decisions/takeover.rs
@@ -4,28 +4,18 @@
 use std::time::Duration;
 
 use lacewingrail_fleet::record::FailureCount;
-use lacewingrail_fleet::spec::JobSchedule;
 use lacewingrail_fleet::{
     EndReason, FleetEvent, FleetOrder, JobPhase, JobSubmission, WorkerListing,
 };
 
-use crate::harness::{PlannerHarness, SimulatedWorker, listing, settings, step, submission};
-
-/// Time between the occurrences of the recurring jobs.
-const PERIOD: Duration = Duration::from_secs(2);
+use crate::harness::{
+    PERIOD, PlannerHarness, SimulatedWorker, listing, recurring, settings, step, submission,
+};
 
 fn four_workers() -> Vec<WorkerListing> {
     (0..4).map(|index| listing(&format!("w{index}"), "north", "r1")).collect()
 }
 
-/// Returns a recurring job whose first occurrence is due at a time on the scheduler's clock.
-fn recurring(first_due: Duration, times: u32, accelerators: i64) -> JobSubmission {
-    let first_unix_ms = settings(1).unix_origin_ms + first_due.as_millis() as u64;
-    let mut submission = submission(1, "normal", vec![step(1, accelerators)]);
-    submission.spec.schedule = Some(JobSchedule { first_unix_ms, period: PERIOD, times });
-    submission
-}
-
 /// Ends every run in progress of an occurrence as done.
 fn end_occurrence(harness: &mut PlannerHarness, occurrence: u32) {
     let runs: Vec<_> = harness
