--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod job;
 pub mod keys;
 pub mod message;
+pub mod resources;
 pub mod shape;
 pub mod store;
 pub mod timer;
@@ -25,3 +26,4 @@
     BackendId, ConfigVersion, CustomerName, DomainName, Epoch, InstanceId, JobId, RackName,
     RegionName, ServiceName, WorkerId,
 };
+pub use resources::ProcessResources;
