Bound the connections and heads of clients, probes and metrics

Callers saw: once clients stayed connected without sending a request, with half a head, with a head or empty lines without end, or idle after an answer, no new client and no probe of the platform got an answer.

Cause: these listeners ran axum::serve as it is, which accepts any number of connections, gives a head any time and up to 400 KB, and takes nothing from those who came first.

Change: the server of lacewingrail-listener serves all three, with limits from memory_mb and max_fds of the settings file.

--- a/crates/instance/src/process.rs
+++ b/crates/instance/src/process.rs
@@ -5,6 +5,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use lacewingrail_listener::ListenerSet;
+use lacewingrail_model::ProcessResources;
 use lacewingrail_model::store::BatchStore;
 use lacewingrail_model::timer::TimerService;
 use lacewingrail_wire::{PeerClient, PeerServer, WireError};
@@ -33,6 +35,8 @@
     pub system: String,
     /// Address on which other instances reach this one.
     pub peer_address: SocketAddr,
+    /// Resources of the process, which bound what clients and peers may use.
+    pub resources: ProcessResources,
     /// Share of a standard core that the process may use; a small one delays its candidacy.
     pub processor_share: f64,
     /// Maximum duration of a lease that workers grant.
@@ -84,6 +88,7 @@
     client_api: ClientApi,
     leader: LeaderClient,
     leadership: watch::Receiver<LeadershipView>,
+    listeners: ListenerSet,
     _peer_server: PeerServer,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -118,13 +123,15 @@
             LeaderClient::new(leadership.clone(), own_address, peers, context.timer.clone());
         let client_api = ClientApi::new(context.clone(), leadership.clone(), leader.clone());
         let handler = Arc::new(InstancePeerHandler::new(client_api.clone(), &system));
+        let resources = context.settings.resources;
+        let listeners = ListenerSet::new(resources, &context.metrics.registry, &context.timer);
         let server = PeerServer::bind(context.settings.peer_address, handler).await?;
         let tasks = vec![
             tokio::spawn(watch_operator_state(context.clone(), operator_sender)),
             tokio::spawn(LeadershipController::new(context.clone(), view).run()),
             tokio::spawn(context.health.clone().probe(context.timer.clone())),
         ];
-        Ok(Self { context, client_api, leader, leadership, _peer_server: server, tasks })
+        Ok(Self { context, client_api, leader, leadership, listeners, _peer_server: server, tasks })
     }
 
     /// Returns the handler of client calls.
@@ -132,6 +139,11 @@
         &self.client_api
     }
 
+    /// Returns the listeners of this process, to which those for clients are added.
+    pub fn listeners(&self) -> &ListenerSet {
+        &self.listeners
+    }
+
     /// Returns the metrics of this process.
     pub fn metrics(&self) -> &InstanceMetrics {
         &self.context.metrics
