Bound the memory of bodies on the client address

Callers saw: instances that were killed for their memory while many clients sent bodies of legal size and stopped just short of their end.

Cause: each body was collected by itself, with a buffer and an entry for each chunk or a slice of a larger buffer, and nothing bounded the sum. It was collected before the call was checked.

A submission that its head refuses keeps no body. What clients chose is cut to 256 bytes in logs.

--- a/crates/instance/src/client_api.rs
+++ b/crates/instance/src/client_api.rs
@@ -8,7 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use lacewingrail_fleet::spec::QueueName;
 use lacewingrail_fleet::{FleetEvent, JobKey, JobSpec, JobSubmission};
+use lacewingrail_model::CustomerName;
 use lacewingrail_model::clock::{millis, unix_millis};
 use lacewingrail_model::message::{FleetCall, FleetReply, JobStatus};
 use lacewingrail_model::store::StoreError;
@@ -32,6 +34,9 @@
 /// Retry delay sent with the refusal of a job that no worker could run until the fleet changes.
 const UNSCHEDULABLE_RETRY_DELAY: Duration = Duration::from_secs(30);
 
+/// Longest part of a text that a client chose which is logged, in bytes.
+const MAX_EXCERPT_BYTES: usize = 256;
+
 /// Routing and authentication data of a call.
 #[derive(Clone, Debug, Default)]
 pub struct CallHead {
@@ -154,36 +159,73 @@
             ClientOperation::Query => "ask",
         };
         let answer = self.dispatch(&head, operation).await;
-        let elapsed = clock::now().saturating_sub(started_at);
-        let labels = CallLabels { operation: name, outcome: answer.name() };
+        self.record_answer(&head, name, &answer, clock::now().saturating_sub(started_at));
+        answer
+    }
+
+    /// Returns the refusal of a submission that its head alone decides, logs it and counts it;
+    /// `None` if the body is needed.
+    pub fn refuse_submission(&self, head: &CallHead) -> Option<ClientAnswer> {
+        let refusal = match self.route_call(head) {
+            Ok(routed) => routed.job().err(),
+            Err(refusal) => Some(refusal),
+        }?;
+        self.record_answer(head, "submit", &refusal, Duration::ZERO);
+        Some(refusal)
+    }
+
+    /// Counts and logs an answer.
+    fn record_answer(
+        &self,
+        head: &CallHead,
+        operation: &'static str,
+        answer: &ClientAnswer,
+        elapsed: Duration,
+    ) {
+        let labels = CallLabels { operation, outcome: answer.name() };
         self.context.metrics.calls.get_or_create(&labels).inc();
         self.context.metrics.call_seconds.observe(elapsed.as_secs_f64());
         let version =
             self.context.operator_state.borrow().tree.as_ref().map_or(0, |tree| tree.version);
+        let detail = format!("{answer:?}");
         log::info!(
-            operation = name, host = head.host, path = head.path, config = version,
-            outcome = answer.name(), detail = format!("{answer:?}"), taken_ms = millis(elapsed);
+            operation = operation, host = excerpt(&head.host), path = excerpt(&head.path),
+            config = version, outcome = answer.name(), detail = excerpt(&detail),
+            taken_ms = millis(elapsed);
             "client call answered"
         );
-        answer
     }
 
-    async fn dispatch(&self, head: &CallHead, operation: ClientOperation) -> ClientAnswer {
+    /// Finds the route and the customer of a call; the error is the refusal.
+    fn route_call(&self, head: &CallHead) -> Result<RoutedCall, ClientAnswer> {
         let Some(tree) = self.context.operator_state.borrow().tree.clone() else {
-            return ClientAnswer::NoConfig;
+            return Err(ClientAnswer::NoConfig);
         };
         let Some((route, rest)) = tree.find_route(&head.host, &head.path) else {
-            return ClientAnswer::UnknownRoute;
+            return Err(ClientAnswer::UnknownRoute);
         };
         let customer = head.api_key.as_deref().and_then(|key| tree.find_customer(key));
         if customer.is_none() && !route.public {
-            return ClientAnswer::UnknownKey;
+            return Err(ClientAnswer::UnknownKey);
         }
-        if rest.is_empty() && matches!(operation, ClientOperation::Query) {
-            return self.count_pending(&route.queue).await;
+        Ok(RoutedCall {
+            queue: route.queue.clone(),
+            customer: customer.cloned().unwrap_or_default(),
+            rest: rest.to_owned(),
+        })
+    }
+
+    async fn dispatch(&self, head: &CallHead, operation: ClientOperation) -> ClientAnswer {
+        let routed = match self.route_call(head) {
+            Ok(routed) => routed,
+            Err(refusal) => return refusal,
+        };
+        if routed.rest.is_empty() && matches!(operation, ClientOperation::Query) {
+            return self.count_pending(&routed.queue).await;
         }
-        let Some(job) = parse_job_id(rest) else {
-            return ClientAnswer::Malformed(format!("{rest:?} is no job id of 16 hex digits"));
+        let job = match routed.job() {
+            Ok(job) => job,
+            Err(refusal) => return refusal,
         };
         match operation {
             ClientOperation::Submit(Err(reason)) => ClientAnswer::Malformed(reason),
@@ -193,8 +235,8 @@
                 }
                 let submission = JobSubmission {
                     key: job,
-                    queue: route.queue.clone(),
-                    customer: customer.cloned().unwrap_or_default(),
+                    queue: routed.queue,
+                    customer: routed.customer,
                     spec,
                     accepted_unix_ms: unix_millis(),
                 };
@@ -411,6 +453,29 @@
     }
 }
 
+/// Call whose route and customer are known.
+struct RoutedCall {
+    queue: QueueName,
+    customer: CustomerName,
+    /// Path after the route's prefix.
+    rest: String,
+}
+
+impl RoutedCall {
+    /// Returns the job that the path names; the error is the refusal.
+    fn job(&self) -> Result<JobKey, ClientAnswer> {
+        parse_job_id(&self.rest).ok_or_else(|| {
+            let rest = excerpt(&self.rest);
+            ClientAnswer::Malformed(format!("{rest:?} is no job id of 16 hex digits"))
+        })
+    }
+}
+
+/// Returns the beginning of a text that a client chose, for logs and answers.
+fn excerpt(text: &str) -> &str {
+    &text[..text.floor_char_boundary(MAX_EXCERPT_BYTES)]
+}
+
 /// Parses a job id of 16 lower-case hexadecimal digits.
 fn parse_job_id(text: &str) -> Option<JobKey> {
     let is_digit = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
