--- a/crates/fleet/src/spec.rs
+++ b/crates/fleet/src/spec.rs
@@ -138,7 +138,26 @@
     pub accepted_unix_ms: u64,
 }
 
+/// Memory of the serialized form of one step in bytes, without its texts and lists, rounded up.
+const STEP_RECORD_BYTES: usize = 320;
+/// Number of serialized forms of a job that exist while it is stored.
+const RECORD_COPIES: usize = 4;
+
 impl JobSpec {
+    /// Estimates the memory of the job until it is stored, in bytes.
+    pub fn memory_bytes(&self) -> u64 {
+        let text_bytes = |text: &Option<String>| text.as_ref().map_or(0, String::len);
+        let list_bytes = |step: &StepSpec| {
+            let names = text_bytes(&step.label) + text_bytes(&step.data_rack);
+            names + step.after.len() * size_of::<u32>()
+        };
+        let step_bytes = |step: &StepSpec| {
+            size_of::<StepSpec>() + RECORD_COPIES * (STEP_RECORD_BYTES + list_bytes(step))
+        };
+        let steps: usize = self.steps.iter().map(step_bytes).sum();
+        (steps + RECORD_COPIES * self.payload.len()) as u64
+    }
+
     /// Returns the length of the critical path through the steps, by declared run times.
     pub fn critical_path(&self) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
