Bound connections and frames at the address for peers

Peers saw: a process that was killed for its memory, or that accepted nobody any more, once others opened connections to that address and did not finish their calls.

Cause: the peer server accepted any number of connections, with up to 64 frames of 1 MB each.

Change: it admits connections and receives frames within the limits of its own listener, in all three kinds of process. The settings file of entry and scheduler processes has a section for their resources; its defaults are 1 GiB and the descriptors that the operating system allows.

The tests of the wire, membership and settings crates pass.

--- a/crates/dev/src/system.rs
+++ b/crates/dev/src/system.rs
@@ -7,10 +7,10 @@
 
 use lacewingrail_clients::{HttpInstanceList, HttpStore, HttpWorkerClient};
 use lacewingrail_entry::{EntryHandle, EntryProcess, EntrySettings};
-use lacewingrail_model::DomainName;
 use lacewingrail_model::config::ConfigView;
 use lacewingrail_model::instance::{InstanceEntry, InstanceRole};
 use lacewingrail_model::timer::TimerService;
+use lacewingrail_model::{DomainName, ProcessResources};
 use lacewingrail_scheduler::SchedulerProcess;
 use lacewingrail_settings::{ListenSettings, LogLevel, ProcessSettings};
 use lacewingrail_standins::InstanceChange;
@@ -224,6 +224,7 @@
             instances: links.instance_list.clone(),
             otlp: None,
             log_level: LogLevel::Info,
+            resources: ProcessResources::default(),
         };
         let scheduler = SchedulerProcess::start(
             settings,
--- a/crates/entry/examples/measure_requests.rs
+++ b/crates/entry/examples/measure_requests.rs
@@ -22,6 +22,7 @@
 use lacewingrail_entry::peer_handler::EntryPeerHandler;
 use lacewingrail_entry::server::resolve_port;
 use lacewingrail_entry::{EntryHandle, EntryProcess, EntrySettings};
+use lacewingrail_listener::{ListenerRole, ListenerState};
 use lacewingrail_membership::{Membership, MembershipSettings};
 use lacewingrail_model::config::{
     ConfigView, CustomerConfig, DomainConfig, PolicyOverlay, RoutingChoice, ServiceConfig,
@@ -368,7 +369,15 @@
         let generator = WriteIdGenerator::new(format!("instance-{number}"));
         let ledger = Arc::new(ClaimLedger::new(context, generator, forward.then_some(peers)));
         let handler = EntryPeerHandler::new(handler, ledger.clone());
-        servers.push(PeerServer::bind(address, Arc::new(handler)).await.unwrap());
+        servers.push(
+            PeerServer::bind(
+                address,
+                ListenerState::detached("peers", ListenerRole::Peers),
+                Arc::new(handler),
+            )
+            .await
+            .unwrap(),
+        );
         listed.push(InstanceEntry {
             name: format!("entry-{number}"),
             role: InstanceRole::Entry,
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use kameo::actor::ActorRef;
+use lacewingrail_listener::{ListenerRole, ListenerSet};
 use lacewingrail_membership::{Membership, MembershipSettings};
 use lacewingrail_model::config::Policy;
 use lacewingrail_model::instance::{InstanceList, InstanceRole};
@@ -65,6 +66,7 @@
     server_task: JoinHandle<()>,
     gauge_task: JoinHandle<()>,
     list_controller: ActorRef<ListController>,
+    _listeners: ListenerSet,
     _peer_server: PeerServer,
 }
 
@@ -148,7 +150,9 @@
         let generator = WriteIdGenerator::new(instance.clone());
         let ledger = Arc::new(ClaimLedger::new(context, generator, Some(claim_peers)));
         let handler = EntryPeerHandler::new(membership.handler(), ledger.clone());
-        let peer_server = PeerServer::bind(peer_address, Arc::new(handler)).await?;
+        let listeners = ListenerSet::new(settings.resources, &registry, &timer);
+        let peer_listener = listeners.add("peers", ListenerRole::Peers);
+        let peer_server = PeerServer::bind(peer_address, peer_listener, Arc::new(handler)).await?;
         let drain_tracker = DrainTracker::default();
         let state = ServerState {
             instance,
@@ -182,6 +186,7 @@
             server_task,
             gauge_task,
             list_controller,
+            _listeners: listeners,
             _peer_server: peer_server,
         })
     }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use lacewingrail_membership::config::TreeDecoder;
-use lacewingrail_model::DomainName;
+use lacewingrail_model::{DomainName, ProcessResources};
 use lacewingrail_settings::{DEFAULT_SYSTEM, ProcessSettings, SettingsErrors, StoredTree};
 
 use crate::claims::shard_writer::GROUP_COMMIT_INTERVAL;
@@ -33,6 +33,8 @@
     pub group_commit_interval: Duration,
     /// Decoder of the stored settings tree.
     pub decoder: TreeDecoder,
+    /// Resources of the process, which bound what callers and peers may use.
+    pub resources: ProcessResources,
 }
 
 /// Time for which a leaving process serves new requests until the load balancer has detected its
@@ -58,6 +60,7 @@
             drain_delay: DRAIN_DELAY,
             group_commit_interval: GROUP_COMMIT_INTERVAL,
             decoder: tree_decoder(),
+            resources: ProcessResources::default(),
         }
     }
 
@@ -71,6 +74,7 @@
             Self::new(&settings.name, &settings.domain, caller_address, peer_address);
         entry_settings.system.clone_from(&settings.system);
         entry_settings.advertised_peer_address = settings.listen.advertise;
+        entry_settings.resources = settings.resources;
         entry_settings.peers = settings.peers.iter().map(SocketAddr::to_string).collect();
         Ok(entry_settings)
     }
--- a/crates/experiment/src/capacity/membership.rs
+++ b/crates/experiment/src/capacity/membership.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use lacewingrail_clients::{HttpInstanceList, HttpStore, MemoryStore};
+use lacewingrail_listener::{ListenerRole, ListenerState};
 use lacewingrail_membership::{Membership, MembershipSettings};
 use lacewingrail_model::instance::{InstanceEntry, InstanceList, InstanceRole};
 use lacewingrail_model::keys::CONFIG_TREE;
@@ -86,7 +87,12 @@
     ) -> Result<(), String> {
         let handler = Arc::new(DeferredHandler(OnceLock::new()));
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-        let server = PeerServer::bind(any_port, handler.clone()).await;
+        let server = PeerServer::bind(
+            any_port,
+            ListenerState::detached("peers", ListenerRole::Peers),
+            handler.clone(),
+        )
+        .await;
         let server = server.map_err(|error| error.to_string())?;
         let address = server.address().to_string();
         let name = format!("{domain}-{number:03}");
--- a/crates/experiment/src/trial/environment.rs
+++ b/crates/experiment/src/trial/environment.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use lacewingrail_clients::{HttpInstanceList, HttpStore, MemoryStore};
+use lacewingrail_model::ProcessResources;
 use lacewingrail_model::config::ConfigView;
 use lacewingrail_model::keys;
 use lacewingrail_model::store::KeyValueService;
@@ -144,6 +145,7 @@
                 instances: list_url.clone(),
                 otlp: None,
                 log_level: LogLevel::Warn,
+                resources: ProcessResources::default(),
             };
             let process = SchedulerProcess::start(
                 settings,
--- a/crates/instance/src/process.rs
+++ b/crates/instance/src/process.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use lacewingrail_listener::ListenerSet;
+use lacewingrail_listener::{ListenerRole, ListenerSet};
 use lacewingrail_model::ProcessResources;
 use lacewingrail_model::store::BatchStore;
 use lacewingrail_model::timer::TimerService;
@@ -125,7 +125,9 @@
         let handler = Arc::new(InstancePeerHandler::new(client_api.clone(), &system));
         let resources = context.settings.resources;
         let listeners = ListenerSet::new(resources, &context.metrics.registry, &context.timer);
-        let server = PeerServer::bind(context.settings.peer_address, handler).await?;
+        let peer_listener = listeners.add("peers", ListenerRole::Peers);
+        let address = context.settings.peer_address;
+        let server = PeerServer::bind(address, peer_listener, handler).await?;
         let tasks = vec![
             tokio::spawn(watch_operator_state(context.clone(), operator_sender)),
             tokio::spawn(LeadershipController::new(context.clone(), view).run()),
--- a/crates/membership/tests/common/cluster.rs
+++ b/crates/membership/tests/common/cluster.rs
@@ -8,6 +8,7 @@
 
 use async_trait::async_trait;
 use lacewingrail_clients::MemoryStore;
+use lacewingrail_listener::{ListenerRole, ListenerState};
 use lacewingrail_membership::{Membership, MembershipSettings};
 use lacewingrail_model::DomainName;
 use lacewingrail_model::config::{ConfigView, DomainConfig};
@@ -160,7 +161,13 @@
     ) -> Self {
         let handler = Arc::new(DeferredHandler(std::sync::OnceLock::new()));
         let any: SocketAddr = "127.0.0.1:0".parse().expect("address");
-        let server = PeerServer::bind(any, handler.clone()).await.expect("bind");
+        let server = PeerServer::bind(
+            any,
+            ListenerState::detached("peers", ListenerRole::Peers),
+            handler.clone(),
+        )
+        .await
+        .expect("bind");
         let link =
             Arc::new(StoreLink { store: store.clone(), disconnected: AtomicBool::new(false) });
         let settings = MembershipSettings {
--- a/crates/scheduler/src/process.rs
+++ b/crates/scheduler/src/process.rs
@@ -11,6 +11,7 @@
 use axum::Router;
 use kameo::actor::{ActorRef, Spawn};
 use kameo::mailbox;
+use lacewingrail_listener::{ListenerRole, ListenerSet};
 use lacewingrail_membership::config::TreeDecoder;
 use lacewingrail_membership::{Membership, MembershipSettings};
 use lacewingrail_model::DomainName;
@@ -53,6 +54,7 @@
     peer_address: SocketAddr,
     admin_address: Option<SocketAddr>,
     tasks: Vec<AbortHandle>,
+    _listeners: ListenerSet,
     _server: PeerServer,
 }
 
@@ -86,7 +88,10 @@
         // The membership needs the address of the peer server, and the server needs the handler of
         // the membership.
         let relay = Arc::new(HandlerRelay::default());
-        let server = PeerServer::bind(settings.listen.peers, relay.clone()).await;
+        let registry = MetricsRegistry::new();
+        let listeners = ListenerSet::new(settings.resources, &registry, &timer);
+        let peer_listener = listeners.add("peers", ListenerRole::Peers);
+        let server = PeerServer::bind(settings.listen.peers, peer_listener, relay.clone()).await;
         let server = server.map_err(|error| {
             StartError(format!("cannot listen for peers: {error}; change listen.peers"))
         })?;
@@ -106,7 +111,6 @@
             timer.clone(),
         );
         let _ = relay.0.set(membership.handler());
-        let registry = MetricsRegistry::new();
         let context = Arc::new(ProcessContext {
             membership: membership.clone(),
             store,
@@ -129,6 +133,7 @@
             peer_address: server.address(),
             admin_address: None,
             tasks: Vec::new(),
+            _listeners: listeners,
             _server: server,
         };
         process.spawn_lease_controllers();
--- a/crates/scheduler/tests/support/cluster.rs
+++ b/crates/scheduler/tests/support/cluster.rs
@@ -14,6 +14,7 @@
 use async_trait::async_trait;
 use lacewingrail_admin::AdminContext;
 use lacewingrail_clients::{HttpWorkerClient, MemoryStore};
+use lacewingrail_model::ProcessResources;
 use lacewingrail_model::instance::{InstanceEntry, InstanceError, InstanceList};
 use lacewingrail_model::job::{HistoryPage, JobRecord, JobSpec, JobState, WorkClass};
 use lacewingrail_model::keys;
@@ -166,6 +167,7 @@
             instances: String::new(),
             otlp: None,
             log_level: LogLevel::Info,
+            resources: ProcessResources::default(),
         };
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(2)
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -179,6 +179,23 @@
         "info",
         "Minimum severity of log records that are written.",
     ),
+    key(
+        "resources",
+        "a resources section",
+        "none",
+        "Resources of the process, which bound what its clients may use.",
+    ),
+];
+
+/// Keys of the resources section of a process.
+pub const RESOURCE_KEYS: &[KeySpec] = &[
+    key("memory_mb", "a number of megabytes from 64", "1024", "Memory of the process."),
+    key(
+        "descriptors",
+        "a number from 300",
+        "the limit of the operating system",
+        "Maximum number of open file descriptors.",
+    ),
 ];
 
 /// Keys of the listen section of a process.
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use lacewingrail_model::{DomainName, RegionName};
+use lacewingrail_model::{DomainName, ProcessResources, RegionName};
 use serde::Deserialize;
 
 use crate::error::SettingsErrors;
@@ -60,6 +60,11 @@
     pub advertise: Option<SocketAddr>,
 }
 
+/// Least memory of a process in MB, about twice what it uses without clients.
+const MIN_MEMORY_MB: u64 = 64;
+/// Fewest descriptors of a process: those that it opens itself, and some for clients.
+const MIN_DESCRIPTORS: u64 = 300;
+
 /// Name of the system if the settings file does not set one.
 pub const DEFAULT_SYSTEM: &str = "lacewingrail";
 
@@ -89,6 +94,8 @@
     pub otlp: Option<String>,
     /// Minimum severity of log records that are written.
     pub log_level: LogLevel,
+    /// Resources of the process, which bound what its clients may use.
+    pub resources: ProcessResources,
 }
 
 impl ProcessSettings {
@@ -181,6 +188,7 @@
         }
     }
     let log_level = section.optional("log_level", errors).unwrap_or_default();
+    let resources = read_resources(&mut section, errors);
     Some(ProcessSettings {
         file: errors.file().to_owned(),
         name: name?,
@@ -193,6 +201,7 @@
         instances: strip_trailing_slashes(instances?),
         otlp: otlp.map(strip_trailing_slashes),
         log_level,
+        resources,
     })
 }
 
@@ -209,6 +218,29 @@
     Some(ListenSettings { callers, admin, peers: peers?, advertise })
 }
 
+fn read_resources(section: &mut SectionReader, errors: &mut ErrorList) -> ProcessResources {
+    let mut resources = ProcessResources::default();
+    let Some(value) = section.remove("resources") else {
+        return resources;
+    };
+    let mut section = SectionReader::new("resources", value, keys::RESOURCE_KEYS, errors);
+    if let Some(megabytes) = section.optional::<u64>("memory_mb", errors) {
+        check_minimum(&section.path_of("memory_mb"), megabytes, MIN_MEMORY_MB, errors);
+        resources.memory_bytes = megabytes.saturating_mul(1 << 20);
+    }
+    if let Some(descriptors) = section.optional::<u64>("descriptors", errors) {
+        check_minimum(&section.path_of("descriptors"), descriptors, MIN_DESCRIPTORS, errors);
+        resources.descriptors = descriptors.min(resources.descriptors);
+    }
+    resources
+}
+
+fn check_minimum(path: &str, value: u64, minimum: u64, errors: &mut ErrorList) {
+    if value < minimum {
+        errors.add(path, format!("{value} is too low"), format!("write at least {minimum}"));
+    }
+}
+
 fn read_name(section: &mut SectionReader, key: &str, errors: &mut ErrorList) -> Option<String> {
     let name: String = section.required(key, errors)?;
     reader::check_name(&section.path_of(key), &name, errors);
--- a/crates/settings/src/reference.rs
+++ b/crates/settings/src/reference.rs
@@ -72,6 +72,12 @@
         "`listen` in the settings file of a process",
         keys::LISTEN_KEYS,
     );
+    render_keys(
+        &mut page,
+        "Resources",
+        "`resources` in the settings file of a process",
+        keys::RESOURCE_KEYS,
+    );
     page
 }
 
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -10,9 +10,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 
-use crate::codec;
+use crate::codec::{self, MAX_FRAME_BYTES};
 use crate::error::WireError;
-use crate::server::read_body;
 
 /// Client that keeps one connection per peer; clones share the connections.
 #[derive(Clone, Default)]
@@ -105,3 +104,18 @@
         Ok(connection)
     }
 }
+
+/// Reads a complete response; fails once it exceeds the frame limit.
+async fn read_body(mut body: h2::RecvStream) -> Result<Vec<u8>, WireError> {
+    let mut bytes = Vec::new();
+    while let Some(chunk) = body.data().await {
+        let chunk = chunk.map_err(|error| WireError::Broken(error.to_string()))?;
+        let size = bytes.len() + chunk.len();
+        if size > MAX_FRAME_BYTES {
+            return Err(WireError::TooLarge { bytes: size });
+        }
+        bytes.extend_from_slice(&chunk);
+        let _ = body.flow_control().release_capacity(chunk.len());
+    }
+    Ok(bytes)
+}
--- a/crates/wire/tests/calls.rs
+++ b/crates/wire/tests/calls.rs
@@ -6,6 +6,7 @@
 
 use assert_matches::assert_matches;
 use async_trait::async_trait;
+use lacewingrail_listener::{ListenerRole, ListenerState};
 use lacewingrail_model::message::{ConfigPayload, PeerFrame, PeerRequest, PeerResponse};
 use lacewingrail_wire::{PeerClient, PeerHandler, PeerServer, WireError, codec};
 use proptest::prelude::*;
@@ -27,7 +28,13 @@
 
 async fn serve(address: &str) -> PeerServer {
     let address: SocketAddr = address.parse().expect("address");
-    PeerServer::bind(address, Arc::new(EchoHandler)).await.expect("bind")
+    PeerServer::bind(
+        address,
+        ListenerState::detached("peers", ListenerRole::Peers),
+        Arc::new(EchoHandler),
+    )
+    .await
+    .expect("bind")
 }
 
 /// Guards against frames truncated by flow control: the largest tree exceeds the default h2 window.
