Bound what callers of an entry process may use

Callers saw: requests with a body refused (503) as long as others declared bodies and sent nothing; entry processes over their memory for chunks of one byte; no answer once all connections were open.

Cause: the body filter reserved the declared length, and collected chunk by chunk; the accept loop had limits of its own that multiply to more than a machine's memory, and accepted nobody when they were reached.

Change: the entry process uses the server and the body reader of lacewingrail-listener. A test of the limits that follow from the resources, and one of HTTP/2 streams.

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -8,9 +8,9 @@
 use axum::body::Body;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Version, header};
+use lacewingrail_listener::{BodyReader, MemoryCharge, RefusalReason, RequestRefusal};
 use lacewingrail_model::config::Policy;
 use serde::Serialize;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 
 use crate::customer::CustomerPermit;
@@ -170,8 +170,10 @@
     pub traceparent: String,
     /// Tries that may have been sent; shared with the filters that respond "not run".
     pub dispatch: Arc<DispatchState>,
-    /// Reserved memory of the body; `None` without a body.
-    pub body_permit: Option<OwnedSemaphorePermit>,
+    /// Reader of the body, which bounds its time and memory; `None` only outside a server.
+    pub body_reader: Option<BodyReader>,
+    /// Memory of the body; `None` without a body.
+    pub body_charge: Option<MemoryCharge>,
     /// Permit under the customer's concurrency limit; `None` until the customer limit filter has
     /// run.
     pub customer_permit: Option<CustomerPermit>,
@@ -299,6 +301,22 @@
     }
 }
 
+impl From<RequestRefusal> for Refusal {
+    fn from(refusal: RequestRefusal) -> Self {
+        let reason_code = match refusal.reason {
+            RefusalReason::BodyLimit => "body-too-large",
+            RefusalReason::BodyTimeout => "body-slow",
+            RefusalReason::MemoryLimit => "body-memory",
+            reason => reason.name(),
+        };
+        let converted = Self::not_run(refusal.status, reason_code, refusal.message);
+        match refusal.retry {
+            Some(delay) => converted.retry_after(delay),
+            None => converted,
+        }
+    }
+}
+
 impl From<Refusal> for CallerResponse {
     fn from(refusal: Refusal) -> Self {
         let retry_after_ms =
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use kameo::actor::ActorRef;
-use lacewingrail_listener::{ListenerRole, ListenerSet};
+use lacewingrail_listener::{HttpServer, ListenerRole, ListenerSet};
 use lacewingrail_membership::{Membership, MembershipSettings};
 use lacewingrail_model::config::Policy;
 use lacewingrail_model::instance::{InstanceList, InstanceRole};
@@ -41,7 +41,7 @@
 use crate::overload::ServiceLimiters;
 use crate::peer_handler::EntryPeerHandler;
 use crate::routing::router::RequestRouter;
-use crate::server::{ServerState, build_router, resolve_port, serve};
+use crate::server::{ServerState, build_router, http_settings, resolve_port};
 use crate::settings::EntrySettings;
 
 /// Interval between updates of the gauges from the state of the pools.
@@ -169,7 +169,10 @@
         // Waits for the first list, so that a ready process has read its backend servers.
         let _ = list_controller.ask(ReadList).await;
         let (stop, stopped) = watch::channel(false);
-        let server_task = tokio::spawn(serve(listener, router, stopped));
+        let caller_listener = listeners.add("callers", ListenerRole::Clients);
+        let server =
+            HttpServer::new(listener, caller_listener, timer.clone(), router, http_settings());
+        let server_task = tokio::spawn(server.serve(stopped));
         let gauge_task =
             tokio::spawn(refresh_gauges(pools.clone(), metrics.clone(), timer.clone()));
         log::info!("serving callers on {caller_address} and peers on {peer_address}");
@@ -264,7 +267,7 @@
         Arc::new(TraceFilter::new(metrics.clone())),
         Arc::new(IdentityFilter::new(membership.clone(), pools.clone())),
         Arc::new(ReadinessFilter::new(membership.clone())),
-        Arc::new(BodyLimitFilter::new()),
+        Arc::new(BodyLimitFilter),
         Arc::new(DeadlineFilter),
         Arc::new(CustomerLimitFilter::default()),
         Arc::new(OverloadLimitFilter::new(pools.clone())),
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,46 +1,25 @@
-//! HTTP server for callers: routes, connection limits and graceful shutdown.
+//! HTTP interface for callers: routes, and the exchange of a request that the filters process.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 use axum::Router;
 use axum::body::Body;
 use axum::extract::{Request, State};
 use axum::routing::get;
 use http::{HeaderValue, Method, Response, StatusCode, Version, header};
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use hyper_util::server::conn::auto::Builder;
-use hyper_util::server::graceful::GracefulShutdown;
-use hyper_util::service::TowerToHyperService;
+use lacewingrail_listener::{HttpProtocol, HttpSettings, RefusalFormat, RequestRefusal};
 use lacewingrail_membership::Membership;
 use lacewingrail_model::InstanceId;
 use lacewingrail_model::config::Policy;
 use lacewingrail_telemetry::MetricsRegistry;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
 use tokio::time::Instant;
 
 use crate::chain::FilterChain;
 use crate::drain::DrainTracker;
 use crate::exchange::{CallerResponse, DispatchState, Refusal, RequestClass, RequestExchange};
 
-/// Maximum concurrent connections from callers; bounds memory.
-const MAX_CONNECTIONS: usize = 8192;
-/// Maximum concurrent requests on one HTTP/2 connection.
-const MAX_HTTP2_STREAMS: u32 = 256;
-/// Maximum time for a caller to send the head of a request, counted from the end of the previous
-/// one. Load balancers keep idle connections for up to 60 s; closing one earlier would race with
-/// its reuse.
-const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(75);
-/// Maximum read buffer of one HTTP/1 connection, in bytes.
-const READ_BUFFER_BYTES: usize = 64 << 10;
-/// Interval between PING frames on HTTP/2 connections, which detect dead ones.
-const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(20);
-/// Delay after a failed accept, which happens when file descriptors run out.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// State shared by the request handlers of one entry process.
 pub struct ServerState {
     /// Instance id, the prefix of request ids.
@@ -67,51 +46,23 @@
         .with_state(state)
 }
 
-/// Accepts connections until `stop` is true, then returns once every connection has closed.
-pub async fn serve(listener: TcpListener, router: Router, mut stop: watch::Receiver<bool>) {
-    let graceful = GracefulShutdown::new();
-    let connection_permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
-    let mut builder = Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_READ_TIMEOUT)
-        .max_buf_size(READ_BUFFER_BYTES);
-    builder
-        .http2()
-        .timer(TokioTimer::new())
-        .max_concurrent_streams(MAX_HTTP2_STREAMS)
-        .keep_alive_interval(KEEP_ALIVE_INTERVAL);
-    loop {
-        // The semaphore is never closed.
-        let Ok(permit) = connection_permits.clone().acquire_owned().await else {
-            return;
-        };
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => break,
-        };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("cannot accept a connection: {error}");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        let _ = TcpStream::set_nodelay(&stream, true);
-        let service = TowerToHyperService::new(router.clone());
-        let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
-        let connection = graceful.watch(connection);
-        tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!("a caller connection failed: {error}");
-            }
-            drop(permit);
-        });
+/// Returns the settings of the server for callers: filters read the bodies, since their limits
+/// depend on the customer.
+pub fn http_settings() -> HttpSettings {
+    HttpSettings {
+        protocol: HttpProtocol::Http1And2,
+        max_body_bytes: None,
+        format: Arc::new(CallerFormat),
+    }
+}
+
+/// Format of refusals like that of all others.
+struct CallerFormat;
+
+impl RefusalFormat for CallerFormat {
+    fn response(&self, refusal: &RequestRefusal) -> Response<Body> {
+        CallerResponse::from(Refusal::from(refusal.clone())).into_response()
     }
-    drop(listener);
-    graceful.shutdown().await;
 }
 
 async fn handle_readiness(State(state): State<Arc<ServerState>>) -> (StatusCode, &'static str) {
@@ -143,7 +94,7 @@
     /// path without a service.
     fn build_exchange(&self, request: Request) -> Result<RequestExchange, Refusal> {
         let in_flight = self.drain_tracker.track();
-        let (parts, unread_body) = request.into_parts();
+        let (mut parts, unread_body) = request.into_parts();
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
         let (service, target) = split_path(path);
         if service.is_empty() || parts.method == Method::CONNECT {
@@ -162,6 +113,7 @@
             target,
             headers: parts.headers,
             unread_body: Mutex::new(unread_body),
+            body_reader: parts.extensions.remove(),
             body: bytes::Bytes::new(),
             customer: "".into(),
             class: RequestClass::Normal,
@@ -171,7 +123,7 @@
             policy,
             traceparent: String::new(),
             dispatch: Arc::new(DispatchState::default()),
-            body_permit: None,
+            body_charge: None,
             customer_permit: None,
             service_permit: None,
             in_flight,
--- a/crates/entry/tests/end_to_end.rs
+++ b/crates/entry/tests/end_to_end.rs
@@ -7,8 +7,10 @@
 use axum::Router;
 use axum::extract::Request;
 use axum::response::IntoResponse;
-use lacewingrail_entry::server::serve;
+use lacewingrail_entry::server::http_settings;
+use lacewingrail_listener::{HttpServer, ListenerRole, ListenerState};
 use lacewingrail_model::config::PolicyOverlay;
+use lacewingrail_model::timer::TimerService;
 use support::{DOMAIN, TestSystem, backend_entry, outcome, request};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -33,7 +35,11 @@
     let address = format!("http://{}", listener.local_addr().unwrap());
     let (stop, stopped) = watch::channel(false);
     tokio::spawn(async move {
-        serve(listener, Router::new().fallback(echo), stopped).await;
+        let state = ListenerState::detached("backend", ListenerRole::Clients);
+        let router = Router::new().fallback(echo);
+        HttpServer::new(listener, state, TimerService::new(), router, http_settings())
+            .serve(stopped)
+            .await;
         drop(stop);
     });
     address
--- a/crates/listener/tests/connections.rs
+++ b/crates/listener/tests/connections.rs
@@ -4,7 +4,7 @@
 
 use lacewingrail_listener::limits::{ANSWER_TIMEOUT, HEAD_TIMEOUT, IDLE_TIMEOUT};
 use lacewingrail_listener::{
-    ConnectionGuard, ConnectionTable, ListenerRole, ListenerState, RefusalReason,
+    ConnectionGuard, ConnectionTable, ListenerLimits, ListenerRole, ListenerState, RefusalReason,
 };
 use lacewingrail_model::ProcessResources;
 use tokio::time::Instant;
@@ -17,6 +17,32 @@
     ListenerState::with_resources("test", &FEWEST, role)
 }
 
+/// Guards against limits that differ from those in docs/platform.md, or that add up to more than the
+/// process has.
+#[test]
+fn limits_follow_from_the_resources() {
+    let machine = |memory_mb: u64, descriptors| {
+        let resources = ProcessResources { memory_bytes: memory_mb << 20, descriptors };
+        [ListenerRole::Clients, ListenerRole::Peers, ListenerRole::Probes]
+            .map(|role| ListenerLimits::derive(&resources, role).max_connections)
+    };
+    assert_eq!(machine(260, 4100), [616, 693, 38]);
+    assert_eq!(machine(120, 3075), [284, 320, 17]);
+    assert_eq!(machine(260, 400), [50, 36, 8]);
+    assert_eq!(machine(0, 0), [8, 8, 8]);
+    for memory_mb in [64, 120, 260, 1024, 65_536] {
+        let resources = ProcessResources { memory_bytes: memory_mb << 20, descriptors: 4100 };
+        let limits = |role| ListenerLimits::derive(&resources, role);
+        let probes = limits(ListenerRole::Probes);
+        let listeners =
+            [limits(ListenerRole::Clients), limits(ListenerRole::Peers), probes, probes];
+        let bytes = listeners.iter().map(|limits| limits.request_memory).sum::<u64>();
+        assert!(bytes <= resources.memory_bytes / 6, "{bytes} bytes of requests");
+        let connections = listeners.iter().map(|limits| limits.max_connections).sum::<usize>();
+        assert!(connections as u64 <= (resources.descriptors - 200) / 2, "{connections}");
+    }
+}
+
 /// Admits connections, some time apart.
 async fn admit(table: &ConnectionTable, count: usize) -> Vec<ConnectionGuard> {
     let mut guards = Vec::new();
--- a/crates/listener/tests/http.rs
+++ b/crates/listener/tests/http.rs
@@ -6,7 +6,8 @@
 
 use axum::Router;
 use axum::extract::State;
-use lacewingrail_listener::limits::{BODY_TIMEOUT, MAX_HEAD_BYTES};
+use bytes::Bytes;
+use lacewingrail_listener::limits::{BODY_TIMEOUT, HEAD_TIMEOUT, MAX_HEAD_BYTES};
 use lacewingrail_listener::{
     HttpProtocol, HttpServer, HttpSettings, ListenerRole, ListenerState, PlainFormat, RefusalReason,
 };
@@ -37,6 +38,10 @@
 
 impl EchoServer {
     async fn start() -> Self {
+        Self::start_with(HttpProtocol::Http1).await
+    }
+
+    async fn start_with(protocol: HttpProtocol) -> Self {
         let state = ListenerState::with_resources("test", &FEW, ListenerRole::Clients);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("an address");
@@ -47,7 +52,7 @@
         };
         let router = Router::new().fallback(echo).with_state(permits.clone());
         let settings = HttpSettings {
-            protocol: HttpProtocol::Http1,
+            protocol,
             max_body_bytes: Some(MAX_BODY_BYTES),
             format: Arc::new(PlainFormat),
         };
@@ -217,3 +222,34 @@
     let ended = tokio::time::timeout(TIMEOUT, server.task).await;
     assert!(ended.is_ok_and(|ended| ended.is_ok()), "the server ends");
 }
+
+/// Sends a request over HTTP/2; the stream keeps its body open.
+fn begin_stream(
+    sender: &mut h2::client::SendRequest<Bytes>,
+    part: &'static str,
+) -> (h2::client::ResponseFuture, h2::SendStream<Bytes>) {
+    let request = http::Request::post("http://a/").body(()).expect("a valid request");
+    let (response, mut stream) = sender.send_request(request, false).expect("a new stream");
+    stream.send_data(Bytes::from_static(part.as_bytes()), false).expect("an open stream");
+    (response, stream)
+}
+
+/// Guards against an unfinished body that closes the other requests of its HTTP/2 connection, and
+/// against frames between requests that count as a slow head.
+#[tokio::test]
+async fn unfinished_streams_are_refused_one_by_one() {
+    let server = EchoServer::start_with(HttpProtocol::Http1And2).await;
+    let socket = TcpStream::connect(server.address).await.expect("the server listens");
+    let (mut sender, connection) = h2::client::handshake(socket).await.expect("HTTP/2");
+    tokio::spawn(connection);
+    let (unfinished, _stream) = begin_stream(&mut sender, "x");
+    server.wait_until(|state| state.memory().used() > 0).await;
+    server.state.memory().revoke_overdue(Instant::now() + BODY_TIMEOUT * 2);
+    let refused = unfinished.await.expect("an answer");
+    assert_eq!(refused.status(), 408);
+    server.state.connections().close_overdue(Instant::now() + HEAD_TIMEOUT * 2);
+    let (response, mut stream) = begin_stream(&mut sender, "y");
+    stream.send_data(Bytes::new(), true).expect("an open stream");
+    assert_eq!(response.await.expect("an answer").status(), 200);
+    assert_eq!(server.state.refusals().total(RefusalReason::HeadTimeout), 0);
+}
