Bound what clients of the administration API may use

Operators saw: no answer from the API, probes or metrics once clients kept connections open, and processes over their memory for heads without end or for settings trees that stop short.

Cause: axum::serve as it is, and bodies that are limited one by one.

Change: the API runs on the server of lacewingrail-listener, over HTTP/1.1.

--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -36,7 +36,7 @@
 
 /// Maximum body size of requests that carry a settings tree, in bytes. Validation of the tree
 /// applies a size limit of its own.
-const MAX_TREE_BODY_BYTES: usize = 1_000_000;
+pub const MAX_TREE_BODY_BYTES: usize = 1_000_000;
 /// Maximum body size of all other requests, in bytes; a job record is about 1 KB.
 const MAX_BODY_BYTES: usize = 64 * 1024;
 
--- a/crates/dev/tests/crowds/main.rs
+++ b/crates/dev/tests/crowds/main.rs
@@ -3,6 +3,7 @@
 //! As in the crowds of the adapter's tests, the settings grant few resources, and a test checks that
 //! the process lives within them and still answers ordinary requests. The tests run one at a time.
 
+mod administration;
 mod callers;
 #[path = "../system/support/process.rs"]
 #[allow(dead_code, reason = "the system tests use the rest")]
--- a/crates/scheduler/src/process.rs
+++ b/crates/scheduler/src/process.rs
@@ -11,7 +11,9 @@
 use axum::Router;
 use kameo::actor::{ActorRef, Spawn};
 use kameo::mailbox;
-use lacewingrail_listener::{ListenerRole, ListenerSet};
+use lacewingrail_listener::{
+    HttpProtocol, HttpServer, HttpSettings, ListenerRole, ListenerSet, PlainFormat,
+};
 use lacewingrail_membership::config::TreeDecoder;
 use lacewingrail_membership::{Membership, MembershipSettings};
 use lacewingrail_model::DomainName;
@@ -25,6 +27,7 @@
 use lacewingrail_telemetry::MetricsRegistry;
 use lacewingrail_wire::PeerServer;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::{AbortHandle, JoinHandle};
 
 use crate::admin_context::ProcessAdmin;
@@ -54,7 +57,7 @@
     peer_address: SocketAddr,
     admin_address: Option<SocketAddr>,
     tasks: Vec<AbortHandle>,
-    _listeners: ListenerSet,
+    listeners: ListenerSet,
     _server: PeerServer,
 }
 
@@ -133,7 +136,7 @@
             peer_address: server.address(),
             admin_address: None,
             tasks: Vec::new(),
-            _listeners: listeners,
+            listeners,
             _server: server,
         };
         process.spawn_lease_controllers();
@@ -247,10 +250,19 @@
         let listener = TcpListener::bind(address).await.map_err(failed)?;
         self.admin_address = Some(listener.local_addr().map_err(failed)?);
         let router: Router = lacewingrail_admin::router(self.admin(), self.registry.router());
+        let state = self.listeners.add("administration", ListenerRole::Clients);
+        let settings = HttpSettings {
+            protocol: HttpProtocol::Http1,
+            max_body_bytes: Some(lacewingrail_admin::MAX_TREE_BODY_BYTES),
+            format: Arc::new(PlainFormat),
+        };
+        let timer = self.context.timer.clone();
+        let server = HttpServer::new(listener, state, timer, router, settings);
+        let (stop, stopped) = watch::channel(false);
         self.track_task(tokio::spawn(async move {
-            if let Err(error) = axum::serve(listener, router).await {
-                log::error!("the administration API stopped: {error}");
-            }
+            // The server runs until the process is dropped.
+            let _stop = stop;
+            server.serve(stopped).await;
         }));
         Ok(())
     }
