Refuse jobs that are too large for the store at once

Clients saw: 504 and the advice to send the job again, each time, for a job of 20,000 steps that no store takes.

Cause: the call to the active scheduler failed before it was sent, since the job's record is too large for a frame, and was taken for one whose answer was lost. The instance then also took the scheduler for failed.

--- a/crates/instance/src/client_api.rs
+++ b/crates/instance/src/client_api.rs
@@ -240,6 +240,9 @@
                     spec,
                     accepted_unix_ms: unix_millis(),
                 };
+                if let Some(reason) = self.oversize_reason(&submission) {
+                    return ClientAnswer::Malformed(reason);
+                }
                 let attempt = self.unclear.begin(job);
                 let answer = self.submit(submission).await;
                 attempt.finish(answer)
@@ -249,6 +252,17 @@
         }
     }
 
+    /// Returns why a job is too large to be stored; `None` if it is not.
+    fn oversize_reason(&self, submission: &JobSubmission) -> Option<String> {
+        let limit = self.context.settings.max_record_bytes;
+        // The estimate is above the size of the record.
+        if submission.spec.memory_bytes() <= limit as u64 {
+            return None;
+        }
+        let bytes = serde_json::to_vec(submission).map_or(usize::MAX, |record| record.len());
+        (bytes > limit).then(|| format!("the job's record has {bytes} bytes, over {limit}"))
+    }
+
     async fn submit(&self, submission: JobSubmission) -> ClientAnswer {
         let local_scheduler = self.leadership.borrow().local_scheduler.clone();
         if let Some(scheduler) = local_scheduler {
--- a/crates/instance/src/process.rs
+++ b/crates/instance/src/process.rs
@@ -45,6 +45,8 @@
     pub report_poll_timeout: Duration,
     /// Time for which clients may query a job after it has ended.
     pub ended_retention: Duration,
+    /// Largest record that the key-value service stores, in bytes.
+    pub max_record_bytes: usize,
 }
 
 impl InstanceSettings {
