--- a/crates/dev/tests/crowds/siege.rs
+++ b/crates/dev/tests/crowds/crowd_bed.rs
@@ -38,7 +38,7 @@
 static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
 
 /// One process that crowds of clients call.
-pub struct Siege {
+pub struct CrowdBed {
     process: TestProcess,
     address: SocketAddr,
     directory: PathBuf,
@@ -48,7 +48,7 @@
     _turn: MutexGuard<'static, ()>,
 }
 
-impl Siege {
+impl CrowdBed {
     /// Starts a process with a store, an instance list and a backend server, as soon as no other
     /// test runs.
     pub async fn start(kind: ProcessKind, name: &str) -> Self {
@@ -86,7 +86,7 @@
         );
         let process = TestProcess::spawn(kind, name, &directory, &text);
         let (_, address) = process.addresses().await;
-        let siege = Self {
+        let bed = Self {
             process,
             address,
             directory,
@@ -96,10 +96,10 @@
             _turn: turn,
         };
         crate::eventually_async("the process is ready", READY_TIMEOUT, || async {
-            siege.is_served(reqwest::Method::GET, "/readyz", Vec::new()).await
+            bed.is_served(reqwest::Method::GET, "/readyz", Vec::new()).await
         })
         .await;
-        siege
+        bed
     }
 
     /// Sends a crowd to the address for callers or operators, and waits until all have sent their
@@ -136,7 +136,7 @@
     }
 }
 
-impl Drop for Siege {
+impl Drop for CrowdBed {
     fn drop(&mut self) {
         self.process.kill();
         if !std::thread::panicking() {
--- a/crates/dev/tests/crowds/main.rs
+++ b/crates/dev/tests/crowds/main.rs
@@ -5,10 +5,10 @@
 
 mod administration;
 mod callers;
+mod crowd_bed;
 #[path = "../system/support/process.rs"]
 #[allow(dead_code, reason = "the system tests use the rest")]
 mod process;
-mod siege;
 #[path = "../system/support/waiting.rs"]
 mod waiting;
 
