Count only whole requests as in progress

Callers would have seen: 503 for every request beside a crowd that uses most of the connections, and not all, with unfinished bodies: found while reading the limits of this change again, before it was released.

Cause: the limit on requests in progress counted each from its head on, so that unfinished ones, which nothing evicts while connections and memory are left, kept whole ones out.

Change: a request counts once it is whole. What bounds unfinished ones is the connection over HTTP/1 and the memory over HTTP/2 and for peers, where each is now charged for its head as well.

--- a/crates/listener/src/body_reader.rs
+++ b/crates/listener/src/body_reader.rs
@@ -41,6 +41,8 @@
     request: Arc<RequestGuard>,
     budget: MemoryBudget,
     refusals: Arc<RefusalCounter>,
+    /// Memory of the head that the connection does not pay for, in bytes.
+    head_bytes: u64,
 }
 
 impl BodyReader {
@@ -49,8 +51,9 @@
         request: Arc<RequestGuard>,
         budget: MemoryBudget,
         refusals: Arc<RefusalCounter>,
+        head_bytes: u64,
     ) -> Self {
-        Self { request, budget, refusals }
+        Self { request, budget, refusals, head_bytes }
     }
 
     /// Reads a body of at most `max_bytes`.
@@ -95,6 +98,7 @@
         B::Error: ToString,
     {
         let refuse = |reason| BodyError::Refused(self.refuse(reason));
+        buffer.charge_head(self.head_bytes).map_err(refuse)?;
         buffer.expect(body.size_hint().exact()).map_err(refuse)?;
         loop {
             let frame = tokio::select! {
@@ -113,7 +117,7 @@
             }
         }
         let body = buffer.finish().map_err(refuse)?;
-        self.request.complete();
+        self.request.complete().map_err(|reason| BodyError::Refused(reason.into()))?;
         Ok(body)
     }
 }
@@ -124,6 +128,7 @@
     charge: MemoryCharge,
     bytes: Vec<u8>,
     received: usize,
+    head_bytes: u64,
     max_bytes: usize,
     /// Length that the client declared, or the limit.
     expected: usize,
@@ -133,8 +138,15 @@
 impl BodyBuffer {
     /// Creates an empty buffer of at most `max_bytes`.
     pub fn new(charge: MemoryCharge, max_bytes: usize) -> Self {
-        let (bytes, received) = (Vec::new(), 0);
-        Self { charge, bytes, received, max_bytes, expected: max_bytes, discards: false }
+        Self {
+            charge,
+            bytes: Vec::new(),
+            received: 0,
+            head_bytes: 0,
+            max_bytes,
+            expected: max_bytes,
+            discards: false,
+        }
     }
 
     /// Creates a buffer that only counts what it gets.
@@ -142,6 +154,15 @@
         Self { discards: true, ..Self::new(charge, max_bytes) }
     }
 
+    /// Charges the memory of the request's head as well.
+    ///
+    /// # Errors
+    /// Returns why the request must be refused.
+    pub fn charge_head(&mut self, head_bytes: u64) -> Result<(), RefusalReason> {
+        self.head_bytes = head_bytes;
+        self.charge.resize(head_bytes)
+    }
+
     /// Sets the length that the client declared; nothing is charged for it yet.
     ///
     /// # Errors
@@ -176,7 +197,7 @@
         if self.received > self.bytes.capacity() {
             let doubled = (self.bytes.capacity() * 2).max(MIN_BUFFER_BYTES).min(self.expected);
             let capacity = doubled.max(self.received);
-            self.charge.resize(capacity as u64)?;
+            self.charge.resize(self.head_bytes + capacity as u64)?;
             self.bytes.reserve_exact(capacity - self.bytes.len());
         }
         self.bytes.extend_from_slice(part);
--- a/crates/listener/src/connection_table.rs
+++ b/crates/listener/src/connection_table.rs
@@ -34,7 +34,7 @@
     refusals: Arc<RefusalCounter>,
     gauge: Gauge,
     state: Mutex<TableState>,
-    /// Number of requests in progress on all connections.
+    /// Number of whole requests in progress on all connections.
     requests: AtomicUsize,
     /// Notified when a connection is removed.
     removed: Notify,
@@ -133,7 +133,7 @@
         self.len() == 0
     }
 
-    /// Returns the number of requests in progress on all connections.
+    /// Returns the number of whole requests in progress on all connections.
     pub fn requests(&self) -> usize {
         self.shared.requests.load(Ordering::Acquire)
     }
@@ -248,18 +248,11 @@
         self.entry.lock().set_multiplexed();
     }
 
-    /// Begins a request whose head is complete; without a body it is complete.
+    /// Begins a request whose head is complete; without a body the whole request is.
     ///
     /// # Errors
-    /// Returns [`RefusalReason::RequestLimit`] if too many are in progress.
+    /// As for [`RequestGuard::complete`].
     pub fn begin_request(&self, has_body: bool) -> Result<Arc<RequestGuard>, RefusalReason> {
-        let shared = &self.table.shared;
-        if shared.requests.fetch_add(1, Ordering::AcqRel) >= shared.limits.max_requests {
-            shared.requests.fetch_sub(1, Ordering::AcqRel);
-            shared.refusals.count(RefusalReason::RequestLimit);
-            self.entry.lock().record_refusal();
-            return Err(RefusalReason::RequestLimit);
-        }
         self.entry.lock().begin_request(Instant::now());
         let guard = RequestGuard {
             table: self.table.clone(),
@@ -267,7 +260,7 @@
             is_complete: AtomicBool::new(false),
         };
         if !has_body {
-            guard.complete();
+            guard.complete()?;
         }
         Ok(Arc::new(guard))
     }
@@ -276,10 +269,23 @@
 impl RequestGuard {
     /// Records that the whole request was received: its connection is not closed for another one
     /// until it is answered.
-    pub fn complete(&self) {
-        if !self.is_complete.swap(true, Ordering::AcqRel) {
-            self.entry.lock().complete_request();
+    ///
+    /// # Errors
+    /// Counts and returns [`RefusalReason::RequestLimit`] if too many are in progress. Incomplete
+    /// ones are none of them, so that they can't keep whole ones out.
+    pub fn complete(&self) -> Result<(), RefusalReason> {
+        if self.is_complete.load(Ordering::Acquire) {
+            return Ok(());
         }
+        let shared = &self.table.shared;
+        if shared.requests.fetch_add(1, Ordering::AcqRel) >= shared.limits.max_requests {
+            shared.requests.fetch_sub(1, Ordering::AcqRel);
+            shared.refusals.count(RefusalReason::RequestLimit);
+            return Err(RefusalReason::RequestLimit);
+        }
+        self.is_complete.store(true, Ordering::Release);
+        self.entry.lock().complete_request();
+        Ok(())
     }
 }
 
@@ -287,6 +293,8 @@
     fn drop(&mut self) {
         let is_complete = self.is_complete.load(Ordering::Acquire);
         self.entry.lock().end_request(is_complete, Instant::now());
-        self.table.shared.requests.fetch_sub(1, Ordering::AcqRel);
+        if is_complete {
+            self.table.shared.requests.fetch_sub(1, Ordering::AcqRel);
+        }
     }
 }
--- a/crates/listener/src/connection_table/progress.rs
+++ b/crates/listener/src/connection_table/progress.rs
@@ -137,9 +137,4 @@
         self.is_answered |= is_complete;
         self.idle_since = now;
     }
-
-    /// Records that a request was refused before it was begun.
-    pub fn record_refusal(&mut self) {
-        self.head_since = None;
-    }
 }
--- a/crates/listener/src/http_server.rs
+++ b/crates/listener/src/http_server.rs
@@ -196,14 +196,17 @@
         request: Request<Incoming>,
     ) -> Response<Body> {
         let version = request.version();
+        // Over HTTP/1, the connection pays for the only head that it holds.
+        let mut head_bytes = 0;
         if version == Version::HTTP_2 {
             recorder.set_multiplexed();
+            head_bytes = u64::from(MAX_HTTP2_HEAD_BYTES);
         }
         let has_body = !request.body().is_end_stream();
         let (mut response, is_refused) = match recorder.begin_request(has_body) {
             Ok(guard) => {
                 let (memory, refusals) = (self.state.memory(), self.state.refusals());
-                let reader = BodyReader::new(guard, memory.clone(), refusals.clone());
+                let reader = BodyReader::new(guard, memory.clone(), refusals.clone(), head_bytes);
                 (self.handle(reader, request).await, false)
             }
             Err(reason) => (self.settings.format.response(&reason.into()), true),
--- a/crates/listener/src/limits.rs
+++ b/crates/listener/src/limits.rs
@@ -52,8 +52,8 @@
 pub struct ListenerLimits {
     /// Maximum number of open connections.
     pub max_connections: usize,
-    /// Maximum number of requests in progress on all connections. Where each connection carries one
-    /// at a time, it is lower than the number of connections, so that one can always be closed.
+    /// Maximum number of whole requests in progress on all connections. Where each connection carries
+    /// one at a time, it is lower than the number of connections, so that one can always be closed.
     pub max_requests: usize,
     /// Memory for requests from their first byte until they are answered, in bytes.
     pub request_memory: u64,
--- a/crates/listener/tests/connections.rs
+++ b/crates/listener/tests/connections.rs
@@ -161,6 +161,19 @@
     assert!(guards[0].recorder().begin_request(false).is_ok(), "the ended requests count no more");
 }
 
+/// Guards against unfinished requests that keep whole ones out.
+#[tokio::test(start_paused = true)]
+async fn unfinished_requests_leave_room_for_whole_ones() {
+    let listener = small_listener(ListenerRole::Clients);
+    let table = listener.connections();
+    let guards = admit(table, listener.limits().max_connections).await;
+    let (last, others) = guards.split_last().expect("several connections");
+    let _unfinished: Vec<_> =
+        others.iter().map(|guard| guard.recorder().begin_request(true)).collect();
+    assert!(last.recorder().begin_request(false).is_ok());
+    assert_eq!(listener.refusals().total(RefusalReason::RequestLimit), 0);
+}
+
 /// Guards against a client that keeps a request in progress by not reading the answers before it.
 #[tokio::test(start_paused = true)]
 async fn unread_answers_do_not_protect_a_connection() {
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -23,7 +23,7 @@
 /// Maximum number of concurrent calls on one connection.
 const MAX_CONCURRENT_STREAMS: u32 = 64;
 /// Largest head of a call in bytes; the heads of peers are below 1 KB.
-const MAX_HEAD_BYTES: u32 = 8 << 10;
+const MAX_HEAD_BYTES: u32 = 4 << 10;
 
 /// Handler of peer requests; called concurrently for requests on all connections.
 #[async_trait]
@@ -181,7 +181,7 @@
         state.refusals().count(*reason);
     }
     let body = received?;
-    request.complete();
+    request.complete().map_err(FrameError::Refused)?;
     Ok(ReceivedFrame { body, _request: request })
 }
 
@@ -189,6 +189,7 @@
     mut stream: h2::RecvStream,
     mut buffer: BodyBuffer,
 ) -> Result<ReceivedBody, FrameError> {
+    buffer.charge_head(u64::from(MAX_HEAD_BYTES)).map_err(FrameError::Refused)?;
     loop {
         let part = tokio::select! {
             part = stream.data() => part,
