Keep a quarter of the memory of requests for small ones

Callers would have seen: 503 for ordinary requests while a few large ones, whole and within the limits, wait at a slow store: found by reading the limits of this change again, before it was released.

Cause: a complete request keeps its charge, whatever its size, and nothing was left for others.

Change: a request that holds over 32 KB may use three quarters of the memory only.

--- a/crates/listener/src/memory_budget.rs
+++ b/crates/listener/src/memory_budget.rs
@@ -3,8 +3,9 @@
 //! Each request is charged for the bytes that the process holds for it. When the memory is used up,
 //! the request that was begun first and is still incomplete gives back its bytes: an ordinary client
 //! completes its request soon, so those that stay incomplete the longest are least likely to. A
-//! complete request keeps its charge. A request that is alone is charged any amount, so that the
-//! limit refuses none in calm.
+//! complete request keeps its charge. A quarter of the memory is for small requests, so that large
+//! ones that wait to be answered do not keep ordinary ones out. A request that is alone is charged
+//! any amount, so that the limit refuses none in calm.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -16,6 +17,9 @@
 use crate::limits::BODY_TIMEOUT;
 use crate::refusal::RefusalReason;
 
+/// Largest charge of a small request, in bytes: that of an ordinary job.
+const SMALL_REQUEST_BYTES: u64 = 32 << 10;
+
 /// Number of a charge; later charges have higher numbers.
 type ChargeId = u64;
 
@@ -99,6 +103,12 @@
         self.show(&state);
     }
 
+    /// Returns the memory of which a request that holds a number of bytes may be a part.
+    fn available_to(&self, bytes: u64) -> u64 {
+        let capacity = self.shared.capacity;
+        if bytes <= SMALL_REQUEST_BYTES { capacity } else { capacity - capacity / 4 }
+    }
+
     fn show(&self, state: &BudgetState) {
         self.shared.gauge.set(i64::try_from(state.used).unwrap_or(i64::MAX));
     }
@@ -125,8 +135,8 @@
         }
     }
 
-    /// Sets the bytes of a charge; takes back older incomplete ones if the capacity is exceeded.
-    fn resize(&mut self, id: ChargeId, bytes: u64, capacity: u64) -> Result<(), RefusalReason> {
+    /// Sets the bytes of a charge; takes back older incomplete ones if the sum exceeds `available`.
+    fn resize(&mut self, id: ChargeId, bytes: u64, available: u64) -> Result<(), RefusalReason> {
         let Some(entry) = self.entries.get(&id) else { return Ok(()) };
         if let Some(reason) = entry.revoked {
             return Err(reason);
@@ -134,7 +144,7 @@
         let held = entry.bytes;
         loop {
             let others = self.used - held;
-            if bytes <= held || others == 0 || others + bytes <= capacity {
+            if bytes <= held || others == 0 || others + bytes <= available {
                 break;
             }
             let oldest = self.incomplete().find(|(_, entry)| entry.bytes > 0).map(|(id, _)| id);
@@ -161,7 +171,7 @@
     /// Returns why the request must be refused; its charge has then been taken back.
     pub fn resize(&self, bytes: u64) -> Result<(), RefusalReason> {
         let mut state = self.budget.lock();
-        let outcome = state.resize(self.id, bytes, self.budget.shared.capacity);
+        let outcome = state.resize(self.id, bytes, self.budget.available_to(bytes));
         self.budget.show(&state);
         outcome
     }
--- a/crates/listener/tests/memory.rs
+++ b/crates/listener/tests/memory.rs
@@ -52,6 +52,22 @@
     assert!(budget.begin().resize(1).is_ok());
 }
 
+/// Guards against large requests that wait to be answered, and keep ordinary ones out meanwhile.
+#[test]
+fn large_requests_leave_room_for_small_ones() {
+    let budget = MemoryBudget::new(1 << 20, Default::default());
+    let large: Vec<_> = (0..10).map(|_| budget.begin()).collect();
+    let admitted = large
+        .iter()
+        .filter(|charge| charge.resize(100 << 10).and_then(|()| charge.complete()).is_ok())
+        .count();
+    assert_eq!(admitted, 7, "three quarters of 1 MB");
+    for _ in 0..10 {
+        let small = charged(&budget, 10 << 10);
+        assert_eq!(small.complete(), Ok(()));
+    }
+}
+
 /// Guards against bodies that stop short and keep their memory in calm, for good.
 #[tokio::test(start_paused = true)]
 async fn overdue_bodies_give_their_memory_back() {
