--- a/crates/instance/src/client_api.rs
+++ b/crates/instance/src/client_api.rs
@@ -174,6 +174,13 @@
         Some(refusal)
     }
 
+    /// Returns whether an earlier submission of the job that a call names may still take effect, so
+    /// that it would be wrong to say that the job never runs.
+    pub fn is_unclear(&self, head: &CallHead) -> bool {
+        let job = self.route_call(head).and_then(|routed| routed.job());
+        job.is_ok_and(|job| self.unclear.contains(job))
+    }
+
     /// Counts and logs an answer.
     fn record_answer(
         &self,
--- a/crates/instance/src/unclear_jobs.rs
+++ b/crates/instance/src/unclear_jobs.rs
@@ -32,6 +32,13 @@
         SubmissionAttempt { unclear: self.clone(), job, is_finished: false }
     }
 
+    /// Returns whether an earlier submission of a job may still take effect.
+    pub fn contains(&self, job: JobKey) -> bool {
+        let jobs = self.jobs.lock().unwrap_or_else(PoisonError::into_inner);
+        let recorded_at = jobs.get(&job).copied();
+        recorded_at.is_some_and(|at| clock::now().saturating_sub(at) < OUTCOME_RETENTION)
+    }
+
     /// Corrects the answer to a submission in view of earlier ones of the same job, and records it.
     ///
     /// A refusal becomes [`ClientAnswer::Unclear`] while an earlier outcome is unknown.
