--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -172,6 +172,17 @@
     Ok(Verdict::Held)
 }
 
+/// Hands a job in; a client without an answer, or with a refusal that invites to try again, sends it
+/// again, at the next instance. Returns whether it was accepted.
+fn hand_in(deployment: &Deployment, index: usize, id: &str, body: &Json) -> bool {
+    (0..12).any(|attempt| {
+        if attempt > 0 {
+            pause(1.0);
+        }
+        deployment.submit((index + attempt) % 3, "/desk/", id, body) == 200
+    })
+}
+
 /// One of 25 submissions is large, within the limits of the pages.
 fn memory(deployment: &mut Deployment, trouble: bool) -> Result<Verdict, String> {
     const ORDINARY: usize = 24;
@@ -196,22 +207,12 @@
     for index in 0..ORDINARY {
         let id = format!("00000000000007{index:02x}");
         if trouble && index == ORDINARY - 1 {
-            let steps = std::env::var("STEPS").ok().and_then(|text| text.parse().ok());
-            let steps = (0..steps.unwrap_or(STEPS)).map(|_| members(10_000)).collect();
-            let body = job("work-ms=500", steps);
+            let body = job("work-ms=500", (0..STEPS).map(|_| members(10_000)).collect());
             let bytes = body.to_string().len();
             deployment.record.add(&format!("the next submission has {bytes} bytes"));
-            let status = deployment.submit(1, "/desk/", "00000000000000e5", &body);
-            deployment.record.add(&format!("status of the large submission: {status}"));
+            hand_in(deployment, 1, "00000000000000e5", &body);
         }
-        // A client without an answer, or with a refusal that invites to try again, does so.
-        let sent = (0..12).any(|attempt| {
-            if attempt > 0 {
-                pause(1.0);
-            }
-            deployment.submit((index + attempt) % 3, "/desk/", &id, &ordinary) == 200
-        });
-        if sent {
+        if hand_in(deployment, index, &id, &ordinary) {
             accepted.push(id);
         }
         pause(0.1);
@@ -236,6 +237,7 @@
 /// Runners crash and return under their ids and addresses as another kind.
 fn kind(deployment: &mut Deployment, trouble: bool) -> Result<Verdict, String> {
     const RUNNERS: usize = 7;
+    const OUTAGE: f64 = 1.0;
     let profile = |index: usize, kind: &str| {
         runner(["zone-a", "zone-b"][index % 2], kind, &format!("r1-{}", index / 3), 8)
     };
@@ -266,7 +268,7 @@
         pause(1.0 + 0.13 * index as f64);
         if trouble {
             worker.crash();
-            pause(0.2);
+            pause(OUTAGE);
             worker.begin_life(profile(index, "b"));
         }
         pause(4.5);
