--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -24,6 +24,7 @@
         "budget" => Some(budget),
         "away" => Some(away),
         "zone" => Some(zone),
+        "late" => Some(late),
         _ => None,
     }
 }
@@ -529,3 +530,75 @@
     }
     Ok(Verdict::Held)
 }
+
+/// A start order is carried out late, by the next life of its runner.
+fn late(deployment: &mut Deployment, trouble: bool) -> Result<Verdict, String> {
+    let profile = |index: usize| runner(["zone-a", "zone-b"][index % 2], "a", "r1-1", 8);
+    let workers: Vec<_> =
+        (0..12).map(|index| deployment.add_worker(&format!("i-{index}"), profile(index))).collect();
+    deployment.configure(1, config(vec![route("desk", "/desk/", 1, 4)], 8));
+    deployment.add_instances(3)?;
+    let members = |count: i64, work: i64| {
+        step([
+            ("count", int(count)),
+            ("millicores", int(2000)),
+            ("mem_mb", int(1024)),
+            ("gpu_count", int(8)),
+            ("estimate_ms", int(work)),
+        ])
+    };
+    let first = "00000000000008a0";
+    let status = deployment.submit(0, "/desk/", first, &job("work-ms=500", vec![members(24, 500)]));
+    ensure(status == 200, "the first job is not accepted")?;
+    let first_done = || (0..24).all(|index| done(deployment, &format!("{first}.0.0.{index}")));
+    ensure(deployment.wait_until(12.0, first_done), "the first job is not done")?;
+    pause(1.0);
+    // A short task is on a runner that is free again when the order is given up.
+    let short = "00000000000008c0";
+    let status =
+        deployment.submit(2, "/desk/", short, &job("work-ms=1700", vec![members(1, 1700)]));
+    ensure(status == 200, "the short job is not accepted")?;
+    pause(0.3);
+    let held_back = &workers[5];
+    if trouble {
+        held_back.hold_back_next_start();
+    }
+    let id = "00000000000008b0";
+    let status = deployment.submit(1, "/desk/", id, &job("work-ms=9000", vec![members(8, 9000)]));
+    ensure(status == 200, "the second job is not accepted")?;
+    if trouble {
+        let is_held = || held_back.late_start().is_some();
+        ensure(deployment.wait_until(5.0, is_held), "no order came to the runner")?;
+        let held_at = Instant::now();
+        let (task, _) = held_back.late_start().ok_or("no order was held back")?;
+        let elsewhere = || is_running(deployment, &task);
+        ensure(deployment.wait_until(6.0, elsewhere), "the task does not start elsewhere")?;
+        pause(0.3);
+        std::thread::sleep(Duration::from_millis(2500).saturating_sub(held_at.elapsed()));
+        held_back.crash();
+        pause(1.0);
+        held_back.begin_life(profile(5));
+        pause(0.05);
+        let after = held_at.elapsed().as_millis();
+        deployment.record.add(&format!("{after} ms after the order was sent"));
+        held_back.deliver_late_start();
+    }
+    pause(12.0);
+    let runs = deployment.runs(id);
+    for run in &runs {
+        let overlaps = runs.iter().find(|other| {
+            other.task == run.task
+                && other.attempt > run.attempt
+                && run.ended.is_none_or(|ended| other.started < ended)
+                && other.ended.is_none_or(|ended| run.started < ended)
+        });
+        if let Some(other) = overlaps {
+            return Ok(Verdict::Broken(format!(
+                "TWICE: task {} ran as attempt {} on {} and as attempt {} on {} at the same time; \
+                 the ends are {} and {}",
+                run.task, run.attempt, run.worker, other.attempt, other.worker, run.how, other.how
+            )));
+        }
+    }
+    Ok(Verdict::Held)
+}
--- a/review/standin-3/src/http.rs
+++ b/review/standin-3/src/http.rs
@@ -12,6 +12,11 @@
 /// Time after which an idle connection is closed by the server.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(100);
 
+/// Status of a response that is never sent.
+pub const NO_ANSWER: u16 = 0;
+/// Time after which a connection without an answer is closed.
+const SILENCE: Duration = Duration::from_secs(5);
+
 pub struct Request {
     pub method: String,
     pub path: String,
@@ -90,6 +95,10 @@
         if stopped.load(Ordering::SeqCst) {
             return Ok(());
         }
+        if response.status == NO_ANSWER {
+            std::thread::sleep(SILENCE);
+            return Ok(());
+        }
         let text = format!(
             "HTTP/1.1 {} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{}",
             response.status,
--- a/review/standin-3/src/worker.rs
+++ b/review/standin-3/src/worker.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::http::{Request, Response, Server};
+use crate::http::{NO_ANSWER, Request, Response, Server};
 use crate::json::{Json, int, map, text};
 use crate::record::Record;
 use crate::store::Store;
@@ -75,6 +75,15 @@
     sequence: i64,
 }
 
+/// What becomes of the next order to start something.
+enum NextStart {
+    Answered,
+    /// It is held back on its way and gets no answer.
+    HeldBack,
+    /// It was held back.
+    Late(Json),
+}
+
 struct Shared {
     id: String,
     life: Mutex<Option<Life>>,
@@ -87,6 +96,7 @@
     record: Record,
     store: Store,
     last_beat: Mutex<Instant>,
+    next_start: Mutex<NextStart>,
 }
 
 /// Demands of the steps of submitted jobs, by `ID.STEP`.
@@ -118,6 +128,7 @@
             record: record.clone(),
             store: store.clone(),
             last_beat: Mutex::new(Instant::now()),
+            next_start: Mutex::new(NextStart::Answered),
         };
         let worker = Self { shared: Arc::new(shared) };
         worker.begin_life(profile);
@@ -210,6 +221,29 @@
         }
     }
 
+    /// Holds the next order to start something back, so that it gets no answer.
+    pub fn hold_back_next_start(&self) {
+        *self.shared.next_start.lock().unwrap() = NextStart::HeldBack;
+    }
+
+    /// Returns the task and attempt of the order that was held back.
+    pub fn late_start(&self) -> Option<(String, i64)> {
+        match &*self.shared.next_start.lock().unwrap() {
+            NextStart::Late(body) => Some((body.text_or_empty("task"), body.int_or("attempt", 0))),
+            NextStart::Answered | NextStart::HeldBack => None,
+        }
+    }
+
+    /// Carries the order out that was held back.
+    pub fn deliver_late_start(&self) {
+        let next =
+            std::mem::replace(&mut *self.shared.next_start.lock().unwrap(), NextStart::Answered);
+        if let NextStart::Late(body) = next {
+            self.shared.record.add(&format!("the late order reaches runner {}", self.shared.id));
+            self.start_run(&body);
+        }
+    }
+
     /// Returns the runs so far, in order of their starts.
     pub fn traces(&self) -> Vec<RunTrace> {
         self.shared.traces.lock().unwrap().clone()
@@ -325,7 +359,20 @@
             return answer(400, map([]));
         };
         match request.path.as_str() {
-            "/-/run-start" => self.start_run(&body),
+            "/-/run-start" => {
+                let mut next = self.shared.next_start.lock().unwrap();
+                if matches!(*next, NextStart::HeldBack) {
+                    let task = body.text_or_empty("task");
+                    self.shared.record.add(&format!(
+                        "the order to start {task} on {} is held back",
+                        self.shared.id
+                    ));
+                    *next = NextStart::Late(body);
+                    return Response { status: NO_ANSWER, body: String::new() };
+                }
+                drop(next);
+                self.start_run(&body)
+            }
             "/-/run-stop" => self.stop_run(&body),
             "/-/hold" => self.hold(&body),
             _ => answer(400, map([])),
