Ask workers with a start that may be late for their ends without delay

Cause: while a start without an answer is open, its worker's ends are not acknowledged, so the worker answers renewals at once and is asked at intervals only (300 ms, or a quarter of the lease). Stops for urgent work were seen late, reservations expired, and more work was stopped in their place.

Change: such a worker is asked every 150 ms, and as soon as it has confirmed a stop.

--- a/crates/fleet/src/planner/maintenance.rs
+++ b/crates/fleet/src/planner/maintenance.rs
@@ -19,6 +19,9 @@
 const ROSTER_INTERVAL: Duration = Duration::from_secs(2);
 /// Time between calls to a worker that does not answer, or has left a start or stop unanswered.
 const UNANSWERED_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Time between reports of a worker whose ends wait for a start that may be late: it answers at once
+/// while it has ends that are not acknowledged.
+const UNCLEAR_REPORT_INTERVAL: Duration = Duration::from_millis(150);
 /// Time for which the ends of all members of a gang are awaited before the remaining runs are
 /// stopped.
 const GANG_END_TIMEOUT: Duration = Duration::from_millis(700);
@@ -302,8 +305,11 @@
         let epoch = self.settings.epoch;
         let mut first_reports =
             MAX_FIRST_REPORTS_IN_FLIGHT.saturating_sub(self.first_reports_in_flight(now));
+        let has_unclear_starts = self.open_starts.unclear_count() > 0;
+        let pending_interval =
+            if has_unclear_starts { UNCLEAR_REPORT_INTERVAL } else { lease / RENEWALS_PER_LEASE };
         for (id, worker) in &mut self.workers {
-            if worker.renewal_in_flight || !needs_renewal(worker, lease, now) {
+            if worker.renewal_in_flight || !needs_renewal(worker, pending_interval, now) {
                 continue;
             }
             if worker.report == ReportState::Awaited && worker.unanswered_renewals == 0 {
@@ -370,8 +376,9 @@
     }
 }
 
-/// Returns whether a worker's lease should be renewed, or its report read, now.
-fn needs_renewal(worker: &WorkerEntry, lease: Duration, now: Duration) -> bool {
+/// Returns whether a worker's lease should be renewed, or its report read, now. While ends wait to be
+/// stored, or for a start that may be late, that is at intervals and whenever a stop was confirmed.
+fn needs_renewal(worker: &WorkerEntry, pending_interval: Duration, now: Duration) -> bool {
     let elapsed =
         worker.renewal_sent_at.map_or(Duration::MAX, |sent_at| now.saturating_sub(sent_at));
     if worker.unanswered_renewals > 0 {
@@ -381,10 +388,16 @@
         return true;
     }
     if worker.ends.has_pending() {
-        return !worker.runs.is_empty() && elapsed >= lease / RENEWALS_PER_LEASE;
+        return !worker.runs.is_empty()
+            && (elapsed >= pending_interval || worker.has_unreported_stops());
     }
     if worker.withholds_acknowledgement() {
-        return worker.can_locate_runs() || elapsed >= UNANSWERED_RETRY_DELAY;
+        let interval = if worker.has_unclear_starts {
+            UNCLEAR_REPORT_INTERVAL
+        } else {
+            UNANSWERED_RETRY_DELAY
+        };
+        return worker.can_locate_runs() || worker.has_unreported_stops() || elapsed >= interval;
     }
     worker.report == ReportState::Partial || worker.ends.due().is_some() || !worker.runs.is_empty()
 }
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -320,6 +320,15 @@
         self.runs.values().any(is_open)
     }
 
+    /// Returns whether the worker has confirmed a stop since the newest renewal was sent.
+    pub fn has_unreported_stops(&self) -> bool {
+        let is_unreported = |run: &RunEntry| {
+            matches!(run.phase, RunPhase::Stopping { .. })
+                && run.answered_at().is_some_and(|at| Some(at) >= self.renewal_sent_at)
+        };
+        self.runs.values().any(is_unreported)
+    }
+
     /// Records that a renewal is sent that acknowledges ends up to a number, with or without a lease.
     ///
     /// Returns its fencing token under an epoch.
