Keep no state for tasks that have never run

After one accepted submission of 32 kB (400 steps of 10,000 tasks), every process that led exceeded 260 MB and was killed, one after the other, and no task started any more.

Cause: a step held an entry for each of its tasks from the check of the submission on, and again in every scheduler that read the stored job: some 93 bytes for a task that waits. Decisions went through all of them.

No limit was added on what a client may submit.

Why this works: the cost of a job follows from its size as submitted and from what runs, so neither its acceptance nor its reading by a successor takes more memory with more tasks.

--- a/crates/fleet/src/backlog.rs
+++ b/crates/fleet/src/backlog.rs
@@ -28,9 +28,9 @@
 
     /// Adds tasks of a step for their declared run time. Continuous and best-effort tasks add
     /// nothing, since they have no end of their own.
-    pub fn add_tasks(&mut self, spec: &StepSpec, tasks: usize) {
+    pub fn add_tasks(&mut self, spec: &StepSpec, tasks: u32) {
         if !spec.continuous && !spec.fills {
-            self.add(&spec.demand, spec.estimate.as_secs_f64() * tasks as f64);
+            self.add(&spec.demand, spec.estimate.as_secs_f64() * f64::from(tasks));
         }
     }
 
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -1,4 +1,5 @@
-//! The state of an accepted job: its occurrences, steps and tasks.
+//! The state of an accepted job and of its occurrences; [`step`](crate::step) holds that of their
+//! steps and tasks.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -7,10 +8,12 @@
 use lacewingrail_model::WorkerId;
 use serde::{Deserialize, Serialize};
 
-use crate::advice::StepAdvice;
-use crate::record::{FailureCount, JobProgress, StepProgress};
-use crate::spec::{CheckpointName, JobSubmission, RunNumber, StepKey, StepSpec, TaskKey};
-use crate::speed::WorkEstimate;
+use crate::record::JobProgress;
+use crate::spec::{JobSubmission, StepKey, StepSpec, TaskKey};
+use crate::step::{StepEntry, TaskEntry};
+
+/// Maximum number of tasks of a job that are stored as done one by one, some 5 kB.
+const MAX_LISTED_DONE: u64 = 1000;
 
 /// Stage of a job: in progress, or the way in which it ended.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -33,55 +36,6 @@
     }
 }
 
-/// Stage of a task between its submission and its end with success.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub enum TaskPhase {
-    /// The task waits for a start.
-    #[default]
-    Waiting,
-    /// The task runs, or may run, on a worker.
-    Assigned {
-        /// Worker that the start was ordered on.
-        worker: WorkerId,
-        /// Number of the run that was ordered.
-        run: RunNumber,
-    },
-    /// The task ended with success.
-    Done,
-}
-
-/// State of one task, over all its runs.
-#[derive(Clone, Debug, Default)]
-pub struct TaskEntry {
-    /// Whether the task waits, runs or is done.
-    pub phase: TaskPhase,
-    /// Highest run number that was ordered or reported; 0 before the first.
-    pub highest_run: RunNumber,
-    /// Failed runs of the task; a gang counts them in [`StepEntry::gang_failures`].
-    pub failures: FailureCount,
-    /// Newest checkpoint that a worker has reported.
-    pub checkpoint: Option<CheckpointName>,
-}
-
-/// State of one step of one occurrence, over all runs of its tasks.
-#[derive(Clone, Debug)]
-pub struct StepEntry {
-    /// Tasks by their index.
-    pub tasks: Vec<TaskEntry>,
-    /// Number of tasks that are done.
-    pub done: u32,
-    /// Failed runs of a gang; each run counts once, however many members fail.
-    pub gang_failures: FailureCount,
-    /// When the newest end with success was reported.
-    pub last_done_at: Option<Duration>,
-    /// Estimated work of a task, corrected by measured progress.
-    pub work_estimate: WorkEstimate,
-    /// Since when the step has waited for workers, or `None` while it does not.
-    pub waiting_since: Option<Duration>,
-    /// Answers of the queue's adviser about this step.
-    pub advice: StepAdvice,
-}
-
 /// State of one occurrence of a job, from the time when it is due.
 #[derive(Clone, Debug)]
 pub struct OccurrenceEntry {
@@ -179,12 +133,12 @@
 
     /// Returns a task, or `None` if the job has no such task or its occurrence is not due.
     pub fn task(&self, key: TaskKey) -> Option<&TaskEntry> {
-        self.step(key.step_key())?.tasks.get(key.index as usize)
+        self.step(key.step_key())?.task(key.index)
     }
 
-    /// Returns a mutable reference to a task, see [`Self::task`].
+    /// Returns a mutable reference to a task that is not done, or `None` as from [`Self::task`].
     pub fn task_mut(&mut self, key: TaskKey) -> Option<&mut TaskEntry> {
-        self.step_mut(key.step_key())?.tasks.get_mut(key.index as usize)
+        self.step_mut(key.step_key())?.task_mut(key.index)
     }
 
     /// Adds an occurrence that is or was due and all earlier ones, except those added before. Does
@@ -233,11 +187,7 @@
 
     fn assigned_workers(&self) -> BTreeSet<WorkerId> {
         let steps = self.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
-        let assigned = steps.flat_map(|step| &step.tasks).filter_map(|task| match &task.phase {
-            TaskPhase::Assigned { worker, .. } => Some(worker.clone()),
-            TaskPhase::Waiting | TaskPhase::Done => None,
-        });
-        assigned.collect()
+        steps.flat_map(StepEntry::assigned).map(|(_, worker, _)| worker.clone()).collect()
     }
 
     /// Marks the progress as changed, so that it is stored again.
@@ -247,11 +197,14 @@
 
     /// Returns the current progress, to be stored.
     pub fn progress(&self) -> JobProgress {
+        let all_steps = self.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
+        let done: u64 = all_steps.map(|step| u64::from(step.done_count())).sum();
+        let by_ranges = done > MAX_LISTED_DONE;
         let mut steps = Vec::new();
         for occurrence in &self.occurrences {
             for (index, step) in occurrence.steps.iter().enumerate() {
                 let gang = self.submission.spec.steps[index].gang;
-                let progress = step.progress(occurrence.number, index as u32, gang);
+                let progress = step.progress(occurrence.number, index as u32, gang, by_ranges);
                 steps.extend(progress);
             }
         }
@@ -285,93 +238,3 @@
         }
     }
 }
-
-impl StepEntry {
-    fn new(spec: &StepSpec) -> Self {
-        Self {
-            tasks: vec![TaskEntry::default(); spec.count as usize],
-            done: 0,
-            gang_failures: FailureCount::default(),
-            last_done_at: None,
-            work_estimate: WorkEstimate::default(),
-            waiting_since: None,
-            advice: StepAdvice::default(),
-        }
-    }
-
-    /// Returns whether all tasks are done.
-    pub fn is_done(&self) -> bool {
-        self.done as usize == self.tasks.len()
-    }
-
-    /// Marks a task as done, unless it is marked already.
-    pub fn mark_done(&mut self, index: u32) {
-        if let Some(task) = self.tasks.get_mut(index as usize)
-            && task.phase != TaskPhase::Done
-        {
-            task.phase = TaskPhase::Done;
-            self.done += 1;
-        }
-    }
-
-    /// Returns the indexes of the tasks that wait for a start.
-    pub fn waiting(&self) -> impl Iterator<Item = u32> + '_ {
-        let waits = |(_, task): &(usize, &TaskEntry)| task.phase == TaskPhase::Waiting;
-        self.tasks.iter().enumerate().filter(waits).map(|(index, _)| index as u32)
-    }
-
-    /// Returns whether any task runs or may run.
-    pub fn is_assigned(&self) -> bool {
-        self.tasks.iter().any(|task| matches!(task.phase, TaskPhase::Assigned { .. }))
-    }
-
-    fn progress(&self, occurrence: u32, step: u32, gang: bool) -> Option<StepProgress> {
-        let mut progress = StepProgress { occurrence, step, ..StepProgress::default() };
-        let mut checkpoints = BTreeMap::new();
-        for (index, task) in self.tasks.iter().enumerate() {
-            let index = index as u32;
-            if task.phase == TaskPhase::Done {
-                progress.done.push(index);
-                continue;
-            }
-            if !gang && task.failures.count > 0 {
-                progress.failures.insert(index, task.failures.clone());
-            }
-            if let Some(checkpoint) = &task.checkpoint
-                && (!gang || index == 0)
-            {
-                checkpoints.insert(index, checkpoint.clone());
-            }
-        }
-        if gang && self.gang_failures.count > 0 {
-            progress.failures.insert(0, self.gang_failures.clone());
-        }
-        progress.checkpoints = checkpoints;
-        let empty = progress.done.is_empty()
-            && progress.failures.is_empty()
-            && progress.checkpoints.is_empty();
-        (!empty || occurrence > 0).then_some(progress)
-    }
-
-    fn restore(&mut self, stored: &StepProgress, gang: bool) {
-        for index in &stored.done {
-            self.mark_done(*index);
-        }
-        if gang {
-            self.gang_failures = stored.failures.get(&0).cloned().unwrap_or_default();
-            let checkpoint = stored.checkpoints.get(&0).cloned();
-            self.tasks.iter_mut().for_each(|task| task.checkpoint = checkpoint.clone());
-            return;
-        }
-        for (index, failures) in &stored.failures {
-            if let Some(task) = self.tasks.get_mut(*index as usize) {
-                task.failures.clone_from(failures);
-            }
-        }
-        for (index, checkpoint) in &stored.checkpoints {
-            if let Some(task) = self.tasks.get_mut(*index as usize) {
-                task.checkpoint = Some(checkpoint.clone());
-            }
-        }
-    }
-}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod run;
 pub mod spec;
 pub mod speed;
+pub mod step;
 pub mod worker;
 
 pub use advice::{AdviceCandidate, AdvicePolicy, WorkerTicket};
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -183,6 +183,16 @@
         })
     }
 
+    /// Returns how many tasks of a request all eligible workers together could hold if nothing else
+    /// ran there.
+    pub fn room_when_empty(&self, request: &PlacementRequest<'_>) -> i64 {
+        let limit = request.spec.worker_limit.map_or(i64::MAX, i64::from);
+        let slots = (0..self.slots.len()).filter(|slot| self.is_eligible(*slot, request));
+        let rooms =
+            slots.map(|slot| self.slots[slot].capacity.multiples(&request.spec.demand).min(limit));
+        rooms.fold(0, i64::saturating_add)
+    }
+
     /// Returns the scope in which a step should be placed: the narrowest that it asks for and that
     /// could hold it.
     pub fn preferred_scope(&self, request: &PlacementRequest<'_>) -> PlacementScope {
--- a/crates/fleet/src/planner/advice.rs
+++ b/crates/fleet/src/planner/advice.rs
@@ -86,7 +86,7 @@
             return;
         }
         let step = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key));
-        let Some(step) = step.filter(|step| step.waiting().next().is_some()) else {
+        let Some(step) = step.filter(|step| step.waiting_count() > 0) else {
             return;
         };
         let workers = step.advice.begin_request(&advised.candidates, now);
--- a/crates/fleet/src/planner/dispatch.rs
+++ b/crates/fleet/src/planner/dispatch.rs
@@ -68,20 +68,21 @@
         let (Some(spec), Some(service)) = (self.step_spec(key), self.job_service(job)) else {
             return;
         };
-        let waiting = self.startable_tasks(job, key, spec.gang);
-        if waiting.is_empty() {
-            return;
-        }
-        let waited = self.record_waiting(key, now);
         let urgent = item.priority == URGENT_PRIORITY && self.order.preempts();
         let request = PlacementRequest {
             service: &service,
             spec: &spec,
             key,
-            count: waiting.len(),
+            count: 0,
             min_speed: if urgent { self.required_speed(key, now) } else { 0.0 },
             permitted_workers: None,
         };
+        let waiting = self.startable_tasks(job, &request, snapshot);
+        let waited = self.record_waiting(key, now);
+        if waiting.is_empty() {
+            return;
+        }
+        let request = PlacementRequest { count: waiting.len(), ..request };
         let advised = self.advised_workers(snapshot, &request, now);
         let permitted_workers = advised.as_ref().map(|advised| &advised.permitted);
         let request = PlacementRequest { permitted_workers, ..request };
@@ -121,15 +122,28 @@
         self.jobs.get(&key.job)?.step_spec(key.step).cloned()
     }
 
-    /// Returns the indexes of the tasks of a step that may start: for a gang, all or none. A task that
-    /// an earlier order may still start late has to wait.
-    fn startable_tasks(&self, job: &JobEntry, key: StepKey, gang: bool) -> Vec<u32> {
-        let Some(step) = job.step(key) else {
+    /// Returns the indexes of the tasks of a step that may start: for a gang, all or none; otherwise
+    /// no more than all workers together could hold. A task that an earlier order may still start
+    /// late has to wait.
+    fn startable_tasks(
+        &self,
+        job: &JobEntry,
+        request: &PlacementRequest<'_>,
+        snapshot: &PlacementSnapshot,
+    ) -> Vec<u32> {
+        let Some(step) = job.step(request.key) else {
             return Vec::new();
         };
-        let is_closed = |index: &u32| !self.open_starts.is_open(key.task(*index));
-        let startable: Vec<u32> = step.waiting().filter(is_closed).collect();
-        if gang && startable.len() < step.tasks.len() { Vec::new() } else { startable }
+        let any_speed = PlacementRequest { min_speed: 0.0, ..*request };
+        let room = usize::try_from(snapshot.room_when_empty(&any_speed)).unwrap_or(usize::MAX);
+        let gang_size = step.count() as usize;
+        let gang_fits = room >= gang_size && step.waiting_count() == step.count();
+        if request.spec.gang && !gang_fits {
+            return Vec::new();
+        }
+        let is_closed = |index: &u32| !self.open_starts.is_open(request.key.task(*index));
+        let startable: Vec<u32> = step.waiting().filter(is_closed).take(room).collect();
+        if request.spec.gang && startable.len() < gang_size { Vec::new() } else { startable }
     }
 
     /// Returns the service whose workers run a job, or `None` if its queue has no policy.
--- a/crates/fleet/src/planner/disruption.rs
+++ b/crates/fleet/src/planner/disruption.rs
@@ -5,10 +5,11 @@
 
 use std::collections::BTreeMap;
 
+use lacewingrail_model::WorkerId;
+
 use super::FleetPlanner;
-use crate::job::TaskPhase;
 use crate::run::RunPhase;
-use crate::spec::{StepKey, StepSpec};
+use crate::spec::{RunNumber, StepKey, StepSpec};
 
 /// Share of its work at which a continuous task is reported as working, in percent.
 const WORKING_PERCENT: u32 = 100;
@@ -40,18 +41,15 @@
     /// Returns how many tasks of a step are not working.
     fn unavailable_tasks(&self, key: StepKey) -> u32 {
         let step = self.jobs.get(&key.job).and_then(|job| job.step(key));
-        let tasks = step.map(|step| step.tasks.as_slice()).unwrap_or_default();
-        let is_working = |phase: &TaskPhase, index: usize| {
-            let TaskPhase::Assigned { worker, run } = phase else {
-                return false;
-            };
-            let run_key = (key.task(index as u32), *run);
-            let entry = self.workers.get(worker).and_then(|worker| worker.runs.get(&run_key));
+        let Some(step) = step else {
+            return 0;
+        };
+        let is_working = |(index, worker, run): &(u32, &WorkerId, RunNumber)| {
+            let worker = self.workers.get(*worker);
+            let entry = worker.and_then(|worker| worker.runs.get(&(key.task(*index), *run)));
             entry
                 .is_some_and(|run| run.phase == RunPhase::Running && run.percent >= WORKING_PERCENT)
         };
-        let working =
-            tasks.iter().enumerate().filter(|(index, task)| is_working(&task.phase, *index));
-        (tasks.len() - working.count()) as u32
+        step.count() - step.assigned().filter(is_working).count() as u32
     }
 }
--- a/crates/fleet/src/planner/maintenance.rs
+++ b/crates/fleet/src/planner/maintenance.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use super::{FleetPlanner, PlannerLogEvent};
-use crate::job::{JobEntry, TaskPhase};
+use crate::job::JobEntry;
 use crate::order::{FleetOrder, RenewOrder};
 use crate::record::RosterEntry;
 use crate::recovery::ReportState;
 use crate::run::{RunEntry, RunPhase};
 use crate::spec::{StepKey, TaskKey};
+use crate::step::TaskPhase;
 use crate::worker::{STOP_RETRY_DELAY, WorkerEntry};
 
 /// Number of times that a lease is renewed within its duration while ends wait to be stored.
@@ -150,9 +151,7 @@
             for occurrence in &entry.occurrences {
                 for (index, step) in occurrence.steps.iter().enumerate() {
                     let gang = entry.submission.spec.steps[index].gang;
-                    let has_waiting =
-                        step.tasks.iter().any(|task| task.phase == TaskPhase::Waiting);
-                    if gang && has_waiting && step.is_assigned() {
+                    if gang && step.waiting_count() > 0 && step.is_assigned() {
                         let (occurrence, step) = (occurrence.number, index as u32);
                         broken.push(TaskKey { job: *job, occurrence, step, index: 0 });
                     }
--- a/crates/fleet/src/planner/order_answer.rs
+++ b/crates/fleet/src/planner/order_answer.rs
@@ -4,10 +4,10 @@
 
 use super::FleetPlanner;
 use crate::event::{StartOutcome, StartRefusal};
-use crate::job::TaskPhase;
 use crate::order::FleetOrder;
 use crate::run::RunPhase;
 use crate::spec::{RunNumber, TaskKey};
+use crate::step::TaskPhase;
 
 impl FleetPlanner {
     /// Returns a task to the queue unless it is done or was assigned to another run since.
--- a/crates/fleet/src/planner/reservation.rs
+++ b/crates/fleet/src/planner/reservation.rs
@@ -9,9 +9,9 @@
 use lacewingrail_model::WorkerId;
 
 use super::FleetPlanner;
-use crate::job::TaskPhase;
 use crate::placement::{PlacementSnapshot, SlotIndex};
 use crate::spec::{StepKey, StepSpec, TaskKey};
+use crate::step::TaskPhase;
 
 /// Time after which reserved workers are released and others may be chosen. Runs that were stopped
 /// for the task have normally ended long before.
--- a/crates/fleet/src/planner/run_end.rs
+++ b/crates/fleet/src/planner/run_end.rs
@@ -97,11 +97,13 @@
         let Some(step) = step else {
             return;
         };
-        // The members of a gang are done together, so the end of one marks all as done.
-        let last = if gang { step.tasks.len() as u32 } else { task.index + 1 };
-        let first = if gang { 0 } else { task.index };
         step.last_done_at = Some(now);
-        (first..last).for_each(|index| step.mark_done(index));
+        if gang {
+            // The members of a gang are done together, so the end of one marks all as done.
+            step.mark_all_done();
+        } else {
+            step.mark_done(task.index);
+        }
     }
 
     /// Completes a job if all its tasks are done.
--- a/crates/fleet/src/planner/start.rs
+++ b/crates/fleet/src/planner/start.rs
@@ -7,10 +7,11 @@
 use super::FleetPlanner;
 use super::reservation::TaskPlacement;
 use crate::cpu_limit::FULL_CPU_LIMIT_PERCENT;
-use crate::job::{JobEntry, TaskPhase};
+use crate::job::JobEntry;
 use crate::order::{FleetOrder, StartBasis, StartOrder};
 use crate::run::{RunEntry, RunPhase};
 use crate::spec::{CheckpointName, RunNumber, StepSpec, TaskKey};
+use crate::step::TaskPhase;
 
 impl FleetPlanner {
     /// Orders the start of tasks of one step. All members of a gang get the same run number.
@@ -199,8 +200,7 @@
     if !spec.gang {
         return job.task(task)?.checkpoint.clone();
     }
-    let step = job.step(task.step_key())?;
-    step.tasks.iter().find_map(|entry| entry.checkpoint.clone())
+    job.step(task.step_key())?.any_checkpoint().cloned()
 }
 
 /// Returns the entry of a run whose start is about to be ordered.
--- a/crates/fleet/src/planner/submission.rs
+++ b/crates/fleet/src/planner/submission.rs
@@ -113,7 +113,7 @@
                 && let (Some(spec), Some(step)) = (job.step_spec(item.step), job.step(key))
                 && fits_wherever_other_fits(spec, first_step)
             {
-                work.add_tasks(spec, step.waiting().count());
+                work.add_tasks(spec, step.waiting_count());
             }
         }
         work.min_duration(&fleet)
--- a/crates/fleet/src/planner/worker_report.rs
+++ b/crates/fleet/src/planner/worker_report.rs
@@ -7,12 +7,12 @@
 use super::start::Repetition;
 use super::{FleetPlanner, PlannerLogEvent};
 use crate::event::{ActiveRun, EndReason, LeaseReport};
-use crate::job::TaskPhase;
 use crate::order::FleetOrder;
 use crate::recovery::ReportState;
 use crate::run::{RunEntry, RunPhase};
 use crate::spec::{RunNumber, TaskKey};
 use crate::speed::{ProgressSample, record_progress};
+use crate::step::{StepEntry, TaskPhase};
 
 impl FleetPlanner {
     /// Handles a worker's answer to a renewal that was sent at `sent`.
@@ -255,10 +255,8 @@
         }
         let step =
             job.occurrence(task.occurrence).and_then(|entry| entry.steps.get(task.step as usize));
-        let mut racks = step.into_iter().flat_map(|step| &step.tasks).filter_map(|entry| {
-            let TaskPhase::Assigned { worker, .. } = &entry.phase else {
-                return None;
-            };
+        let assigned = step.into_iter().flat_map(StepEntry::assigned);
+        let mut racks = assigned.filter_map(|(_, worker, _)| {
             self.workers.get(worker).map(|worker| &worker.listing.rack)
         });
         let first = racks.next();
--- a/crates/fleet/src/queue.rs
+++ b/crates/fleet/src/queue.rs
@@ -13,7 +13,7 @@
 
 use crate::amount::ResourceAmount;
 use crate::config::{FleetConfig, QueuePolicy};
-use crate::job::{JobEntry, TaskPhase};
+use crate::job::JobEntry;
 use crate::spec::{JobKey, QueueName, StepSpec};
 
 /// Priority class of urgent work.
@@ -174,9 +174,7 @@
     };
     let done = |index: &u32| state.steps.get(*index as usize).is_some_and(|step| step.is_done());
     let ready = |(index, spec): &(usize, &StepSpec)| {
-        let has_waiting =
-            state.steps[*index].tasks.iter().any(|task| task.phase == TaskPhase::Waiting);
-        has_waiting && spec.after.iter().all(done)
+        state.steps[*index].waiting_count() > 0 && spec.after.iter().all(done)
     };
     let specs = entry.submission.spec.steps.iter().enumerate();
     specs.filter(ready).map(|(index, _)| index as u32).collect()
@@ -245,7 +243,7 @@
     let mut seconds = 0.0;
     for occurrence in &entry.occurrences {
         for (spec, step) in entry.submission.spec.steps.iter().zip(&occurrence.steps) {
-            let left = f64::from(spec.count - step.done.min(spec.count));
+            let left = f64::from(spec.count - step.done_count());
             seconds += left * spec.demand.dominant_share(capacity) * spec.estimate.as_secs_f64();
         }
     }
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -25,6 +25,11 @@
 }
 
 impl FailureCount {
+    /// Returns the count of a task that has never failed.
+    pub const fn new() -> Self {
+        Self { count: 0, settled_run: 0, runs: BTreeSet::new() }
+    }
+
     /// Counts a failed run unless it was counted before, and returns the new number of failed runs.
     pub fn record(&mut self, run: RunNumber) -> u32 {
         if run > self.settled_run && self.runs.insert(run) {
@@ -42,9 +47,14 @@
     pub occurrence: u32,
     /// Index of the step within the job, from 0.
     pub step: u32,
-    /// Indexes of the tasks that are done.
+    /// Indexes of the tasks that are done, unless these are many in the job. Earlier builds read
+    /// nothing else.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub done: Vec<u32>,
+    /// Tasks that are done, if these are many in the job: each range by its first index and the index
+    /// behind its last one.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub done_ranges: Vec<(u32, u32)>,
     /// Failed runs by task index; a gang counts them under task 0.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub failures: BTreeMap<u32, FailureCount>,
--- a/crates/fleet/tests/decisions/takeover.rs
+++ b/crates/fleet/tests/decisions/takeover.rs
@@ -5,7 +5,8 @@
 
 use lacewingrail_fleet::record::FailureCount;
 use lacewingrail_fleet::{
-    EndReason, FleetEvent, FleetOrder, JobPhase, JobSubmission, WorkerListing,
+    EndReason, FleetEvent, FleetOrder, JobPhase, JobProgress, JobSubmission, StepSpec,
+    WorkerListing,
 };
 
 use crate::harness::{
@@ -263,3 +264,46 @@
     let stored = serde_json::to_string(&failures).expect("the record can be encoded");
     assert_eq!(serde_json::from_str::<FailureCount>(&stored).ok(), Some(failures));
 }
+
+/// Tasks that were done must stay done after a takeover, whether they are stored by ranges or, as
+/// earlier builds did, one by one.
+#[test]
+fn tasks_stored_as_done_are_not_started_again() {
+    let by_ranges = r#"{"phase":"active","steps":[{"step":0,"done_ranges":[[0,3],[4,5]]}]}"#;
+    let one_by_one = r#"{"phase":"active","steps":[{"step":0,"done":[0,1,2,4]}]}"#;
+    for stored in [by_ranges, one_by_one] {
+        let mut harness = PlannerHarness::new(1, four_workers());
+        let progress: JobProgress = serde_json::from_str(stored).expect("a valid record");
+        harness.stored.insert(1, progress);
+        let mut harness = harness.fail_over(2, &[submission(1, "normal", vec![step(6, 1)])]);
+        harness.run_until_idle();
+        let started: Vec<u32> =
+            harness.starts.iter().map(|order| order.target.task.index).collect();
+        assert_eq!(started, [3, 5], "{stored}");
+        harness.starts.clone().iter().for_each(|order| harness.end_task(order, EndReason::Done));
+        harness.advance(Duration::from_millis(300));
+        assert_eq!(harness.stored[&1].phase, JobPhase::Completed);
+        assert_eq!(harness.stored[&1].steps[0].done, [0, 1, 2, 3, 4, 5]);
+    }
+}
+
+/// Guards against progress that grows with the tasks that are done, until the store refuses it.
+#[test]
+fn progress_of_a_large_job_stays_small() {
+    const TASKS: u32 = 1_000_000;
+    let mut harness = PlannerHarness::new(1, four_workers());
+    let stored =
+        format!(r#"{{"phase":"active","steps":[{{"step":0,"done_ranges":[[0,{TASKS}]]}}]}}"#);
+    let progress: JobProgress = serde_json::from_str(&stored).expect("a valid record");
+    harness.stored.insert(1, progress);
+    let second = StepSpec { after: vec![0], ..step(2, 1) };
+    let job = submission(1, "normal", vec![step(TASKS, 1), second]);
+    let mut harness = harness.fail_over(2, &[job]);
+    harness.run_until_idle();
+    let first = harness.starts[0].clone();
+    assert_eq!(first.target.task.step, 1);
+    harness.end_task(&first, EndReason::Done);
+    harness.advance(Duration::from_millis(300));
+    let written = serde_json::to_string(&harness.stored[&1]).expect("progress can be encoded");
+    assert!(written.contains("[0,1000000]") && written.len() < 500, "{written}");
+}
