Give no run up while a late start may extend its lease

What callers would see: TWICE. Found by the property test of restarts, not seen elsewhere.

Cause: a start names the end of its lease on the clock of the incarnation that it is sent to. A later incarnation, whose clock is behind, takes that for a time far ahead and extends the lease of all that it runs, by up to the longest lease from the arrival. The scheduler counted the lease from the answers that it had, and gave runs up that went on.

Change: a lease is not taken for over while a start without an answer, sent to a former incarnation, may still reach a worker that has not received a newer call; nor for a run that an unknown incarnation may have started. A report counts as one more extension meanwhile.

Test: unlocated_run_outlasts_a_late_start_on_its_worker failed before (the run was given up after 6.4 s, the order may come for 12 s).

--- a/crates/fleet/src/open_start.rs
+++ b/crates/fleet/src/open_start.rs
@@ -30,10 +30,14 @@
 struct OpenStart {
     worker: WorkerId,
     run: RunNumber,
+    /// Incarnation of the worker by whose clock the first order states the end of its lease.
+    incarnation: u64,
     /// Number of orders that were sent.
     orders: u32,
     /// When the newest order was sent, while its answer is awaited.
     awaited: Option<Duration>,
+    /// When the answer to the last order was given up; `None` before the first.
+    given_up_at: Option<Duration>,
     /// When the last order without an answer, or renewal of a lease that one may meet, is too old to
     /// be carried out; `None` before the first.
     expires_at: Option<Duration>,
@@ -59,10 +63,18 @@
     }
 
     /// Records that a start is sent now. The task has no open start of another run.
-    pub fn record_sent(&mut self, task: TaskKey, worker: &str, run: RunNumber, now: Duration) {
+    pub fn record_sent(
+        &mut self,
+        task: TaskKey,
+        run: RunNumber,
+        worker: &WorkerEntry,
+        now: Duration,
+    ) {
         let entry = self.entries.entry(task).or_insert_with(|| OpenStart {
-            worker: worker.to_owned(),
+            worker: worker.listing.id.clone(),
             run,
+            incarnation: worker.incarnation,
+            given_up_at: None,
             orders: 0,
             awaited: None,
             expires_at: None,
@@ -73,7 +85,13 @@
     }
 
     /// Records the answer to the newest order of a run, or that none came.
-    pub fn record_answer(&mut self, task: TaskKey, run: RunNumber, is_answered: bool) {
+    pub fn record_answer(
+        &mut self,
+        task: TaskKey,
+        run: RunNumber,
+        is_answered: bool,
+        now: Duration,
+    ) {
         let Some(entry) = self.entries.get_mut(&task).filter(|entry| entry.run == run) else {
             return;
         };
@@ -82,6 +100,7 @@
         };
         if !is_answered {
             entry.expires_at = entry.expires_at.max(Some(sent + self.max_order_delay));
+            entry.given_up_at = Some(now);
             entry.is_unclear = true;
         } else if entry.expires_at.is_none() {
             self.entries.remove(&task);
@@ -156,6 +175,17 @@
         self.unclear().map(|(_, entry)| &entry.worker).collect()
     }
 
+    /// Returns whether a start without an answer may still extend the lease of a worker's present
+    /// incarnation beyond what the scheduler counts. The order names a time on the clock of a former
+    /// incarnation, and the present one has not received a newer call since.
+    pub fn may_extend_lease(&self, worker: &WorkerEntry) -> bool {
+        let mut unclear = self.unclear().filter(|(_, entry)| entry.worker == worker.listing.id);
+        unclear.any(|(_, entry)| {
+            let has_reported = entry.given_up_at.is_some_and(|at| worker.has_reported_since(at));
+            entry.incarnation < worker.incarnation && !has_reported
+        })
+    }
+
     /// Returns the steps of the tasks that these starts are for.
     pub fn unclear_steps(&self) -> BTreeSet<StepKey> {
         self.unclear().map(|(task, _)| task.step_key()).collect()
--- a/crates/fleet/src/planner/maintenance.rs
+++ b/crates/fleet/src/planner/maintenance.rs
@@ -78,11 +78,18 @@
     fn release_lapsed_runs(&mut self, now: Duration) {
         let mut lapsed = Vec::new();
         for (id, worker) in &self.workers {
-            if !worker.runs.is_empty() && worker.is_lease_expired(now) {
-                let event =
-                    PlannerLogEvent::LeaseLapsed { worker: id.clone(), runs: worker.runs.len() };
-                self.log_events.push(event);
-                lapsed.extend(worker.runs.keys().map(|(task, run)| (id.clone(), *task, *run)));
+            if worker.runs.is_empty() || !worker.is_lease_expired(now) {
+                continue;
+            }
+            if worker.has_unclear_starts && self.open_starts.may_extend_lease(worker) {
+                continue;
+            }
+            let ended = worker.runs.iter().filter(|(_, run)| !worker.may_outlast_lease(run));
+            let count = lapsed.len();
+            lapsed.extend(ended.map(|((task, run), _)| (id.clone(), *task, *run)));
+            let runs = lapsed.len() - count;
+            if runs > 0 {
+                self.log_events.push(PlannerLogEvent::LeaseLapsed { worker: id.clone(), runs });
             }
         }
         for (worker, task, run) in lapsed {
--- a/crates/fleet/src/planner/order_answer.rs
+++ b/crates/fleet/src/planner/order_answer.rs
@@ -44,7 +44,7 @@
         now: Duration,
     ) {
         let lease = self.settings.lease_duration;
-        self.open_starts.record_answer(task, run, outcome != StartOutcome::Unclear);
+        self.open_starts.record_answer(task, run, outcome != StartOutcome::Unclear, now);
         let Some(entry) = self.workers.get_mut(worker) else {
             return;
         };
--- a/crates/fleet/src/planner/start.rs
+++ b/crates/fleet/src/planner/start.rs
@@ -160,7 +160,7 @@
             report_age: entry.report_age(now),
             waited: now.saturating_sub(waiting_since),
         };
-        self.open_starts.record_sent(task, worker, run, now);
+        self.open_starts.record_sent(task, run, entry, now);
         self.counts.starts += 1;
         self.orders.push(FleetOrder::Start(StartOrder {
             target: entry.listing.task_run(task, run, token),
--- a/crates/fleet/src/planner/worker_report.rs
+++ b/crates/fleet/src/planner/worker_report.rs
@@ -44,7 +44,9 @@
         }
         let lease = self.settings.lease_duration;
         entry.record_clock(report.clock, now);
-        if !entry.has_lease() && !entry.runs.is_empty() {
+        // A late start may just have extended the lease, if it was sent to a former incarnation.
+        let may_be_extended = !entry.has_lease() || entry.has_unclear_starts;
+        if may_be_extended && !entry.runs.is_empty() {
             entry.assume_lease(now, lease);
         }
         entry.unanswered_renewals = 0;
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -269,6 +269,15 @@
         now > clock.received_at + left + LEASE_EXPIRY_MARGIN
     }
 
+    /// Returns whether a run may last beyond the lease that is counted for the worker: an incarnation
+    /// that is not known yet may have started it, and may get a late start that extends its lease.
+    pub fn may_outlast_lease(&self, run: &RunEntry) -> bool {
+        self.has_unclear_starts
+            && run.confirmed.is_some()
+            && !run.reported
+            && !self.is_located(run.start_settled)
+    }
+
     /// Starts the backoff that follows a refused start or a call without an answer.
     pub fn back_off(&mut self, now: Duration) {
         self.backoff_until = self.backoff_until.max(now + REFUSAL_BACKOFF);
--- a/crates/fleet/tests/decisions/late_calls.rs
+++ b/crates/fleet/tests/decisions/late_calls.rs
@@ -271,3 +271,26 @@
     let earliest = max_order_delay + lease_duration;
     assert!(harness.now - sent > earliest, "a late start may have lasted for a lease");
 }
+
+/// Guards against a run that is given up while its worker keeps it alive: an incarnation that the
+/// scheduler does not know yet has started it, and a late start extends the lease there.
+#[test]
+fn unlocated_run_outlasts_a_late_start_on_its_worker() {
+    let mut harness = PlannerHarness::new(1, vec![listing("w0", "north", "r1")]);
+    let job = submission(1, "normal", vec![step(1, 1)]);
+    let TaskRun { worker, task, run, .. } = delay_start(&mut harness, job, CALL_TIMEOUT).target;
+    let other = submission(2, "normal", vec![step(1, 1)]);
+    let started = delay_start(&mut harness, other, Duration::from_millis(20));
+    let outcome = StartOutcome::Unclear;
+    let sent = harness.now;
+    harness.apply_event(FleetEvent::StartAnswered { worker, task, run, outcome });
+    harness.execute(FleetOrder::Start(started));
+    harness.workers.entry("w0".to_owned()).and_modify(|worker| worker.unresponsive = true);
+    harness.listings.push(listing("w1", "north", "r1"));
+    harness.workers.insert("w1".to_owned(), SimulatedWorker::default());
+    while harness.workers_started_on(2).len() < 2 {
+        harness.advance(Duration::from_millis(100));
+        assert!(harness.now - sent < Duration::from_secs(30), "the task starts elsewhere");
+    }
+    assert!(harness.now - sent > settings(1).max_order_delay, "{:?}", harness.now - sent);
+}
