Start nothing on a worker whose listing is of a former incarnation

A worker came back under its id as another kind; a task that requires a label was started there by the labels of its former incarnation.

Cause: labels, capacity and service are known from the list of workers only, which is read every 0.7 s. A report showed the new incarnation first, and the scheduler decided by the former one's listing.

Change: a worker takes starts, new or repeated, only while its listing and its newest report are of the same incarnation.

Test: labels_of_a_former_incarnation_admit_no_task failed before (two starts instead of one).

--- a/crates/fleet/src/planner/start.rs
+++ b/crates/fleet/src/planner/start.rs
@@ -71,7 +71,7 @@
     pub(super) fn repeat_unclear_starts(&mut self, now: Duration) {
         for (worker, task, run) in self.unclear_runs() {
             match self.repetition(&worker, task, run) {
-                Repetition::Possible => self.repeat_start(&worker, task, run, now),
+                Repetition::Possible => self.send_start(task, &worker, run, now),
                 Repetition::Later => {}
                 Repetition::Excluded => {
                     self.order_stop(&worker, task, run, now);
@@ -111,13 +111,13 @@
             && spec.label.as_ref().is_none_or(|label| listing.labels.contains(label));
         match is_suitable {
             false => Repetition::Excluded,
-            true if self.starts_allowed && entry.answers() => Repetition::Possible,
+            true if self.starts_allowed && entry.is_known() => Repetition::Possible,
             true => Repetition::Later,
         }
     }
 
-    /// Orders a known run again on its worker.
-    pub(super) fn repeat_start(
+    /// Returns a run that its worker has lost to the state in which its start is to be repeated.
+    pub(super) fn await_repetition(
         &mut self,
         worker: &str,
         task: TaskKey,
@@ -130,7 +130,6 @@
         let entry = self.workers.get_mut(worker);
         if let Some(entry) = entry.and_then(|entry| entry.runs.get_mut(&(task, run))) {
             entry.restart(checkpoint, now);
-            self.send_start(task, worker, run, now);
         }
     }
 
@@ -149,6 +148,8 @@
             return;
         };
         run_entry.token = token;
+        run_entry.since = now;
+        run_entry.start_settled = None;
         let checkpoint = run_entry.checkpoint.clone();
         let step = job.step(task.step_key());
         let waiting_since = step.and_then(|step| step.waiting_since).unwrap_or(now);
@@ -178,7 +179,8 @@
 pub(super) enum Repetition {
     /// It can be ordered now.
     Possible,
-    /// It can't be ordered while the worker does not answer or the leadership is uncertain.
+    /// It can't be ordered while the worker's incarnation is not known, see
+    /// [`WorkerEntry::is_known`](crate::worker::WorkerEntry::is_known), or the leadership is uncertain.
     Later,
     /// Its job has ended, the worker may not run it any more, or it was ordered too often.
     Excluded,
--- a/crates/fleet/src/planner/worker_report.rs
+++ b/crates/fleet/src/planner/worker_report.rs
@@ -203,7 +203,7 @@
             .collect();
         for (task, run) in missing {
             if self.may_begin_again(worker, task, run) {
-                self.repeat_start(worker, task, run, now);
+                self.await_repetition(worker, task, run, now);
                 continue;
             }
             self.release_run(worker, task, run);
@@ -218,7 +218,7 @@
         let is_stopping =
             entry.is_none_or(|entry| matches!(entry.phase, RunPhase::Stopping { .. }));
         let gang = self.task_spec(task).is_some_and(|spec| spec.gang);
-        !is_stopping && !gang && self.repetition(worker, task, run) == Repetition::Possible
+        !is_stopping && !gang && self.repetition(worker, task, run) != Repetition::Excluded
     }
 
     /// Records a task's newest checkpoint, if there is one.
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -56,13 +56,12 @@
 }
 
 impl RunEntry {
-    /// Returns to the state before the start, which is ordered again.
+    /// Returns to the state of a start that had no answer, after its worker has lost the run.
     pub fn restart(&mut self, checkpoint: Option<CheckpointName>, now: Duration) {
         self.checkpoint = checkpoint;
         self.phase = RunPhase::Starting;
-        self.since = now;
         self.confirmed = None;
-        self.start_settled = None;
+        self.start_settled = Some(now);
         self.reported = false;
         self.percent = 0;
         self.progressed_at = now;
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -135,15 +135,18 @@
         self.listing.capacity - self.used
     }
 
-    /// Returns whether tasks may be started on the worker now: it is listed, not draining, answers,
-    /// and is not in backoff.
+    /// Returns whether tasks may be started on the worker now: it is listed, not draining, known,
+    /// and not in backoff.
     pub fn accepts_starts(&self, now: Duration) -> bool {
-        self.listed && !self.listing.draining && self.answers() && now >= self.backoff_until
+        self.listed && !self.listing.draining && self.is_known() && now >= self.backoff_until
     }
 
-    /// Returns whether the listed incarnation has reported and answers renewals.
-    pub fn answers(&self) -> bool {
-        self.report != ReportState::Awaited && self.unanswered_renewals == 0
+    /// Returns whether the worker answers renewals, and its listing and its newest report are of the
+    /// same incarnation. Another one may have other labels and another capacity.
+    pub fn is_known(&self) -> bool {
+        self.report != ReportState::Awaited
+            && self.unanswered_renewals == 0
+            && self.listing.incarnation >= self.incarnation
     }
 
     /// Adds a run and takes its resources.
--- a/crates/fleet/tests/decisions/planner.rs
+++ b/crates/fleet/tests/decisions/planner.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use crate::harness::{PlannerHarness, listing, step, submission};
-use lacewingrail_fleet::{EndReason, FleetEvent, FleetOrder, JobPhase, PlannerLogEvent};
+use crate::harness::{PlannerHarness, SimulatedWorker, listing, step, submission};
+use lacewingrail_fleet::{EndReason, FleetEvent, FleetOrder, JobPhase, PlannerLogEvent, StepSpec};
 
 fn two_racks() -> Vec<lacewingrail_fleet::WorkerListing> {
     let worker = |index: usize| {
@@ -335,6 +335,30 @@
     assert_eq!(harness.starts.len(), 2);
 }
 
+/// A worker that returns as another kind must not get tasks by the labels of its former incarnation
+/// (review case 13).
+#[test]
+fn labels_of_a_former_incarnation_admit_no_task() {
+    let mut harness = PlannerHarness::new(1, two_racks());
+    let label = harness.listings[0].id.clone();
+    harness.listings[0].labels = vec![label.clone()];
+    harness.run_until_idle();
+    let needs_label = StepSpec { label: Some(label.clone()), ..step(1, 8) };
+    harness.submit(submission(1, "normal", vec![needs_label]));
+    assert_eq!(harness.workers_started_on(1), [label.as_str()]);
+    let reborn = SimulatedWorker { incarnation: 2, ..SimulatedWorker::default() };
+    harness.workers.insert(label.clone(), reborn);
+    harness.advance(Duration::from_secs(1));
+    assert_eq!(harness.starts.len(), 1, "the list still shows the former incarnation");
+    harness.listings[0].incarnation = 2;
+    harness.listings[0].labels = vec!["other".to_owned()];
+    harness.advance(Duration::from_secs(1));
+    assert_eq!(harness.starts.len(), 1, "no worker has the label");
+    harness.listings[0].labels = vec![label.clone()];
+    harness.advance(Duration::from_secs(1));
+    assert_eq!(harness.workers_started_on(1), [label.as_str(), label.as_str()]);
+}
+
 /// A worker that refuses a start for lack of capacity must be asked for a report: it may run
 /// something that this scheduler does not know of, and would otherwise refuse every start.
 #[test]
