Order a run again after a refusal, and ask idle workers about old starts

Cause: a reset connection counts as a start without an answer. The repeated start was refused, as the worker was out of reach, and the run was stopped, so that its task waited until the order was too old. And the worker, which ran nothing by then, was not asked for the report that closes an old start, so that the wait was longer by the longest lease.

Change: a start that is refused after one without an answer is repeated 0.4 s later, within the same number of orders, unless its run has ended or has no ticket. Workers with a start that is too old are asked for a report.

Tests: idle_worker_is_asked_once_its_start_is_too_old and refused_start_is_repeated_after_one_without_an_answer failed before.

--- a/crates/fleet/src/open_start.rs
+++ b/crates/fleet/src/open_start.rs
@@ -25,6 +25,9 @@
 /// task is likely better off elsewhere, once that is safe.
 const MAX_ORDERS: u32 = 4;
 
+/// Time after a refused order before the run is ordered again.
+const REFUSAL_DELAY: Duration = Duration::from_millis(400);
+
 /// Open start orders of one task, all for the same run on the same worker.
 #[derive(Clone, Debug)]
 struct OpenStart {
@@ -36,6 +39,8 @@
     orders: u32,
     /// When the newest order was sent, while its answer is awaited.
     awaited: Option<Duration>,
+    /// When the run may be ordered again.
+    next_order_at: Duration,
     /// When the answer to the last order was given up; `None` before the first.
     given_up_at: Option<Duration>,
     /// When the last order without an answer, or renewal of a lease that one may meet, is too old to
@@ -74,6 +79,7 @@
             worker: worker.listing.id.clone(),
             run,
             incarnation: worker.incarnation,
+            next_order_at: now,
             given_up_at: None,
             orders: 0,
             awaited: None,
@@ -104,6 +110,8 @@
             entry.is_unclear = true;
         } else if entry.expires_at.is_none() {
             self.entries.remove(&task);
+        } else {
+            entry.next_order_at = now + REFUSAL_DELAY;
         }
     }
 
@@ -155,14 +163,15 @@
         self.entries.get(&task).is_some_and(|entry| entry.worker == worker && entry.run == run)
     }
 
-    /// Returns whether the run of an open start may be ordered again: none of its orders is awaited,
-    /// and they are not too many.
-    pub fn may_repeat(&self, task: TaskKey, worker: &str, run: RunNumber) -> bool {
-        self.is_open_for(task, worker, run)
-            && self
-                .entries
-                .get(&task)
-                .is_some_and(|entry| entry.awaited.is_none() && entry.orders < MAX_ORDERS)
+    /// Returns when the run of an open start may be ordered again, or `None` if it may not: one of its
+    /// orders is awaited, or they are too many.
+    pub fn next_order_at(&self, task: TaskKey, worker: &str, run: RunNumber) -> Option<Duration> {
+        let entry = self.entries.get(&task)?;
+        let may_repeat = entry.worker == worker
+            && entry.run == run
+            && entry.awaited.is_none()
+            && entry.orders < MAX_ORDERS;
+        may_repeat.then_some(entry.next_order_at)
     }
 
     /// Returns the number of tasks with a start without an answer that may still be carried out.
@@ -175,6 +184,13 @@
         self.unclear().map(|(_, entry)| &entry.worker).collect()
     }
 
+    /// Returns the workers whose report closes a start that is too old to be carried out.
+    pub fn awaited_workers(&self, now: Duration) -> BTreeSet<WorkerId> {
+        let is_old = |entry: &&OpenStart| entry.expires_at.is_some_and(|at| now > at);
+        let old = self.unclear().map(|(_, entry)| entry).filter(is_old);
+        old.map(|entry| entry.worker.clone()).collect()
+    }
+
     /// Returns whether a start without an answer may still extend the lease of a worker's present
     /// incarnation beyond what the scheduler counts. The order names a time on the clock of a former
     /// incarnation, and the present one has not received a newer call since.
--- a/crates/fleet/src/planner/maintenance.rs
+++ b/crates/fleet/src/planner/maintenance.rs
@@ -314,8 +314,11 @@
         let has_unclear_starts = self.open_starts.unclear_count() > 0;
         let pending_interval =
             if has_unclear_starts { UNCLEAR_REPORT_INTERVAL } else { lease / RENEWALS_PER_LEASE };
+        let awaited = self.open_starts.awaited_workers(now);
         for (id, worker) in &mut self.workers {
-            if worker.renewal_in_flight || !needs_renewal(worker, pending_interval, now) {
+            let is_awaited = worker.unanswered_renewals == 0 && awaited.contains(id);
+            let is_due = is_awaited || needs_renewal(worker, pending_interval, now);
+            if worker.renewal_in_flight || !is_due {
                 continue;
             }
             if worker.report == ReportState::Awaited && worker.unanswered_renewals == 0 {
--- a/crates/fleet/src/planner/order_answer.rs
+++ b/crates/fleet/src/planner/order_answer.rs
@@ -28,10 +28,9 @@
         self.unassign(worker, task, run);
     }
 
-    /// Handles the answer to a start order. The task of a refused start returns to the queue; if an
-    /// earlier order of the same run had no answer, the run is stopped first. In both cases the other
-    /// members of a gang are stopped. A start without an answer is ordered again, unless a report has
-    /// named its run.
+    /// Handles the answer to a start order. The task of a refused start returns to the queue, and
+    /// the other members of a gang are stopped. A start without an answer is ordered again, unless a
+    /// report has named its run; so is a refused one after that, or it is stopped.
     ///
     /// A later incarnation than the present one counts the lease from the arrival of the order, which
     /// may have been just before the answer.
@@ -62,11 +61,9 @@
                 return;
             }
             StartOutcome::Refused(StartRefusal::StaleToken) => {
+                // Otherwise, a newer call of this scheduler has overtaken the start.
                 if run_entry.token == entry.fencing.token(self.settings.epoch) {
                     self.orders.push(FleetOrder::StepDown);
-                } else if self.open_starts.is_open_for(task, worker, run) {
-                    // A newer call of this scheduler has overtaken the start, which is repeated.
-                    return;
                 }
             }
             StartOutcome::Refused(StartRefusal::NoTicket) => {
@@ -88,6 +85,14 @@
         }
         self.counts.failed_starts += 1;
         if self.open_starts.is_open_for(task, worker, run) {
+            // Where the run has ended, a report tells how; where it has no ticket, it can't start.
+            let is_excluded = matches!(
+                outcome,
+                StartOutcome::Refused(StartRefusal::StaleRun | StartRefusal::NoTicket)
+            );
+            if !is_excluded {
+                return;
+            }
             self.order_stop(worker, task, run, now);
         } else {
             self.release_run(worker, task, run);
--- a/crates/fleet/src/planner/start.rs
+++ b/crates/fleet/src/planner/start.rs
@@ -70,10 +70,10 @@
     /// [`open_start`](crate::open_start).
     pub(super) fn repeat_unclear_starts(&mut self, now: Duration) {
         for (worker, task, run) in self.unclear_runs() {
-            match self.repetition(&worker, task, run) {
-                Repetition::Possible => self.send_start(task, &worker, run, now),
-                Repetition::Later => {}
-                Repetition::Excluded => {
+            match self.repetition(&worker, task, run, now) {
+                StartRepetition::Possible => self.send_start(task, &worker, run, now),
+                StartRepetition::Later => {}
+                StartRepetition::Excluded => {
                     self.order_stop(&worker, task, run, now);
                     self.stop_gang(task, now);
                 }
@@ -94,14 +94,22 @@
     }
 
     /// Returns whether a run that may still be started late can be ordered on its worker again.
-    pub(super) fn repetition(&self, worker: &str, task: TaskKey, run: RunNumber) -> Repetition {
+    pub(super) fn repetition(
+        &self,
+        worker: &str,
+        task: TaskKey,
+        run: RunNumber,
+        now: Duration,
+    ) -> StartRepetition {
+        let Some(next_order_at) = self.open_starts.next_order_at(task, worker, run) else {
+            return StartRepetition::Excluded;
+        };
         let job = self.jobs.get(&task.job).filter(|job| !job.phase.is_final());
-        let job = job.filter(|_| self.open_starts.may_repeat(task, worker, run));
         let policy = job.and_then(|job| self.config.queues.get(&job.submission.queue));
         let spec = job.and_then(|job| job.step_spec(task.step));
         let (Some(entry), Some(policy), Some(spec)) = (self.workers.get(worker), policy, spec)
         else {
-            return Repetition::Excluded;
+            return StartRepetition::Excluded;
         };
         let listing = &entry.listing;
         let is_suitable = entry.listed
@@ -109,10 +117,12 @@
             && !self.disabled_domains.contains(&listing.domain)
             && listing.service == policy.service
             && spec.label.as_ref().is_none_or(|label| listing.labels.contains(label));
-        match is_suitable {
-            false => Repetition::Excluded,
-            true if self.starts_allowed && entry.is_known() => Repetition::Possible,
-            true => Repetition::Later,
+        if !is_suitable {
+            StartRepetition::Excluded
+        } else if self.starts_allowed && entry.is_known() && now >= next_order_at {
+            StartRepetition::Possible
+        } else {
+            StartRepetition::Later
         }
     }
 
@@ -176,11 +186,12 @@
 
 /// Whether a run can be ordered on its worker once more.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Repetition {
+pub(super) enum StartRepetition {
     /// It can be ordered now.
     Possible,
     /// It can't be ordered while the worker's incarnation is not known, see
-    /// [`WorkerEntry::is_known`](crate::worker::WorkerEntry::is_known), or the leadership is uncertain.
+    /// [`WorkerEntry::is_known`](crate::worker::WorkerEntry::is_known), shortly after a refusal, or
+    /// while the leadership is uncertain.
     Later,
     /// Its job has ended, the worker may not run it any more, or it was ordered too often.
     Excluded,
--- a/crates/fleet/src/planner/worker_report.rs
+++ b/crates/fleet/src/planner/worker_report.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::start::Repetition;
+use super::start::StartRepetition;
 use super::{FleetPlanner, PlannerLogEvent};
 use crate::event::{ActiveRun, EndReason, LeaseReport};
 use crate::order::FleetOrder;
@@ -202,7 +202,7 @@
             .map(|(key, _)| *key)
             .collect();
         for (task, run) in missing {
-            if self.may_begin_again(worker, task, run) {
+            if self.may_begin_again(worker, task, run, now) {
                 self.await_repetition(worker, task, run, now);
                 continue;
             }
@@ -213,12 +213,14 @@
 
     /// Returns whether a run that its worker has lost is to be started there again, since an earlier
     /// order may still start it there. The members of a gang end together.
-    fn may_begin_again(&self, worker: &str, task: TaskKey, run: RunNumber) -> bool {
+    fn may_begin_again(&self, worker: &str, task: TaskKey, run: RunNumber, now: Duration) -> bool {
         let entry = self.workers.get(worker).and_then(|worker| worker.runs.get(&(task, run)));
         let is_stopping =
             entry.is_none_or(|entry| matches!(entry.phase, RunPhase::Stopping { .. }));
         let gang = self.task_spec(task).is_some_and(|spec| spec.gang);
-        !is_stopping && !gang && self.repetition(worker, task, run) != Repetition::Excluded
+        !is_stopping
+            && !gang
+            && self.repetition(worker, task, run, now) != StartRepetition::Excluded
     }
 
     /// Records a task's newest checkpoint, if there is one.
--- a/crates/fleet/tests/decisions/late_calls.rs
+++ b/crates/fleet/tests/decisions/late_calls.rs
@@ -5,7 +5,7 @@
 use lacewingrail_fleet::order::RenewOrder;
 use lacewingrail_fleet::{
     EndReason, FleetEvent, FleetOrder, JobPhase, JobSubmission, PlannerSettings, StartOrder,
-    StartOutcome, TaskKey, TaskRun,
+    StartOutcome, TaskKey, TaskRun, WorkerListing,
 };
 
 use crate::harness::{
@@ -294,3 +294,51 @@
     }
     assert!(harness.now - sent > settings(1).max_order_delay, "{:?}", harness.now - sent);
 }
+
+/// Guards against a task that waits for a start which is too old, since its worker runs nothing and
+/// is therefore not asked (a job on scale-2 of tanahku-inspect-grown started nothing for 23 s).
+#[test]
+fn idle_worker_is_asked_once_its_start_is_too_old() {
+    let workers = ["w0", "w1"].map(|id| listing(id, "north", "r1"));
+    let mut harness = PlannerHarness::new(1, workers.to_vec());
+    let sent = harness.now;
+    let job = submission(1, "normal", vec![step(1, 1)]);
+    let TaskRun { worker, task, run, .. } =
+        delay_start(&mut harness, job, Duration::from_millis(20)).target;
+    let is_target = |listing: &&mut WorkerListing| listing.id == worker;
+    harness.listings.iter_mut().filter(is_target).for_each(|listing| listing.draining = true);
+    harness.run_until_idle();
+    let renewal = FleetEvent::RenewalUnanswered { worker: worker.clone(), stale_token: false };
+    harness.apply_event(renewal);
+    let (id, outcome) = (worker.clone(), StartOutcome::Unclear);
+    harness.apply_event(FleetEvent::StartAnswered { worker: id, task, run, outcome });
+    let max_order_delay = settings(1).max_order_delay;
+    while harness.now - sent < max_order_delay + Duration::from_millis(500) {
+        harness.advance(Duration::from_millis(100));
+        let is_open = harness.now - sent <= max_order_delay;
+        assert!(!is_open || holders(&harness, task).is_empty(), "{:?}", harness.now - sent);
+    }
+    assert!(harness.stops.iter().any(|stop| stop.worker == worker), "a draining worker is left");
+    assert_eq!(holders(&harness, task).len(), 1, "the task runs elsewhere");
+}
+
+/// Guards against a task that waits until its order is too old, since its worker was out of reach
+/// for a moment: a start that is refused after one without an answer is ordered again.
+#[test]
+fn refused_start_is_repeated_after_one_without_an_answer() {
+    let mut harness = PlannerHarness::new(1, vec![listing("w0", "north", "r1")]);
+    let job = submission(1, "normal", vec![step(1, 1)]);
+    let TaskRun { worker, task, run, .. } =
+        delay_start(&mut harness, job, Duration::from_millis(20)).target;
+    harness.workers.entry("w0".to_owned()).and_modify(|worker| worker.out_of_capacity = true);
+    let renewal = FleetEvent::RenewalUnanswered { worker: worker.clone(), stale_token: false };
+    harness.apply_event(renewal);
+    let outcome = StartOutcome::Unclear;
+    harness.apply_event(FleetEvent::StartAnswered { worker, task, run, outcome });
+    harness.advance(Duration::from_millis(400));
+    assert!(!harness.starts.is_empty() && holders(&harness, task).is_empty());
+    harness.workers.entry("w0".to_owned()).and_modify(|worker| worker.out_of_capacity = false);
+    harness.advance(Duration::from_secs(1));
+    assert_eq!(holders(&harness, task), ["w0"]);
+    assert!(harness.stops.is_empty());
+}
