Share the room of empty workers and the backoff after a refusal

Read again: room_when_empty wrote the sum in fits_when_empty once more, and open_start had a delay of its own beside REFUSAL_BACKOFF, of the same time and for the same reason. Both use one piece now; nothing else changes.

--- a/crates/fleet/src/open_start.rs
+++ b/crates/fleet/src/open_start.rs
@@ -19,15 +19,12 @@
 
 use crate::recovery::{PREVIOUS_LEASE_FACTOR, ReportState};
 use crate::spec::{RunNumber, StepKey, TaskKey};
-use crate::worker::WorkerEntry;
+use crate::worker::{REFUSAL_BACKOFF, WorkerEntry};
 
 /// Maximum number of times that a run is ordered while one of its orders is open. After that, its
 /// task is likely better off elsewhere, once that is safe.
 const MAX_ORDERS: u32 = 4;
 
-/// Time after a refused order before the run is ordered again.
-const REFUSAL_DELAY: Duration = Duration::from_millis(400);
-
 /// Open start orders of one task, all for the same run on the same worker.
 #[derive(Clone, Debug)]
 struct OpenStart {
@@ -111,7 +108,7 @@
         } else if entry.expires_at.is_none() {
             self.entries.remove(&task);
         } else {
-            entry.next_order_at = now + REFUSAL_DELAY;
+            entry.next_order_at = now + REFUSAL_BACKOFF;
         }
     }
 
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -174,23 +174,27 @@
 
     /// Returns whether all tasks of a request would fit into one group if nothing else ran there.
     pub fn fits_when_empty(&self, request: &PlacementRequest<'_>, scope: PlacementScope) -> bool {
-        let limit = request.spec.worker_limit.map_or(i64::MAX, i64::from);
-        let room = |index: &SlotIndex| {
-            self.slots[*index].capacity.multiples(&request.spec.demand).min(limit)
-        };
-        self.groups(request, scope).iter().any(|group| {
-            group.iter().map(room).fold(0i64, i64::saturating_add) >= request.count as i64
-        })
+        let has_room =
+            |group: Vec<SlotIndex>| self.empty_room(request, group) >= request.count as i64;
+        self.groups(request, scope).into_iter().any(has_room)
     }
 
     /// Returns how many tasks of a request all eligible workers together could hold if nothing else
     /// ran there.
     pub fn room_when_empty(&self, request: &PlacementRequest<'_>) -> i64 {
+        let eligible = (0..self.slots.len()).filter(|slot| self.is_eligible(*slot, request));
+        self.empty_room(request, eligible)
+    }
+
+    /// Returns how many tasks of a request some workers could hold if nothing else ran there.
+    fn empty_room<I>(&self, request: &PlacementRequest<'_>, slots: I) -> i64
+    where
+        I: IntoIterator<Item = SlotIndex>,
+    {
         let limit = request.spec.worker_limit.map_or(i64::MAX, i64::from);
-        let slots = (0..self.slots.len()).filter(|slot| self.is_eligible(*slot, request));
-        let rooms =
-            slots.map(|slot| self.slots[slot].capacity.multiples(&request.spec.demand).min(limit));
-        rooms.fold(0, i64::saturating_add)
+        let room =
+            |slot: SlotIndex| self.slots[slot].capacity.multiples(&request.spec.demand).min(limit);
+        slots.into_iter().map(room).fold(0, i64::saturating_add)
     }
 
     /// Returns the scope in which a step should be placed: the narrowest that it asks for and that
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -32,7 +32,7 @@
 /// Number of failures in a row after which the backoff stops growing.
 const MAX_BACKOFF_FAILURES: u32 = 4;
 /// Time without new starts on a worker that refused a start or did not answer a call.
-const REFUSAL_BACKOFF: Duration = Duration::from_millis(400);
+pub const REFUSAL_BACKOFF: Duration = Duration::from_millis(400);
 
 /// Reading of a worker's monotonic clock, with the time of its receipt.
 #[derive(Clone, Copy, Debug)]
