Share the waiting jobs between their test and their measurement

The test of what waiting work costs and measure_waiting each built the same planner, workers, jobs and reading of memory; tests/support/waiting_jobs.rs serves both.

--- a/crates/fleet/tests/waiting_work.rs
+++ b/crates/fleet/tests/waiting_work.rs
@@ -1,16 +1,14 @@
 //! What waiting work costs the scheduler, in a process of its own so that its memory can be read.
 
-use std::fs;
+#[path = "support/waiting_jobs.rs"]
+mod waiting_jobs;
+
 use std::hint::black_box;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use lacewingrail_fleet::{
-    FleetConfig, FleetEvent, FleetPlanner, JobSpec, JobSubmission, LeaseReport, PlannerSettings,
-    QueuePolicy, ResourceAmount, StepSpec, WorkerListing,
-};
+use lacewingrail_fleet::FleetPlanner;
+use waiting_jobs::{DEMAND, NOW, WaitingWork, accept, planner, resident_bytes, submission};
 
-const NOW: Duration = Duration::from_secs(100);
 const JOBS: u64 = 1000;
 /// Most memory that 10 million waiting tasks in 1,000 jobs may take, in bytes (the target).
 const MAX_BYTES: u64 = 20_000_000;
@@ -18,93 +16,17 @@
 const MAX_TIME_FACTOR: u32 = 2;
 /// Number of decisions of which the fastest counts.
 const DECISIONS: usize = 7;
-/// Size of a memory page in bytes.
-const PAGE_BYTES: u64 = 4096;
-
-fn resident_bytes() -> u64 {
-    let text = fs::read_to_string("/proc/self/statm").expect("the system reports memory");
-    let pages = text.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok());
-    pages.expect("the second number is the resident set") * PAGE_BYTES
-}
-
-/// Returns a planner with a worker that has room for one task.
-fn planner() -> FleetPlanner {
-    let settings = PlannerSettings {
-        epoch: 1,
-        lease_duration: Duration::from_secs(6),
-        renewal_grace: Duration::from_secs(6),
-        max_order_delay: Duration::from_secs(12),
-        report_poll_timeout: Duration::from_secs(1),
-        ended_job_retention: Duration::from_secs(120),
-        unix_origin_ms: 0,
-    };
-    let mut planner = FleetPlanner::new(settings, NOW);
-    let policy = QueuePolicy {
-        service: "desk".into(),
-        priority: 1,
-        max_failures: 3,
-        stretch: 3.0,
-        slack: Duration::from_secs(1),
-        advice: None,
-    };
-    let queues = [("normal".to_owned(), policy)].into();
-    let config = FleetConfig { version: 1, queues, ..FleetConfig::default() };
-    planner.apply_event(NOW, FleetEvent::ConfigChanged(Arc::new(config)));
-    let listing = WorkerListing {
-        id: "w0".into(),
-        address: "w0:80".into(),
-        service: "desk".into(),
-        domain: "north".into(),
-        rack: None,
-        labels: Vec::new(),
-        capacity: demand(),
-        draining: false,
-        remaining: None,
-        incarnation: 1,
-    };
-    planner.apply_event(NOW, FleetEvent::WorkersListed(vec![listing]));
-    planner.plan(NOW);
-    let report = LeaseReport { incarnation: 1, clock: NOW, ..LeaseReport::default() };
-    let answer = FleetEvent::RenewalAnswered { worker: "w0".into(), sent: NOW, report };
-    planner.apply_event(NOW, answer);
-    planner
-}
-
-fn demand() -> ResourceAmount {
-    ResourceAmount { cpu_milli: 1000, memory_mb: 256, accelerators: 1 }
-}
-
-fn submission(key: u64, tasks: u32) -> Arc<JobSubmission> {
-    let step = StepSpec {
-        count: tasks,
-        demand: demand(),
-        estimate: Duration::from_millis(500),
-        ..StepSpec::default()
-    };
-    Arc::new(JobSubmission {
-        key,
-        queue: "normal".into(),
-        customer: "customer".into(),
-        spec: JobSpec { payload: "work".into(), steps: vec![step], schedule: None },
-        accepted_unix_ms: 0,
-    })
-}
 
-/// Returns a planner with a number of jobs, each of one step of a number of tasks.
+/// Returns a planner with room for one task and a number of jobs, each of one step of some tasks.
 fn planner_with_jobs(tasks: u32) -> FleetPlanner {
-    let mut planner = planner();
-    for key in 0..JOBS {
-        let submission = submission(key, tasks);
-        let accepted = FleetEvent::JobAccepted { submission, progress: None, age: Duration::ZERO };
-        planner.apply_event(NOW, accepted);
-    }
-    planner.plan(NOW);
+    let mut planner = planner(1, DEMAND);
+    accept(&mut planner, WaitingWork { jobs: JOBS, steps: 1, tasks });
     planner
 }
 
 /// Returns the time of the fastest of some decisions and admission checks.
 fn decision_time(planner: &mut FleetPlanner, tasks: u32) -> Duration {
-    let next = submission(JOBS, tasks);
+    let next = submission(JOBS, WaitingWork { jobs: 1, steps: 1, tasks });
     let times = (0..DECISIONS).map(|_| {
         let begin = Instant::now();
         planner.plan(NOW);
